Test the request path: life cycle, router, scanner, configuration, daemon

Properties over random events (fixed seed): one outcome a request, not_run only if nothing ran, at most one run of work that is not repeatable, grants within what a target bears.

--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -105,7 +105,7 @@
   for (std::uint32_t i = 0; i < settings.limits.traffic_threads; ++i) {
     traffic.push_back(std::make_unique<gateway::traffic_thread>(
         options, control, connections));
-    const result<endpoint> bound = traffic.back()->Start();
+    result<endpoint> bound = traffic.back()->Start();
     if (!bound) {
       return bound;
     }
--- /dev/null
+++ b/src/app/tests/fake_target.h
@@ -0,0 +1,85 @@
+// A target for tests: answers as it is told, on a thread of its own.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include "framework/fiber/fiber_thread.h"
+#include "framework/fiber/use_fiber.h"
+#include "framework/net/http_server.h"
+
+namespace burdocklock::app {
+
+/// What the fake does with a request.
+struct fake_answer {
+  /// Written as it is; NAME is replaced by the request's name.
+  std::string bytes;
+  /// Leave the connection open afterwards until the other side closes it.
+  bool hang = false;
+};
+
+class fake_target : public net::i_http_handler {
+ public:
+  using script = std::function<fake_answer(const net::http_request&)>;
+
+  explicit fake_target(script script) : script_(std::move(script)) {
+    std::promise<endpoint> bound;
+    thread_ = std::thread([this, &bound] {
+      RunFiberThread(io_, [this, &bound] {
+        net::http_server server(io_, {}, *this);
+        bound.set_value(server.Start().value());
+        stop_.Wait();
+        server.Stop();
+      });
+    });
+    address_ = bound.get_future().get();
+  }
+
+  ~fake_target() override {
+    boost::asio::post(io_, [this] { stop_.Set(); });
+    thread_.join();
+  }
+
+  net::keep_alive Handle(net::http_connection& connection,
+                         net::http_request& request) override {
+    ++requests;
+    fake_answer answer = script_(request);
+    const std::string name(request["X-Request-Id"]);
+    for (std::size_t at = answer.bytes.find("NAME"); at != std::string::npos;
+         at = answer.bytes.find("NAME")) {
+      answer.bytes.replace(at, 4, name);
+    }
+    net::asio::async_write(connection.stream, net::asio::buffer(answer.bytes),
+                           use_fiber);
+    if (answer.hang) {
+      char byte = 0;
+      connection.stream.async_read_some(net::asio::buffer(&byte, 1), use_fiber);
+      ++closed_by_peer;
+    }
+    return net::keep_alive::kNo;
+  }
+  void OnBadRequest(net::http_connection&, error_code) override {}
+
+  [[nodiscard]] const endpoint& address() const { return address_; }
+
+  std::atomic<int> requests{0};
+  std::atomic<int> closed_by_peer{0};
+
+ private:
+  script script_;
+  boost::asio::io_context io_{1};
+  fiber_event stop_;
+  endpoint address_;
+  std::thread thread_;
+};
+
+}  // namespace burdocklock::app
--- /dev/null
+++ b/src/fairness/tests/fair_queue_unittest.cc
@@ -0,0 +1,128 @@
+// Properties of the fair queue.
+#include "fairness/fair_queue.h"
+
+#include <cmath>
+#include <map>
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+namespace burdocklock::fairness {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct queue_fixture {
+  fair_queue queue{seconds(10)};
+  time_point now{seconds(1000)};
+  std::uint64_t last = 0;
+  std::map<request_seq, customer_id> owners;
+
+  void Push(const customer_id& customer) {
+    const request_seq id(++last);
+    owners.emplace(id, customer);
+    queue.Push(customer, id, now);
+  }
+  customer_id Take() {
+    customer_id taken;
+    queue.TakeNext(now, [&](request_seq id) {
+      taken = owners.at(id);
+      return true;
+    });
+    return taken;
+  }
+};
+
+const customer_id kLarge("large");
+const customer_id kSmall("small");
+
+TEST_CASE_METHOD(queue_fixture,
+                 "fair queue: shares 3 and 1: service divides 3 to 1") {
+  queue.SetShare(kLarge, 3);
+  queue.SetShare(kSmall, 1);
+  std::map<customer_id, int> served;
+  for (int i = 0; i < 400; ++i) {
+    Push(kLarge);
+    Push(kSmall);
+  }
+  for (int i = 0; i < 200; ++i) {
+    const customer_id next = Take();
+    queue.Charge(next, 10);
+    ++served[next];
+  }
+  CHECK(std::abs(served[kLarge] - 150) <= 1);
+}
+
+TEST_CASE_METHOD(queue_fixture,
+                 "fair queue: customer returns from idling: has no credit") {
+  Push(kLarge);
+  for (int i = 0; i < 100; ++i) {
+    Push(kLarge);
+    queue.Charge(Take(), 10);
+  }
+  Push(kSmall);
+  Push(kSmall);
+  Push(kSmall);
+  int small_in_row = 0;
+  while (Take() == kSmall) {
+    queue.Charge(kSmall, 10);
+    ++small_in_row;
+  }
+  CHECK(small_in_row <= 1);
+}
+
+TEST_CASE_METHOD(queue_fixture,
+                 "fair queue: customer in debt: served once per age limit") {
+  // The large customer is never idle, so it keeps its lower counter.
+  Push(kLarge);
+  Push(kSmall);
+  Push(kSmall);
+  queue.Charge(kSmall, 1e9);
+  int waited_ms = 0;
+  while (true) {
+    Push(kLarge);
+    queue.Charge(kLarge, 1);
+    if (Take() == kSmall) {
+      break;
+    }
+    now += milliseconds(100);
+    waited_ms += 100;
+  }
+  CHECK(waited_ms <= 10'000);
+  CHECK(Take() == kLarge);
+}
+
+TEST_CASE("fair queue: random work: gap of backlogged customers is bounded") {
+  rc::prop("gap <= 2 * largest cost / share", [] {
+    queue_fixture world;
+    constexpr int kCustomers = 4;
+    constexpr int kMaxCost = 50;
+    std::vector<customer_id> customers;
+    std::map<customer_id, double> shares;
+    for (int i = 0; i < kCustomers; ++i) {
+      customers.emplace_back("c" + std::to_string(i));
+      shares[customers.back()] = *rc::gen::inRange(1, 9);
+      world.queue.SetShare(customers.back(), shares[customers.back()]);
+      for (int n = 0; n < 300; ++n) {
+        world.Push(customers.back());
+      }
+    }
+    std::map<customer_id, double> service;
+    for (const int cost : *rc::gen::container<std::vector<int>>(
+             300, rc::gen::inRange(1, kMaxCost))) {
+      const customer_id next = world.Take();
+      world.queue.Charge(next, cost);
+      service[next] += cost / shares[next];
+      for (const customer_id& a : customers) {
+        for (const customer_id& b : customers) {
+          const double bound = kMaxCost / shares[a] + kMaxCost / shares[b];
+          RC_ASSERT(service[a] - service[b] <= bound);
+        }
+      }
+    }
+  });
+}
+
+}  // namespace
+}  // namespace burdocklock::fairness
--- a/src/framework/metrics/internal/rolling_summary.cc
+++ b/src/framework/metrics/internal/rolling_summary.cc
@@ -30,7 +30,8 @@
   }
   values.max = acc::max(source);
   for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
-    values.quantiles[i] = acc::extended_p_square(source)[i];
+    values.quantiles[i] =
+        acc::extended_p_square(source)[static_cast<std::ptrdiff_t>(i)];
   }
   return values;
 }
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -58,7 +58,7 @@
 class http_server {
  public:
   http_server(asio::io_context& context,
-              http_server_options options,
+              const http_server_options& options,
               i_http_handler& handler);
   ~http_server();
 
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -48,7 +48,7 @@
 
 struct http_server::state : std::enable_shared_from_this<state> {
   state(asio::io_context& context,
-        http_server_options options,
+        const http_server_options& options,
         i_http_handler& handler)
       : context(context),
         options(options),
@@ -79,7 +79,7 @@
 };
 
 http_server::http_server(asio::io_context& context,
-                         http_server_options options,
+                         const http_server_options& options,
                          i_http_handler& handler)
     : state_(std::make_shared<state>(context, options, handler)) {}
 
--- a/src/gateway/caller_handler.h
+++ b/src/gateway/caller_handler.h
@@ -28,7 +28,7 @@
   net::keep_alive Reply(net::http_connection& connection,
                         const net::http_request& request,
                         unsigned status,
-                        std::string content_type,
+                        const std::string& content_type,
                         std::string body);
   net::keep_alive Refuse(net::http_connection& connection,
                          const net::http_request& request,
--- a/src/gateway/internal/call_parser.cc
+++ b/src/gateway/internal/call_parser.cc
@@ -100,11 +100,12 @@
   if (!config::sheet_index::MayUseService(customer, name)) {
     return Reject(customer, refusal_reason::kPoolNotAllowed, name.value());
   }
+  const bool repeatable =
+      !config::IsNonRepeatable(*service, input.method, path);
   return parsed_call{.spec = {.customer = customer.id,
                               .pool = name,
                               .kind = routing::call_kind::kServiceCall,
-                              .repeatable = !config::IsNonRepeatable(
-                                  *service, input.method, path)},
+                              .repeatable = repeatable},
                      .target_path = std::move(path)};
 }
 
--- a/src/gateway/internal/caller_handler.cc
+++ b/src/gateway/internal/caller_handler.cc
@@ -213,7 +213,7 @@
 net::keep_alive caller_handler::Reply(net::http_connection& connection,
                                       const net::http_request& request,
                                       unsigned status,
-                                      std::string content_type,
+                                      const std::string& content_type,
                                       std::string body) {
   net::http_response response(http::int_to_status(status), request.version());
   response.set(http::field::content_type, content_type);
--- /dev/null
+++ b/src/gateway/tests/gateway_unittest.cc
@@ -0,0 +1,215 @@
+// Parsing of calls and checking of answers.
+#include <string>
+#include <vector>
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+#include "config/config_reader.h"
+#include "config/key_hashing.h"
+#include "gateway/call_parser.h"
+#include "gateway/sse_scanner.h"
+
+namespace burdocklock::gateway {
+namespace {
+
+using refusals::refusal_reason;
+
+const std::string kName = "shah-alam-1-18c-42";
+
+std::string Event(const std::string& name, const std::string& text) {
+  return "data: {\"id\":\"chatcmpl-" + name +
+         "\",\"choices\":[{\"delta\":{\"content\":\"" + text + "\"}}]}\n\n";
+}
+
+struct scanner_fixture {
+  sse_scanner scanner{kName};
+
+  std::string FeedInPieces(const std::string& stream,
+                           const std::vector<std::size_t>& cuts) {
+    std::string released;
+    std::size_t at = 0;
+    std::size_t next = 0;
+    while (at < stream.size()) {
+      const std::size_t size =
+          cuts.empty() ? stream.size() : 1 + cuts[next++ % cuts.size()];
+      const auto piece = std::string_view(stream).substr(at, size);
+      released += scanner.Feed(piece);
+      tokens += scanner.new_tokens();
+      at += piece.size();
+    }
+    return released;
+  }
+
+  std::uint32_t tokens = 0;
+};
+
+TEST_CASE_METHOD(scanner_fixture,
+                 "scanner: own events: released, counted and closed") {
+  const std::string stream = ": note\n\n" + Event(kName, "a") +
+                             Event(kName, "b") + "data: {\"id\":\"chatcmpl-" +
+                             kName +
+                             "\",\"choices\":[],\"usage\":{\"prompt_tokens\":5,"
+                             "\"completion_tokens\":2}}\n\ndata: [DONE]\n\n";
+  CHECK(FeedInPieces(stream, {}) == stream);
+  CHECK(scanner.state() == stream_state::kDone);
+  CHECK(tokens == 2);
+  REQUIRE(scanner.reported_usage().has_value());
+  CHECK(scanner.reported_usage()->prompt_tokens == 5);
+}
+
+TEST_CASE_METHOD(scanner_fixture,
+                 "scanner: event of a request whose name is longer: refused") {
+  FeedInPieces(Event(kName + "3", "a"), {});
+  CHECK(scanner.state() == stream_state::kWrongAnswer);
+}
+
+TEST_CASE_METHOD(scanner_fixture,
+                 "scanner: id not first in the document: still recognised") {
+  const std::string event =
+      "data: {\"choices\":[{\"delta\":{\"tool_calls\":"
+      "[{\"id\":\"call-1\"}]}}],\"id\":\"chatcmpl-" +
+      kName + "\"}\n\n";
+  CHECK(FeedInPieces(event, {}) == event);
+}
+
+TEST_CASE_METHOD(scanner_fixture,
+                 "scanner: error without id: reported as the target's") {
+  FeedInPieces("data: {\"error\":{\"message\":\"x\"}}\n\n", {});
+  CHECK(scanner.state() == stream_state::kTargetError);
+}
+
+TEST_CASE_METHOD(scanner_fixture,
+                 "scanner: carriage returns as line ends: events are split") {
+  const std::string stream = "data: {\"id\":\"cmpl-" + kName +
+                             "\",\"choices\":[]}\r\n\r\ndata: [DONE]\r\n\r\n";
+  CHECK(FeedInPieces(stream, {0}) == stream);
+  CHECK(scanner.state() == stream_state::kDone);
+}
+
+TEST_CASE("scanner: any split of a stream: same bytes, nothing foreign") {
+  rc::prop("splits do not matter; foreign events never pass", [] {
+    scanner_fixture fixture;
+    const auto kinds =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+    const auto cuts = *rc::gen::container<std::vector<std::size_t>>(
+        rc::gen::inRange<std::size_t>(0, 60));
+    std::string stream;
+    std::string allowed;
+    bool foreign = false;
+    for (const int kind : kinds) {
+      const std::string event =
+          kind == 0 ? Event("other-18c-42", "secret") : Event(kName, "mine");
+      foreign |= kind == 0;
+      stream += event;
+      allowed += foreign ? "" : event;
+    }
+    const std::string released = fixture.FeedInPieces(stream, cuts);
+    RC_ASSERT(released == allowed);
+    RC_ASSERT((fixture.scanner.state() == stream_state::kWrongAnswer) ==
+              foreign);
+  });
+}
+
+TEST_CASE("scanner: any bytes: never fatal, nothing unattributed passes") {
+  rc::prop("no crash", [](const std::string& bytes) {
+    sse_scanner scanner(kName);
+    const std::string released(scanner.Feed("data: " + bytes + "\n\n"));
+    RC_ASSERT(released.empty() ||
+              released.find("data: {") == std::string::npos);
+  });
+}
+
+struct call_fixture {
+  config::sheet_index sheet{Sheet()};
+  std::string authorization = "Bearer key-a";
+
+  static config::sheet Sheet() {
+    config::sheet sheet;
+    sheet.models = {{.id = pool_id("lamp-llm")}, {.id = pool_id("other")}};
+    sheet.services = {{.id = pool_id("spares-desk")}};
+    sheet.customers = {{.id = customer_id("a"),
+                        .api_keys = {config::HashKey("key-a")},
+                        .models = {pool_id("lamp-llm")},
+                        .services = {pool_id("spares-desk")}}};
+    return sheet;
+  }
+
+  call_result Parse(const std::string& method,
+                    const std::string& path,
+                    const std::string& body = "") {
+    return ParseCall({.method = method,
+                      .path = path,
+                      .authorization = authorization,
+                      .body = body},
+                     sheet);
+  }
+  refusal_reason Reason(const call_result& result) {
+    REQUIRE(std::holds_alternative<rejected_call>(result));
+    return std::get<rejected_call>(result).reason;
+  }
+};
+
+constexpr char kChat[] = "/v1/chat/completions";
+
+TEST_CASE_METHOD(call_fixture, "call: streamed chat: parsed") {
+  const auto result = Parse(
+      "POST", kChat, R"({"model":"lamp-llm","stream":true,"messages":[]})");
+  REQUIRE(std::holds_alternative<parsed_call>(result));
+  const auto& call = std::get<parsed_call>(result);
+  CHECK(call.spec.kind == routing::call_kind::kStreamedGeneration);
+  CHECK(call.spec.customer == customer_id("a"));
+  CHECK(call.spec.repeatable);
+}
+
+TEST_CASE_METHOD(call_fixture, "call: not acceptable: rejected with reason") {
+  CHECK(Reason(Parse("POST", kChat, "{")) == refusal_reason::kMalformedRequest);
+  CHECK(Reason(Parse("POST", kChat, R"({"model":7,"messages":[]})")) ==
+        refusal_reason::kMalformedRequest);
+  CHECK(Reason(Parse("POST", kChat,
+                     R"({"model":"lamp-llm","stream":"x","messages":[]})")) ==
+        refusal_reason::kMalformedRequest);
+  CHECK(Reason(Parse("POST", kChat, R"({"model":"x","messages":[]})")) ==
+        refusal_reason::kUnknownPool);
+  CHECK(Reason(Parse("POST", kChat, R"({"model":"other","messages":[]})")) ==
+        refusal_reason::kPoolNotAllowed);
+  CHECK(Reason(Parse("GET", "/services/none/x")) ==
+        refusal_reason::kUnknownPool);
+  authorization = "Bearer key-b";
+  CHECK(Reason(Parse("POST", kChat, "{}")) == refusal_reason::kUnknownKey);
+  authorization = "Basic key-a";
+  CHECK(Reason(Parse("POST", kChat, "{}")) == refusal_reason::kUnknownKey);
+}
+
+TEST_CASE_METHOD(call_fixture,
+                 "call: service path: passed on without the prefix") {
+  const auto result = Parse("POST", "/services/spares-desk/orders?x=1");
+  REQUIRE(std::holds_alternative<parsed_call>(result));
+  CHECK(std::get<parsed_call>(result).target_path == "/orders?x=1");
+  CHECK(!std::get<parsed_call>(result).spec.repeatable);
+}
+
+TEST_CASE_METHOD(call_fixture, "call: another spelling of a path: rejected") {
+  const std::string path = GENERATE(
+      "//orders", "/./orders", "/a/../orders", "/%6frders", "/%2e%2e/orders",
+      "/orders%2f7", "/orders/..", "/a\\b", "/orders;x", "/%zz", "/%a");
+  CHECK(Reason(Parse("GET", "/services/spares-desk" + path)) ==
+        refusal_reason::kMalformedRequest);
+}
+
+TEST_CASE("call: any body: parsed or rejected, never fatal") {
+  rc::prop("no crash", [](const std::string& body) {
+    call_fixture fixture;
+    const auto result = fixture.Parse("POST", kChat, body);
+    RC_ASSERT(std::holds_alternative<rejected_call>(result));
+  });
+}
+
+TEST_CASE("call: deeply nested body: rejected without exhausting the stack") {
+  call_fixture fixture;
+  const auto result = fixture.Parse("POST", kChat, std::string(2'000'000, '['));
+  CHECK(std::holds_alternative<rejected_call>(result));
+}
+
+}  // namespace
+}  // namespace burdocklock::gateway
--- a/src/routing/internal/request_lifecycle.cc
+++ b/src/routing/internal/request_lifecycle.cc
@@ -145,12 +145,12 @@
   return step_cancel_attempt{};
 }
 
-lifecycle_step request_lifecycle::End(outcome result) {
+lifecycle_step request_lifecycle::End(const outcome& result) {
   if (ended_) {
     return step_none{};
   }
   ended_ = true;
-  return step_end{.result = std::move(result)};
+  return step_end{.result = result};
 }
 
 refusal_reason request_lifecycle::ReasonOf(
--- a/src/routing/request_lifecycle.h
+++ b/src/routing/request_lifecycle.h
@@ -99,7 +99,7 @@
   lifecycle_step OnFailed(const attempt_failed& failure,
                           bool retry_allowed,
                           time_point now);
-  lifecycle_step End(outcome result);
+  lifecycle_step End(const outcome& result);
   refusals::refusal_reason ReasonOf(const attempt_failed& failure) const;
   [[nodiscard]] refusals::run_state Run() const;
   [[nodiscard]] bool IsOverTotal(time_point now) const;
--- /dev/null
+++ b/src/routing/tests/request_lifecycle_unittest.cc
@@ -0,0 +1,263 @@
+// Properties of the life of one request.
+#include "routing/request_lifecycle.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+namespace burdocklock::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct lifecycle_fixture {
+  request_spec spec{.id = request_seq(1),
+                    .customer = customer_id("depot"),
+                    .pool = pool_id("lamp-llm")};
+  lifecycle_options options;
+  time_point now{seconds(1000)};
+
+  request_lifecycle Make(bool repeatable = true) {
+    spec.repeatable = repeatable;
+    return request_lifecycle(spec, options, now);
+  }
+  static attempt_failed Failure(failure_kind kind,
+                                bool sent,
+                                bool delivered = false) {
+    return {.kind = kind, .sent = sent, .delivered = delivered};
+  }
+  static const outcome_refused* Refused(const lifecycle_step& step) {
+    const auto* end = std::get_if<step_end>(&step);
+    return end == nullptr ? nullptr
+                          : std::get_if<outcome_refused>(&end->result);
+  }
+};
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: connect fails, work not repeatable: retried") {
+  auto life = Make(/*repeatable=*/false);
+  life.Dispatch(now);
+  const auto step =
+      life.OnAttempt(Failure(failure_kind::kConnectFailed, false), true, now);
+  CHECK(std::holds_alternative<step_retry>(step));
+  CHECK(life.waiting());
+}
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: broken after sending, work not repeatable: "
+                 "refused as unknown") {
+  auto life = Make(/*repeatable=*/false);
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  const auto step =
+      life.OnAttempt(Failure(failure_kind::kBroken, true), true, now);
+  REQUIRE(Refused(step) != nullptr);
+  CHECK(Refused(step)->run == refusals::run_state::kUnknown);
+}
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: target refused admission, work not repeatable: "
+                 "retried, then refused as not run") {
+  auto life = Make(/*repeatable=*/false);
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  CHECK(std::holds_alternative<step_retry>(
+      life.OnAttempt(Failure(failure_kind::kNotAdmitted, true), true, now)));
+  now += options.queue_timeout;
+  const auto step = life.OnDeadline(now);
+  REQUIRE(Refused(step) != nullptr);
+  CHECK(Refused(step)->reason == refusals::refusal_reason::kQueueTimeout);
+  CHECK(Refused(step)->run == refusals::run_state::kNotRun);
+}
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: no first token in time: cancelled, then retried") {
+  auto life = Make();
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  CHECK(life.deadline() == now + options.first_token_timeout);
+  now = life.deadline();
+  CHECK(std::holds_alternative<step_cancel_attempt>(life.OnDeadline(now)));
+  CHECK(std::holds_alternative<step_retry>(
+      life.OnAttempt(Failure(failure_kind::kCancelled, true), true, now)));
+}
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: progress on a stream: moves the deadline") {
+  auto life = Make();
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  life.OnAttempt(attempt_first_output{}, true, now);
+  now += milliseconds(4000);
+  life.OnAttempt(attempt_progress{.tokens = 3}, true, now);
+  CHECK(life.deadline() == now + options.between_tokens_timeout);
+}
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: broken after delivery: cut, never retried") {
+  auto life = Make();
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  life.OnAttempt(attempt_first_output{}, true, now);
+  const auto step =
+      life.OnAttempt(Failure(failure_kind::kBroken, true, true), true, now);
+  const auto* end = std::get_if<step_end>(&step);
+  REQUIRE(end != nullptr);
+  CHECK(std::holds_alternative<outcome_cut>(end->result));
+}
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: total time exceeded: cancelled without retry") {
+  auto life = Make();
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  now += options.total_timeout;
+  CHECK(std::holds_alternative<step_cancel_attempt>(life.OnDeadline(now)));
+  const auto step =
+      life.OnAttempt(Failure(failure_kind::kCancelled, true), true, now);
+  REQUIRE(Refused(step) != nullptr);
+  CHECK(Refused(step)->reason == refusals::refusal_reason::kDeadline);
+}
+
+// Drives one life with random events and keeps what a target would have seen.
+class random_life {
+ public:
+  explicit random_life(bool repeatable)
+      : repeatable_(repeatable),
+        life_({.id = request_seq(1), .repeatable = repeatable},
+              {},
+              time_point(seconds(1000))) {}
+
+  void Step(int choice, bool retry_allowed, int advance_ms) {
+    now_ += milliseconds(advance_ms);
+    if (life_.waiting()) {
+      StepWaiting(choice);
+    } else if (life_.attempt_running()) {
+      StepRunning(choice, retry_allowed);
+    } else {
+      Apply(life_.OnDeadline(now_));
+      Apply(life_.OnCallerLeft());
+    }
+  }
+
+  // Ends the life whatever its state, as a shutdown would.
+  void Finish() {
+    Apply(life_.Abort(refusals::refusal_reason::kDraining));
+    if (life_.attempt_running()) {
+      Fail(failure_kind::kCancelled, false);
+    }
+  }
+
+  void Check() const {
+    RC_ASSERT(ends_ == 1);
+    RC_ASSERT(life_.ended());
+    RC_ASSERT(!(said_not_run_ && may_have_run_));
+    RC_ASSERT(repeatable_ || runs_ <= 1);
+    RC_ASSERT(!retried_after_delivery_);
+  }
+
+ private:
+  void StepWaiting(int choice) {
+    if (choice == 0) {
+      Apply(life_.OnCallerLeft());
+    } else if (choice == 1) {
+      Apply(life_.OnDeadline(now_));
+    } else if (!life_.ended()) {
+      life_.Dispatch(now_);
+      sent_ = false;
+    }
+  }
+
+  void StepRunning(int choice, bool retry_allowed) {
+    switch (choice) {
+      case 0:
+        Apply(life_.OnCallerLeft());
+        return;
+      case 1:
+        Apply(life_.OnDeadline(now_));
+        return;
+      case 2:
+        sent_ = true;
+        Apply(life_.OnAttempt(attempt_sending{}, false, now_));
+        return;
+      case 3:
+        if (sent_) {
+          delivered_ = true;
+          Apply(life_.OnAttempt(attempt_first_output{}, false, now_));
+        }
+        return;
+      case 4:
+        if (sent_) {
+          may_have_run_ = true;
+          ++runs_;
+          Apply(life_.OnAttempt(attempt_completed{}, false, now_));
+        }
+        return;
+      case 5:
+        Fail(sent_ ? failure_kind::kNotAdmitted : failure_kind::kConnectFailed,
+             retry_allowed);
+        return;
+      case 6:
+        Fail(failure_kind::kCallerLost, retry_allowed);
+        return;
+      default:
+        Fail(sent_ ? failure_kind::kBroken : failure_kind::kConnectFailed,
+             retry_allowed);
+    }
+  }
+
+  void Fail(failure_kind kind, bool retry_allowed) {
+    // A target that has begun to answer cannot claim that it did not run.
+    if (delivered_ && kind == failure_kind::kNotAdmitted) {
+      kind = failure_kind::kBroken;
+    }
+    if (sent_ && kind != failure_kind::kNotAdmitted) {
+      may_have_run_ = true;
+      ++runs_;
+    }
+    const lifecycle_step step = life_.OnAttempt(
+        attempt_failed{.kind = kind, .sent = sent_, .delivered = delivered_},
+        retry_allowed, now_);
+    retried_after_delivery_ |=
+        delivered_ && std::holds_alternative<step_retry>(step);
+    Apply(step);
+  }
+
+  void Apply(const lifecycle_step& step) {
+    const auto* end = std::get_if<step_end>(&step);
+    if (end == nullptr) {
+      return;
+    }
+    ++ends_;
+    if (const auto* refused = std::get_if<outcome_refused>(&end->result)) {
+      said_not_run_ = refused->run == refusals::run_state::kNotRun;
+    }
+  }
+
+  bool repeatable_;
+  request_lifecycle life_;
+  time_point now_{seconds(1000)};
+  bool sent_ = false;
+  bool delivered_ = false;
+  bool may_have_run_ = false;
+  bool said_not_run_ = false;
+  bool retried_after_delivery_ = false;
+  int ends_ = 0;
+  int runs_ = 0;
+};
+
+TEST_CASE("lifecycle: any interleaving of events: exactly one true outcome") {
+  rc::prop("one outcome; not_run only if nothing ran", [](bool repeatable) {
+    random_life life(repeatable);
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 4000)));
+    for (const auto& [choice, advance_ms] : steps) {
+      life.Step(choice, advance_ms % 3 != 0, advance_ms);
+    }
+    life.Finish();
+    life.Check();
+  });
+}
+
+}  // namespace
+}  // namespace burdocklock::routing
--- /dev/null
+++ b/src/routing/tests/request_router_unittest.cc
@@ -0,0 +1,388 @@
+// Properties of the router over random events, with a fake traffic side.
+#include "routing/request_router.h"
+
+#include <algorithm>
+#include <map>
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+#include "framework/seeded_random.h"
+
+namespace burdocklock::routing {
+namespace {
+
+using refusals::refusal_reason;
+using refusals::run_state;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct silent_observer : i_routing_observer {
+  void OnQueueWait(duration, time_point) override {}
+  void OnFirstOutput(duration, time_point) override {}
+};
+
+// Owns a router and records its effects, as the traffic side would see them.
+struct router_fixture {
+  struct running_attempt {
+    attempt_number attempt;
+    target_id target;
+    bool sent = false;
+    bool delivered = false;
+    bool cancelled = false;
+  };
+
+  seeded_random random{7};
+  silent_observer observer;
+  time_point now{seconds(1000)};
+  request_router router{Options(), random, observer, now};
+  std::map<request_seq, running_attempt> running;
+  std::map<request_seq, int> ends;
+  std::map<request_seq, int> runs;
+  std::map<target_id, std::uint32_t> held;
+  std::vector<refusals::refusal> refusals;
+  std::uint64_t last_request = 0;
+
+  static router_options Options() {
+    router_options options;
+    options.directory.local_data_centre = data_centre_id("shah-alam");
+    return options;
+  }
+
+  static targets::announcement Target(const std::string& name,
+                                      std::uint64_t life = 1,
+                                      std::uint64_t at_ms = 1) {
+    return {.target = target_id(name),
+            .life = incarnation(life),
+            .data_centre = data_centre_id("shah-alam"),
+            .address = {.port = 1},
+            .pools = {pool_id("lamp-llm")},
+            .state = targets::target_state::kReady,
+            .slots = 8,
+            .cold_slots = 2,
+            .load = targets::load_report{.at_ms = at_ms}};
+  }
+
+  void Announce(const targets::announcement& announcement) {
+    effects out;
+    router.OnAnnouncement(announcement, now, out);
+    Record(out);
+  }
+
+  request_seq Request(const std::string& customer, bool repeatable = true) {
+    const request_seq id(++last_request);
+    effects out;
+    router.OnRequest({.id = id,
+                      .customer = customer_id(customer),
+                      .pool = pool_id("lamp-llm"),
+                      .repeatable = repeatable,
+                      .prompt_tokens = 10},
+                     now, out);
+    Record(out);
+    return id;
+  }
+
+  void Report(request_seq request, const attempt_event& event) {
+    running_attempt& attempt = running.at(request);
+    const attempt_number number = attempt.attempt;
+    const bool over = std::holds_alternative<attempt_completed>(event) ||
+                      std::holds_alternative<attempt_failed>(event);
+    if (std::holds_alternative<attempt_sending>(event)) {
+      attempt.sent = true;
+    }
+    if (over) {
+      --held[attempt.target];
+      const auto* failure = std::get_if<attempt_failed>(&event);
+      const bool ran =
+          attempt.sent &&
+          (failure == nullptr || failure->kind != failure_kind::kNotAdmitted);
+      runs[request] += ran ? 1 : 0;
+      running.erase(request);
+    }
+    effects out;
+    router.OnAttempt(request, number, event, now, out);
+    Record(out);
+  }
+
+  void Fail(request_seq request, failure_kind kind) {
+    const running_attempt& attempt = running.at(request);
+    Report(request, attempt_failed{.kind = kind,
+                                   .sent = attempt.sent,
+                                   .delivered = attempt.delivered});
+  }
+
+  void Advance(duration time) {
+    const time_point until = now + time;
+    while (router.NextDeadline() <= until) {
+      now = std::max(now, router.NextDeadline());
+      effects out;
+      router.OnTick(now, out);
+      Record(out);
+    }
+    now = until;
+  }
+
+  void Record(const effects& out) {
+    for (const effect& effect : out) {
+      if (const auto* start = std::get_if<start_attempt>(&effect)) {
+        running[start->request] = {.attempt = start->attempt,
+                                   .target = start->target};
+        ++held[start->target];
+      } else if (const auto* cancel = std::get_if<cancel_attempt>(&effect)) {
+        running.at(cancel->request).cancelled = true;
+      } else if (const auto* refuse = std::get_if<refuse_request>(&effect)) {
+        refusals.push_back(refuse->refusal);
+      } else if (const auto* ended = std::get_if<request_ended>(&effect)) {
+        ++ends[ended->request];
+      }
+    }
+  }
+};
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: cold target: gets no more than its cold slots") {
+  Announce(Target("t1"));
+  for (int i = 0; i < 6; ++i) {
+    Request("depot");
+  }
+  CHECK(running.size() == 2);
+  CHECK(router.totals().waiting == 4);
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: good answers: admission doubles up to the slots") {
+  Announce(Target("t1"));
+  for (int i = 0; i < 40; ++i) {
+    Request("depot");
+  }
+  for (int i = 0; i < 6; ++i) {
+    Report(running.begin()->first, attempt_sending{});
+    Report(running.begin()->first, attempt_completed{});
+  }
+  CHECK(running.size() == 8);
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: new incarnation: back to cold slots") {
+  Announce(Target("t1"));
+  for (int i = 0; i < 40; ++i) {
+    Request("depot");
+  }
+  for (int i = 0; i < 6; ++i) {
+    Report(running.begin()->first, attempt_completed{});
+  }
+  REQUIRE(running.size() == 8);
+  // The old incarnation's requests died with it; only the new one's count.
+  Announce(Target("t1", 2));
+  CHECK(running.size() == 10);
+  CHECK(router.directory().RampLimit(target_id("t1")) == 2U);
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: target leaving: gets no new work at once") {
+  Announce(Target("t1"));
+  auto leaving = Target("t1", 1, 2);
+  leaving.state = targets::target_state::kLeaving;
+  Announce(leaving);
+  Announce(Target("t1", 1, 1));
+  Request("depot");
+  CHECK(running.empty());
+}
+
+TEST_CASE_METHOD(router_fixture, "router: target silent: gets no new work") {
+  Announce(Target("t1"));
+  Advance(seconds(6));
+  Request("depot");
+  CHECK(running.empty());
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: no target: refused as not run with a time to "
+                 "come back") {
+  Request("depot");
+  Advance(seconds(6));
+  REQUIRE(refusals.size() == 1);
+  CHECK(refusals[0].reason == refusal_reason::kNoTarget);
+  CHECK(refusals[0].run == run_state::kNotRun);
+  CHECK(refusals[0].retry_after.has_value());
+  SECTION("later requests are refused at once") {
+    Request("depot");
+    CHECK(refusals.size() == 2);
+  }
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: customer floods: only its own requests are refused") {
+  Announce(Target("t1"));
+  for (int i = 0; i < 200; ++i) {
+    Request("flooder");
+  }
+  const std::size_t refused = refusals.size();
+  Request("depot");
+  CHECK(refused > 0);
+  CHECK(refusals.size() == refused);
+  for (const auto& refusal : refusals) {
+    CHECK(refusal.customer == customer_id("flooder"));
+    CHECK(refusal.reason == refusal_reason::kQueueFull);
+  }
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: retry: goes to another target on a new connection") {
+  Announce(Target("t1"));
+  Announce(Target("t2"));
+  const request_seq id = Request("depot");
+  const target_id first = running.at(id).target;
+  Report(id, attempt_sending{});
+  effects out;
+  router.OnAttempt(id, running.at(id).attempt,
+                   attempt_failed{.kind = failure_kind::kBroken, .sent = true},
+                   now, out);
+  const auto found =
+      std::find_if(out.begin(), out.end(), [](const effect& effect) {
+        return std::holds_alternative<start_attempt>(effect);
+      });
+  REQUIRE(found != out.end());
+  CHECK(std::get<start_attempt>(*found).target != first);
+  CHECK(std::get<start_attempt>(*found).connection ==
+        connection_choice::kNewOnly);
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: every target fails: retries stay in the budget") {
+  for (int i = 0; i < 4; ++i) {
+    Announce(Target("t" + std::to_string(i)));
+  }
+  std::size_t attempts = 0;
+  constexpr int kRequests = 1000;
+  for (int i = 0; i < kRequests; ++i) {
+    Request("depot-" + std::to_string(i));
+    Advance(milliseconds(10));
+    for (int t = 0; t < 4; ++t) {
+      Announce(Target("t" + std::to_string(t), 1,
+                      static_cast<std::uint64_t>(i) + 2));
+    }
+    while (!running.empty()) {
+      ++attempts;
+      Fail(running.begin()->first, failure_kind::kConnectFailed);
+    }
+  }
+  const retry_budget_options budget;
+  const double bound =
+      budget.burst + kRequests * budget.ratio + 10 * budget.per_second;
+  CHECK(static_cast<double>(router.totals().retries) <= bound);
+  CHECK(attempts <= kRequests + static_cast<std::size_t>(bound));
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: data centre out: no new work there, cold on "
+                 "return") {
+  Announce(Target("t1"));
+  effects out;
+  router.SetDataCentreOut(data_centre_id("shah-alam"), true, now, out);
+  Request("depot");
+  CHECK(running.empty());
+  router.SetDataCentreOut(data_centre_id("shah-alam"), false, now, out);
+  Record(out);
+  CHECK(running.size() == 1);
+  CHECK(router.directory().RampLimit(target_id("t1")) == 2);
+}
+
+// One random step of the world around a router.
+void RandomStep(router_fixture& world, int choice, int detail) {
+  const auto pick = [&]() -> request_seq {
+    auto it = world.running.begin();
+    std::advance(it, detail % static_cast<int>(world.running.size()));
+    return it->first;
+  };
+  const std::string target = "t" + std::to_string(detail % 3);
+  if (choice <= 1) {
+    world.Request("c" + std::to_string(detail % 4), detail % 3 != 0);
+  } else if (choice == 2) {
+    world.Announce(router_fixture::Target(
+        target, 1 + static_cast<std::uint64_t>(detail % 7 == 0),
+        static_cast<std::uint64_t>(detail)));
+  } else if (choice == 3) {
+    world.Advance(milliseconds(detail));
+  } else if (choice == 4 && world.last_request > 0) {
+    effects out;
+    world.router.OnCallerLeft(
+        request_seq(1 +
+                    static_cast<std::uint64_t>(detail) % world.last_request),
+        world.now, out);
+    world.Record(out);
+  } else if (!world.running.empty()) {
+    const request_seq id = pick();
+    router_fixture::running_attempt& attempt = world.running.at(id);
+    if (!attempt.sent && choice != 9) {
+      world.Report(id, attempt_sending{});
+    } else if (choice == 5) {
+      world.Report(id, attempt_completed{});
+    } else if (choice == 6) {
+      attempt.delivered = true;
+      world.Report(id, attempt_first_output{});
+    } else if (choice == 7 && !attempt.delivered) {
+      world.Fail(id, failure_kind::kNotAdmitted);
+    } else {
+      world.Fail(id, attempt.sent ? failure_kind::kBroken
+                                  : failure_kind::kConnectFailed);
+    }
+  }
+}
+
+void CheckWorld(const router_fixture& world) {
+  for (const auto& [id, count] : world.ends) {
+    RC_ASSERT(count == 1);
+  }
+  std::uint64_t expected = 0;
+  for (const auto& refusal : world.refusals) {
+    RC_ASSERT(refusal.id.value() > expected);
+    expected = refusal.id.value();
+    if (refusal.run == run_state::kNotRun) {
+      const auto ran = world.runs.find(*refusal.request);
+      RC_ASSERT(ran == world.runs.end() || ran->second == 0);
+    }
+  }
+}
+
+TEST_CASE("router: any order of events: outcomes are single and true") {
+  rc::prop("router invariants", [] {
+    router_fixture world;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 10), rc::gen::inRange(1, 3000)));
+    for (const auto& [choice, detail] : steps) {
+      RandomStep(world, choice, detail);
+      for (const auto& [target, held] : world.held) {
+        RC_ASSERT(held <= 16);  // Two incarnations of 8 slots at most.
+      }
+    }
+    effects out;
+    world.router.AbortAll(refusal_reason::kDraining, world.now, out);
+    world.Record(out);
+    while (!world.running.empty()) {
+      world.Fail(world.running.begin()->first, failure_kind::kCancelled);
+    }
+    RC_ASSERT(world.ends.size() == world.last_request);
+    RC_ASSERT(world.router.totals().waiting == 0);
+    RC_ASSERT(world.router.totals().in_flight == 0);
+    CheckWorld(world);
+  });
+}
+
+TEST_CASE("router: same events and seed: same effects") {
+  rc::prop("deterministic", [] {
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 10), rc::gen::inRange(1, 3000)));
+    router_fixture first;
+    router_fixture second;
+    for (const auto& [choice, detail] : steps) {
+      RandomStep(first, choice, detail);
+      RandomStep(second, choice, detail);
+    }
+    RC_ASSERT(first.ends == second.ends);
+    RC_ASSERT(first.held == second.held);
+  });
+}
+
+}  // namespace
+}  // namespace burdocklock::routing
