Bench the request path and faults; relay streams without a timer per token

scripts/bench path and faults with real processes. Progress is now kept in a meter per attempt, and pieces that fit the socket buffer are written at once.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -81,3 +81,65 @@
   echo "only $ready of $2 targets are ready" >&2
   return 1
 }
+
+# emit BENCH FIGURE VALUE UNIT [at-most|at-least BOUND]: prints a result line.
+emit() {
+  jq -cn --arg bench "$1" --arg figure "$2" --argjson value "$3" \
+    --arg unit "$4" --arg op "${5:-none}" --argjson bound "${6:-null}" '
+    {bench: $bench, figure: $figure, value: $value, unit: $unit, bound: $bound,
+     holds: (if $op == "at-most" then $value <= $bound
+             elif $op == "at-least" then $value >= $bound
+             else true end)}'
+}
+
+# cpu_seconds PID: processor time that the process has used so far.
+cpu_seconds() {
+  awk -v hz="$(getconf CLK_TCK)" '{ print ($14 + $15) / hz }' "/proc/$1/stat"
+}
+
+# rss_mb PID: resident memory in MB.
+rss_mb() {
+  awk '/^VmRSS/ { print $2 / 1000 }' "/proc/$1/status"
+}
+
+calc() {
+  awk "BEGIN { print $* }"
+}
+
+# write_settings NAME DATA_CENTRE [LINES]: settings of a router with free ports
+# in $work/NAME.toml, for the sheet in $work/sheet.toml.
+write_settings() {
+  cat >"$work/$1.toml" <<EOF
+daemon = "$1"
+data_centre = "$2"
+region = "bench"
+sheet = "sheet.toml"
+[listen]
+callers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+[tokens]
+targets_sha256 = ["$(hash_key "$target_token")"]
+operators_sha256 = ["$(hash_key "$operator_token")"]
+[log]
+path = "$work/$1.log"
+level = "${log_level:-info}"
+${3:-}
+EOF
+}
+
+# write_sheet NAME:SHARE...: a sheet with these customers, whose keys are
+# NAME-key, the model "model" and the service "service".
+write_sheet() {
+  {
+    printf '[[data_centres]]\nid = "%s"\nregion = "bench"\n' a b c d
+    printf '[[models]]\nid = "model"\n[[services]]\nid = "service"\n'
+    local entry
+    for entry in "$@"; do
+      printf '[[customers]]\nid = "%s"\nshare = %s\n' \
+        "${entry%:*}" "${entry#*:}"
+      printf 'api_keys_sha256 = ["%s"]\n' "$(hash_key "${entry%:*}-key")"
+      printf 'models = ["model"]\nservices = ["service"]\n'
+      printf 'home_region = "bench"\n'
+    done
+  } >"$work/sheet.toml"
+}
--- a/src/gateway/internal/answer_writer.cc
+++ b/src/gateway/internal/answer_writer.cc
@@ -5,13 +5,13 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "framework/fiber/use_fiber.h"
+#include "framework/net/write_buffers.h"
 #include "gateway/internal/problem_document.h"
 
 namespace burdocklock::gateway {
@@ -103,25 +103,15 @@
 }
 
 bool answer_writer::WriteEvents(std::string_view events) {
-  connection_.stream.expires_after(connection_.write_timeout);
   const asio::const_buffer bytes(events.data(), events.size());
-  const auto written =
-      version_ >= kHttp11
-          ? asio::async_write(connection_.stream, http::make_chunk(bytes),
-                              use_fiber)
-          : asio::async_write(connection_.stream, bytes, use_fiber);
-  return Check(!written.ec);
+  return Check(version_ >= kHttp11
+                   ? net::WriteBuffers(connection_, http::make_chunk(bytes))
+                   : net::WriteBuffers(connection_, bytes));
 }
 
 bool answer_writer::EndStream() {
-  if (version_ < kHttp11) {
-    return true;
-  }
-  connection_.stream.expires_after(connection_.write_timeout);
-  const auto written =
-      asio::async_write(connection_.stream, http::make_chunk_last(), use_fiber);
-  connection_.stream.expires_never();
-  return Check(!written.ec);
+  return version_ < kHttp11 ||
+         Check(net::WriteBuffers(connection_, http::make_chunk_last()));
 }
 
 bool answer_writer::WriteProblem(const refusals::refusal& refusal,
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -46,6 +46,10 @@
   if (auto failure = Send()) {
     return *failure;
   }
+  // Ends, and so reports its rest, before the attempt's own end is reported.
+  attempt_progress_meter meter(context_.progress, order_.request,
+                               order_.attempt);
+  meter_ = &meter;
   return Receive();
 }
 
@@ -135,7 +139,7 @@
       return Fail(failure_kind::kAnswerTooLarge, "read answer", "too large");
     }
     body.append(piece.data(), read.value());
-    context_.progress.AddTokens(order_.request, order_.attempt, 0);
+    meter_->Add(0);
   }
   attempt_completed completed;
   if (call_.spec.kind != call_kind::kServiceCall && head.status == kOk) {
@@ -150,7 +154,6 @@
   if (!writer_.WriteWhole(head, std::move(body))) {
     return Fail(failure_kind::kCallerLost, "write answer", "caller lost");
   }
-  context_.progress.Flush();
   return completed;
 }
 
@@ -183,7 +186,6 @@
   if (!writer_.EndStream()) {
     return Fail(failure_kind::kCallerLost, "write stream", "caller lost");
   }
-  context_.progress.Flush();
   FinishStreamTail();
   return attempt_completed{.reported = scanner.reported_usage()};
 }
@@ -199,10 +201,10 @@
     context_.progress.AddTokenGap((now - *last_output_) / tokens);
   }
   last_output_ = now;
-  context_.progress.SetBlocked(order_.request, order_.attempt, true);
+  meter_->SetBlocked(true);
   const bool written = writer_.WriteEvents(events);
-  context_.progress.SetBlocked(order_.request, order_.attempt, false);
-  context_.progress.AddTokens(order_.request, order_.attempt, tokens);
+  meter_->SetBlocked(false);
+  meter_->Add(tokens);
   return written;
 }
 
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -68,6 +68,7 @@
   const routing::start_attempt& order_;
   answer_writer& writer_;
   std::unique_ptr<net::http_client> link_;
+  attempt_progress_meter* meter_ = nullptr;
   bool sent_ = false;
   bool cancelled_ = false;
   std::optional<time_point> last_output_;
--- a/src/gateway/internal/caller_exchange.cc
+++ b/src/gateway/internal/caller_exchange.cc
@@ -101,7 +101,6 @@
   } else {
     finished_ = true;
   }
-  context_.progress.Flush();
   context_.control.ReportAttempt(order.request, order.attempt,
                                  std::move(event));
 }
--- a/src/gateway/internal/progress_reporter.cc
+++ b/src/gateway/internal/progress_reporter.cc
@@ -5,51 +5,59 @@
 
 namespace burdocklock::gateway {
 
+attempt_progress_meter::attempt_progress_meter(progress_reporter& reporter,
+                                               request_seq request,
+                                               attempt_number attempt)
+    : reporter_(reporter), request_(request), attempt_(attempt) {
+  reporter_.Open(*this);
+}
+
+attempt_progress_meter::~attempt_progress_meter() {
+  reporter_.Close(*this);
+}
+
 progress_reporter::progress_reporter(boost::asio::io_context& context,
                                      i_control& control)
     : control_(control), timer_(context) {}
 
-void progress_reporter::AddTokens(request_seq request,
-                                  attempt_number attempt,
-                                  std::uint32_t tokens) {
-  stream_progress& progress = pending_[request];
-  if (progress.attempt != attempt) {
-    progress = {.attempt = attempt};
+void progress_reporter::AddTokenGap(duration gap) {
+  if (gaps_.size() < kMaxGapSamples) {
+    gaps_.push_back(gap);
   }
-  progress.tokens += tokens;
+}
+
+void progress_reporter::Open(attempt_progress_meter& meter) {
+  meters_.insert(&meter);
   Schedule();
 }
 
-void progress_reporter::AddTokenGap(duration gap) {
-  if (gaps_.size() < kMaxGapSamples) {
-    gaps_.push_back(gap);
+void progress_reporter::Close(attempt_progress_meter& meter) {
+  meters_.erase(&meter);
+  progress_batch batch;
+  meter.blocked_ = false;
+  if (meter.tokens_ > 0) {
+    Collect(meter, batch);
+    control_.ReportProgress(std::move(batch));
   }
 }
 
-void progress_reporter::SetBlocked(request_seq request,
-                                   attempt_number attempt,
-                                   bool blocked) {
-  if (!blocked) {
-    blocked_.erase(request);
+void progress_reporter::Collect(attempt_progress_meter& meter,
+                                progress_batch& batch) {
+  if (!meter.active_ && !meter.blocked_) {
     return;
   }
-  blocked_[request] = attempt;
-  Schedule();
+  batch.entries.push_back({.request = meter.request_,
+                           .attempt = meter.attempt_,
+                           .tokens = std::exchange(meter.tokens_, 0)});
+  meter.active_ = false;
 }
 
-void progress_reporter::Flush() {
+void progress_reporter::ReportAll() {
   progress_batch batch;
-  batch.entries.reserve(pending_.size() + blocked_.size());
-  for (const auto& [request, progress] : pending_) {
-    batch.entries.push_back({.request = request,
-                             .attempt = progress.attempt,
-                             .tokens = progress.tokens});
-  }
-  for (const auto& [request, attempt] : blocked_) {
-    batch.entries.push_back({.request = request, .attempt = attempt});
+  for (attempt_progress_meter* meter : meters_) {
+    Collect(*meter, batch);
   }
   batch.token_gaps = std::exchange(gaps_, {});
-  pending_.clear();
   if (!batch.entries.empty()) {
     control_.ReportProgress(std::move(batch));
   }
@@ -66,8 +74,8 @@
       return;
     }
     scheduled_ = false;
-    Flush();
-    if (!blocked_.empty()) {
+    ReportAll();
+    if (!meters_.empty()) {
       Schedule();
     }
   });
--- a/src/gateway/progress_reporter.h
+++ b/src/gateway/progress_reporter.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <cstddef>
-#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -16,6 +15,38 @@
 
 namespace burdocklock::gateway {
 
+class progress_reporter;
+
+/// The progress of one running attempt; reported until it is destroyed.
+class attempt_progress_meter {
+ public:
+  attempt_progress_meter(progress_reporter& reporter,
+                         request_seq request,
+                         attempt_number attempt);
+  /// Reports what is left.
+  ~attempt_progress_meter();
+  attempt_progress_meter(const attempt_progress_meter&) = delete;
+  attempt_progress_meter& operator=(const attempt_progress_meter&) = delete;
+
+  /// Output arrived; `tokens` may be zero.
+  void Add(std::uint32_t tokens) {
+    tokens_ += tokens;
+    active_ = true;
+  }
+  /// While a caller is slow to take its answer the attempt counts as active.
+  void SetBlocked(bool blocked) { blocked_ = blocked; }
+
+ private:
+  friend class progress_reporter;
+
+  progress_reporter& reporter_;
+  request_seq request_;
+  attempt_number attempt_;
+  std::uint32_t tokens_ = 0;
+  bool active_ = false;
+  bool blocked_ = false;
+};
+
 class progress_reporter {
  public:
   static constexpr duration kPeriod = std::chrono::milliseconds(100);
@@ -23,29 +54,21 @@
 
   progress_reporter(boost::asio::io_context& context, i_control& control);
 
-  void AddTokens(request_seq request,
-                 attempt_number attempt,
-                 std::uint32_t tokens);
   void AddTokenGap(duration gap);
-  /// While a caller is slow to take its answer the stream counts as alive.
-  void SetBlocked(request_seq request, attempt_number attempt, bool blocked);
-  /// Reports at once what is pending; call before an attempt's end is
-  /// reported.
-  void Flush();
 
  private:
-  struct stream_progress {
-    attempt_number attempt;
-    std::uint32_t tokens = 0;
-  };
+  friend class attempt_progress_meter;
 
+  void Open(attempt_progress_meter& meter);
+  void Close(attempt_progress_meter& meter);
+  static void Collect(attempt_progress_meter& meter, progress_batch& batch);
+  void ReportAll();
   void Schedule();
 
   i_control& control_;
   boost::asio::steady_timer timer_;
   bool scheduled_ = false;
-  std::unordered_map<request_seq, stream_progress> pending_;
-  std::unordered_map<request_seq, attempt_number> blocked_;
+  std::unordered_set<attempt_progress_meter*> meters_;
   std::vector<duration> gaps_;
 };
 
--- a/tools/engine/engine_handler.cc
+++ b/tools/engine/engine_handler.cc
@@ -1,11 +1,11 @@
 // See the header.
 #include "engine/engine_handler.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <sstream>
 #include <utility>
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -14,6 +14,7 @@
 
 #include "framework/fiber/sleep.h"
 #include "framework/fiber/use_fiber.h"
+#include "framework/net/write_buffers.h"
 
 namespace burdocklock::engine {
 
@@ -102,12 +103,8 @@
 }
 
 bool WriteChunk(net::http_connection& connection, const std::string& text) {
-  connection.stream.expires_after(connection.write_timeout);
-  const auto written = net::asio::async_write(
-      connection.stream,
-      http::make_chunk(net::asio::const_buffer(text.data(), text.size())),
-      use_fiber);
-  return !written.ec;
+  return net::WriteBuffers(connection, http::make_chunk(net::asio::const_buffer(
+                                           text.data(), text.size())));
 }
 
 bool WriteStreamHead(net::http_connection& connection,
@@ -154,8 +151,13 @@
 engine_handler::engine_handler(boost::asio::io_context& io,
                                batch& batch,
                                prefix_cache& cache,
-                               stand_in::fault_plan& faults)
-    : io_(io), batch_(batch), cache_(cache), faults_(faults) {}
+                               stand_in::fault_plan& faults,
+                               stand_in::journal& journal)
+    : io_(io),
+      batch_(batch),
+      cache_(cache),
+      faults_(faults),
+      journal_(journal) {}
 
 net::keep_alive engine_handler::Handle(net::http_connection& connection,
                                        net::http_request& request) {
@@ -199,7 +201,8 @@
     return Reply(connection, request, http::status::service_unavailable,
                  R"({"error":"not admitted"})", /*admitted=*/false);
   }
-  ++begun_[generation.request_name];
+  ++begun_;
+  journal_.RequestBegun(generation.request_name);
   if (fault == fault::kDie) {
     Die();
   }
@@ -229,25 +232,34 @@
   const std::string name = fault == fault::kCross
                                ? batch_.OtherRequest(sequence)
                                : generation.request_name;
+  const std::string event =
+      StreamEvent(name, generation.chat, generation.word + " ");
+  const std::uint32_t middle = generation.max_tokens / 2;
   bool ok = WriteStreamHead(connection, generation.request_name);
-  for (std::uint32_t i = 0; ok && i < generation.max_tokens; ++i) {
-    if (!AwaitToken(sequence, i + 1)) {
-      return net::keep_alive::kNo;
-    }
-    const bool middle = i == generation.max_tokens / 2;
-    if (middle && fault == fault::kReset) {
+  std::uint32_t written = 0;
+  while (ok && written < generation.max_tokens) {
+    if (!AwaitToken(sequence, written + 1)) {
       return net::keep_alive::kNo;
     }
-    if (middle && fault == fault::kStall) {
-      HangUntilClosed(connection);
-      return net::keep_alive::kNo;
+    // Tokens that became ready while the last write took its time go together.
+    const std::uint32_t until =
+        std::min(sequence.ready_tokens, generation.max_tokens);
+    std::string events;
+    for (; written < until; ++written) {
+      if (written == middle && fault == fault::kReset) {
+        return net::keep_alive::kNo;
+      }
+      if (written == middle && fault == fault::kStall) {
+        HangUntilClosed(connection);
+        return net::keep_alive::kNo;
+      }
+      events += written == middle && fault == fault::kCrossLate
+                    ? StreamEvent(batch_.OtherRequest(sequence),
+                                  generation.chat, generation.word + " ")
+                    : event;
+      ++output_tokens_;
     }
-    const std::string event_name = middle && fault == fault::kCrossLate
-                                       ? batch_.OtherRequest(sequence)
-                                       : name;
-    ok = WriteChunk(connection, StreamEvent(event_name, generation.chat,
-                                            generation.word + " "));
-    ++output_tokens_;
+    ok = WriteChunk(connection, events);
   }
   if (!ok) {
     ++cancelled_;
@@ -257,10 +269,8 @@
       UsageEvent(name, generation.prompt.size(), generation.max_tokens) +
       "data: [DONE]\n\n";
   ok = WriteChunk(connection, tail);
-  const auto last = net::asio::async_write(connection.stream,
-                                           http::make_chunk_last(), use_fiber);
-  connection.stream.expires_never();
-  return ok && !last.ec ? net::keep_alive::kYes : net::keep_alive::kNo;
+  ok = ok && net::WriteBuffers(connection, http::make_chunk_last());
+  return ok ? net::keep_alive::kYes : net::keep_alive::kNo;
 }
 
 net::keep_alive engine_handler::AnswerWhole(net::http_connection& connection,
@@ -330,9 +340,6 @@
   if (request.target() == "/stand-in/statistics") {
     return Reply(connection, request, http::status::ok, Statistics());
   }
-  if (request.target() == "/stand-in/requests") {
-    return Reply(connection, request, http::status::ok, json(begun_).dump());
-  }
   const json body = json::parse(request.body(), nullptr, false);
   if (request.target() == "/stand-in/fault" && body.is_object()) {
     const fault fault = stand_in::ParseFault(body.value("kind", ""));
@@ -348,7 +355,7 @@
 }
 
 std::string engine_handler::Statistics() const {
-  return ordered_json{{"begun", begun_.size()},
+  return ordered_json{{"begun", begun_},
                       {"running", batch_.running()},
                       {"most_running", batch_.most_running()},
                       {"falls", batch_.falls()},
--- a/tools/engine/engine_handler.h
+++ b/tools/engine/engine_handler.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +11,7 @@
 #include "engine/prefix_cache.h"
 #include "framework/net/http_server.h"
 #include "stand_in/fault_plan.h"
+#include "stand_in/journal.h"
 
 namespace burdocklock::engine {
 
@@ -20,7 +20,8 @@
   engine_handler(boost::asio::io_context& io,
                  batch& batch,
                  prefix_cache& cache,
-                 stand_in::fault_plan& faults);
+                 stand_in::fault_plan& faults,
+                 stand_in::journal& journal);
 
   net::keep_alive Handle(net::http_connection& connection,
                          net::http_request& request) override;
@@ -63,13 +64,13 @@
   batch& batch_;
   prefix_cache& cache_;
   stand_in::fault_plan& faults_;
+  stand_in::journal& journal_;
   std::size_t active_ = 0;
   std::uint64_t prompt_tokens_ = 0;
   std::uint64_t computed_tokens_ = 0;
   std::uint64_t output_tokens_ = 0;
   std::uint64_t cancelled_ = 0;
-  /// How often each request was begun.
-  std::unordered_map<std::string, std::uint32_t> begun_;
+  std::uint64_t begun_ = 0;
 };
 
 }  // namespace burdocklock::engine
--- a/tools/engine/main.cc
+++ b/tools/engine/main.cc
@@ -33,6 +33,7 @@
   std::uint32_t load_lag_ms = 500;
   std::size_t cache_blocks = 4096;
   std::string faults;
+  std::string journal;
   unsigned fault_period = 0;
 };
 
@@ -57,7 +58,8 @@
   engine::prefix_cache cache(options.cache_blocks);
   stand_in::fault_plan faults;
   faults.SetPeriodic(ParseFaults(options.faults), options.fault_period);
-  engine::engine_handler handler(io, batch, cache, faults);
+  stand_in::journal journal(options.journal);
+  engine::engine_handler handler(io, batch, cache, faults, journal);
   net::http_server server(
       io, {.listen = stand_in::ParseEndpoints(options.listen).at(0)}, handler);
   const auto bound = server.Start();
@@ -130,6 +132,8 @@
                  "Kinds of periodic faults, separated by commas");
   app.add_option("--fault-period", options.fault_period,
                  "Every how many requests a fault occurs; 0 for never");
+  app.add_option("--journal", options.journal,
+                 "File that lists the requests begun");
   CLI11_PARSE(app, argc, argv);
   boost::asio::io_context io{1};
   int exit_code = 0;
--- a/tools/load/caller.cc
+++ b/tools/load/caller.cc
@@ -188,7 +188,8 @@
                      const call_plan& plan,
                      net::http_client& client,
                      bool connected) {
-  call_record record{.customer = plan.customer, .type = plan.type};
+  call_record record{
+      .customer = plan.customer, .host = plan.host, .type = plan.type};
   if (plan.type == call_type::kOrder) {
     record.order = plan.nonce;
   }
--- a/tools/load/load_run.cc
+++ b/tools/load/load_run.cc
@@ -1,6 +1,7 @@
 // See the header.
 #include "load/load_run.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -58,13 +59,21 @@
       : io_(io), options_(options), pool_(io), begin_(steady_clock::now()) {}
 
   std::vector<call_record> Run() {
+    const std::uint32_t drivers = std::max(1U, options_.concurrency);
     for (std::size_t i = 0; i < options_.customers.size(); ++i) {
-      ++pending_;
-      SpawnFiber([this, i] {
-        DriveCustomer(options_.customers[i],
-                      options_.seed * 1000 + static_cast<std::uint32_t>(i));
-        Done();
-      });
+      for (std::uint32_t driver = 0; driver < drivers; ++driver) {
+        ++pending_;
+        SpawnFiber([this, i, driver] {
+          const auto seed =
+              options_.seed * 1000 + static_cast<std::uint32_t>(i);
+          if (options_.concurrency > 0) {
+            RepeatCalls(options_.customers[i], seed * 1000 + driver);
+          } else {
+            DriveCustomer(options_.customers[i], seed);
+          }
+          Done();
+        });
+      }
     }
     while (pending_ > 0) {
       all_done_.Wait();
@@ -93,6 +102,17 @@
     }
   }
 
+  void RepeatCalls(const customer_load& customer, std::uint32_t seed) {
+    boost::random::taus88 random(seed + 1);
+    boost::random::uniform_01<double> share;
+    for (std::uint32_t number = 0;
+         steady_clock::now() < begin_ + options_.length; ++number) {
+      call_plan plan = MakePlan(customer, number, share(random), share(random));
+      plan.nonce += "-" + std::to_string(seed);
+      Call(plan);
+    }
+  }
+
   call_plan MakePlan(const customer_load& customer,
                      std::uint32_t number,
                      double type_draw,
@@ -120,13 +140,17 @@
   void Start(call_plan plan) {
     ++pending_;
     SpawnFiber([this, plan = std::move(plan)] {
-      auto [client, connected] = pool_.Take(plan.host);
-      records_.push_back(MakeCall(io_, options_, plan, *client, connected));
-      pool_.Put(plan.host, std::move(client));
+      Call(plan);
       Done();
     });
   }
 
+  void Call(const call_plan& plan) {
+    auto [client, connected] = pool_.Take(plan.host);
+    records_.push_back(MakeCall(io_, options_, plan, *client, connected));
+    pool_.Put(plan.host, std::move(client));
+  }
+
   void Done() {
     if (--pending_ == 0) {
       all_done_.Set();
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -9,10 +9,10 @@
 #include <CLI/CLI.hpp>
 
 #include "framework/fiber/fiber_thread.h"
-#include "framework/net/http_client.h"
 #include "load/load_run.h"
 #include "load/report.h"
 #include "stand_in/announcer.h"
+#include "stand_in/journal.h"
 
 namespace {
 
@@ -22,7 +22,7 @@
   std::string hosts;
   std::vector<std::string> customers;
   double seconds = 10;
-  std::string check_targets;
+  std::vector<std::string> journals;
   std::string records_path;
   load::load_options load;
 };
@@ -56,32 +56,6 @@
   return customer;
 }
 
-// Adds up the counts that each target reports at `path`; dead targets are
-// left out.
-std::map<std::string, std::uint32_t> CollectCounts(
-    boost::asio::io_context& io,
-    const std::vector<endpoint>& targets,
-    const std::string& path) {
-  std::map<std::string, std::uint32_t> counts;
-  for (const endpoint& target : targets) {
-    net::http_request request(net::http::verb::get, path, 11);
-    request.keep_alive(false);
-    const auto reply = net::Fetch(io, target, request, std::chrono::seconds(5));
-    if (!reply) {
-      continue;
-    }
-    const auto document =
-        nlohmann::json::parse(reply.value().body, nullptr, false);
-    if (!document.is_object() || document.contains("error")) {
-      continue;
-    }
-    for (const auto& [key, count] : document.items()) {
-      counts[key] += count.get<std::uint32_t>();
-    }
-  }
-  return counts;
-}
-
 void WriteRecords(const std::string& path,
                   const std::vector<load::call_record>& records) {
   std::ofstream out(path);
@@ -112,11 +86,9 @@
   const std::vector<load::call_record> records =
       load::RunLoad(io, options.load);
   nlohmann::ordered_json report = load::Summarise(records);
-  if (!options.check_targets.empty()) {
-    const auto targets = stand_in::ParseEndpoints(options.check_targets);
-    const load::truth_check check = load::CheckTruth(
-        records, CollectCounts(io, targets, "/stand-in/requests"),
-        CollectCounts(io, targets, "/stand-in/orders"));
+  if (!options.journals.empty()) {
+    const load::truth_check check =
+        load::CheckTruth(records, stand_in::ReadJournals(options.journals));
     report["check"] = {{"wrong_answers", check.wrong_answers},
                        {"false_not_run", check.false_not_run},
                        {"doubled_orders", check.doubled_orders}};
@@ -153,8 +125,10 @@
   app.add_option("--leave-share", options.load.leave_share,
                  "Share of streams that the caller leaves");
   app.add_option("--seed", options.load.seed, "Seed of the schedule");
-  app.add_option("--check-targets", options.check_targets,
-                 "Stand-ins to compare with, separated by commas");
+  app.add_option("--journal", options.journals,
+                 "Journal of a stand-in to compare with, repeatable");
+  app.add_option("--concurrency", options.load.concurrency,
+                 "Calls at any time for each customer instead of a rate");
   app.add_option("--records", options.records_path,
                  "File for one JSON line for each call");
   CLI11_PARSE(app, argc, argv);
--- a/tools/load/report.cc
+++ b/tools/load/report.cc
@@ -76,30 +76,37 @@
 ordered_json Summarise(const std::vector<call_record>& records) {
   std::vector<const call_record*> all;
   std::map<std::string, std::vector<const call_record*>> by_customer;
+  std::map<std::string, std::vector<const call_record*>> by_host;
   for (const call_record& record : records) {
     all.push_back(&record);
     by_customer[record.customer].push_back(&record);
+    by_host[ToString(record.host)].push_back(&record);
   }
   ordered_json customers;
   for (const auto& [customer, group] : by_customer) {
     customers[customer] = SummariseGroup(group);
   }
-  return {{"all", SummariseGroup(all)}, {"customers", customers}};
+  ordered_json hosts;
+  for (const auto& [host, group] : by_host) {
+    hosts[host] = SummariseGroup(group);
+  }
+  return {
+      {"all", SummariseGroup(all)}, {"customers", customers}, {"hosts", hosts}};
 }
 
 truth_check CheckTruth(const std::vector<call_record>& records,
-                       const std::map<std::string, std::uint32_t>& begun,
-                       const std::map<std::string, std::uint32_t>& orders) {
+                       const stand_in::journal_counts& journals) {
   truth_check check;
   for (const call_record& record : records) {
     if (record.outcome == seen_outcome::kWrongAnswer) {
       ++check.wrong_answers;
     }
-    if (record.run == "not_run" && begun.contains(record.request_name)) {
+    if (record.run == "not_run" &&
+        journals.requests.contains(record.request_name)) {
       ++check.false_not_run;
     }
   }
-  for (const auto& [order, count] : orders) {
+  for (const auto& [order, count] : journals.orders) {
     check.doubled_orders += count > 1 ? 1 : 0;
   }
   return check;
--- a/tools/load/report.h
+++ b/tools/load/report.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "load/types.h"
+#include "stand_in/journal.h"
 
 namespace burdocklock::load {
 
@@ -17,7 +18,8 @@
 
 const char* ToString(seen_outcome outcome);
 
-/// Counts by outcome and percentiles, in all and for each customer.
+/// Counts by outcome and percentiles, in all, for each customer and for each
+/// host.
 nlohmann::ordered_json Summarise(const std::vector<call_record>& records);
 
 /// What targets say they ran, against what callers were told.
@@ -29,7 +31,6 @@
   std::uint32_t wrong_answers = 0;
 };
 truth_check CheckTruth(const std::vector<call_record>& records,
-                       const std::map<std::string, std::uint32_t>& begun,
-                       const std::map<std::string, std::uint32_t>& orders);
+                       const stand_in::journal_counts& journals);
 
 }  // namespace burdocklock::load
--- a/tools/load/types.h
+++ b/tools/load/types.h
@@ -36,8 +36,9 @@
   /// Share of streams that the caller leaves in the middle.
   double leave_share = 0;
   std::uint32_t seed = 1;
-  /// Waits before each call until a rate-independent schedule is due; calls
-  /// that are late are sent at once (open loop).
+  /// If positive, each customer keeps this many calls running (closed loop)
+  /// instead of starting them at its rate (open loop).
+  std::uint32_t concurrency = 0;
   duration call_timeout = std::chrono::seconds(60);
 };
 
@@ -59,6 +60,7 @@
 /// What one caller saw.
 struct call_record {
   std::string customer;
+  endpoint host;
   call_type type = call_type::kStream;
   seen_outcome outcome = seen_outcome::kNoAnswer;
   unsigned status = 0;
--- a/tools/service/main.cc
+++ b/tools/service/main.cc
@@ -1,9 +1,8 @@
-// Stand-in for a plain service: files orders, counts how often each ran, and
+// Stand-in for a plain service: files orders, notes each one that it ran, and
 // serves certificates, which may be fetched as often as one likes.
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <map>
 #include <string>
 #include <thread>
 
@@ -17,6 +16,7 @@
 #include "framework/net/http_server.h"
 #include "stand_in/announcer.h"
 #include "stand_in/fault_plan.h"
+#include "stand_in/journal.h"
 
 namespace {
 
@@ -30,19 +30,12 @@
  public:
   service_handler(boost::asio::io_context& io,
                   duration work_time,
-                  stand_in::fault_plan& faults)
-      : io_(io), work_time_(work_time), faults_(faults) {}
+                  stand_in::fault_plan& faults,
+                  stand_in::journal& journal)
+      : io_(io), work_time_(work_time), faults_(faults), journal_(journal) {}
 
   net::keep_alive Handle(net::http_connection& connection,
                          net::http_request& request) override {
-    if (request.target() == "/stand-in/orders") {
-      return Reply(connection, request, http::status::ok,
-                   nlohmann::json(orders_).dump());
-    }
-    if (request.target() == "/stand-in/requests") {
-      return Reply(connection, request, http::status::ok,
-                   nlohmann::json(begun_).dump());
-    }
     ++active_;
     const net::keep_alive keep = Work(connection, request);
     --active_;
@@ -61,11 +54,11 @@
       return Reply(connection, request, http::status::service_unavailable,
                    R"({"error":"not admitted"})", "no");
     }
-    ++begun_[std::string(request[kRequestIdField])];
+    journal_.RequestBegun(std::string(request[kRequestIdField]));
     const bool is_order = request.method() == http::verb::post &&
                           request.target().starts_with("/orders");
     if (is_order) {
-      ++orders_[std::string(request["Idempotency-Key"])];
+      journal_.OrderRun(std::string(request["Idempotency-Key"]));
     }
     if (fault == fault::kDie) {
       std::_Exit(1);
@@ -112,9 +105,8 @@
   boost::asio::io_context& io_;
   duration work_time_;
   stand_in::fault_plan& faults_;
+  stand_in::journal& journal_;
   std::size_t active_ = 0;
-  std::map<std::string, std::uint32_t> orders_;
-  std::map<std::string, std::uint32_t> begun_;
 };
 
 struct service_options {
@@ -127,6 +119,7 @@
   std::uint32_t slots = 32;
   std::uint32_t work_us = 2'000;
   std::string faults;
+  std::string journal;
   unsigned fault_period = 0;
 };
 
@@ -139,8 +132,9 @@
     kinds.push_back(stand_in::ParseFault(name));
   }
   faults.SetPeriodic(kinds, options.fault_period);
+  stand_in::journal journal(options.journal);
   service_handler handler(io, std::chrono::microseconds(options.work_us),
-                          faults);
+                          faults, journal);
   net::http_server server(
       io, {.listen = stand_in::ParseEndpoints(options.listen).at(0)}, handler);
   const auto bound = server.Start();
@@ -202,6 +196,8 @@
                  "Kinds of periodic faults, separated by commas");
   app.add_option("--fault-period", options.fault_period,
                  "Every how many calls a fault occurs; 0 for never");
+  app.add_option("--journal", options.journal,
+                 "File that lists the calls and orders run");
   CLI11_PARSE(app, argc, argv);
   boost::asio::io_context io{1};
   int exit_code = 0;
