--- /dev/null
+++ b/src/allocation/internal/service_ledger.cc
@@ -0,0 +1,106 @@
+// See the header.
+#include "allocation/service_ledger.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace burdocklock::allocation {
+
+namespace {
+
+// Weight of the newest sample in the smoothed cost of a request.
+constexpr double kQuantumSmoothing = 0.05;
+
+}  // namespace
+
+double service_ledger::Update(const daemon_id& router,
+                              incarnation life,
+                              const customer_demand& demand) {
+  account& account = accounts_[demand.customer];
+  account.share = demand.share;
+  const auto [known, inserted] = account.routers.emplace(
+      router, baseline{.life = life, .counted = demand.service});
+  baseline& baseline = known->second;
+  if (baseline.life != life) {
+    baseline = {.life = life, .counted = demand.service};
+    return 0;
+  }
+  const double received = std::max(0.0, demand.service - baseline.counted);
+  account.virtual_service += received / account.share;
+  baseline.counted += received;
+  return received;
+}
+
+void service_ledger::SetBacklog(const daemon_id& router,
+                                const std::vector<customer_demand>& customers) {
+  std::map<customer_id, std::uint32_t> waiting;
+  for (const customer_demand& demand : customers) {
+    if (demand.waiting > 0) {
+      waiting[demand.customer] = demand.waiting;
+    }
+  }
+  for (auto& [customer, account] : accounts_) {
+    if (!waiting.contains(customer)) {
+      account.backlog.erase(router);
+    }
+  }
+  for (const auto& [customer, count] : waiting) {
+    account& account = accounts_[customer];
+    if (account.backlog.empty()) {
+      LiftIfNewlyBacklogged(account);
+    }
+    account.backlog[router] = count;
+  }
+}
+
+void service_ledger::LiftIfNewlyBacklogged(account& account) {
+  const auto [any, least] = LeastBacklogged();
+  if (any) {
+    account.virtual_service = std::max(account.virtual_service, least);
+  }
+}
+
+std::pair<bool, double> service_ledger::LeastBacklogged() const {
+  bool any = false;
+  double least = std::numeric_limits<double>::max();
+  for (const auto& [customer, account] : accounts_) {
+    if (!account.backlog.empty()) {
+      any = true;
+      least = std::min(least, account.virtual_service);
+    }
+  }
+  return {any, least};
+}
+
+void service_ledger::ForgetRouter(const daemon_id& router) {
+  for (auto& [customer, account] : accounts_) {
+    account.routers.erase(router);
+    account.backlog.erase(router);
+  }
+}
+
+double service_ledger::VirtualService(const customer_id& customer) const {
+  const auto found = accounts_.find(customer);
+  return found == accounts_.end() ? 0 : found->second.virtual_service;
+}
+
+std::vector<customer_standing> service_ledger::Backlogged() const {
+  std::vector<customer_standing> standings;
+  for (const auto& [customer, account] : accounts_) {
+    if (!account.backlog.empty()) {
+      standings.push_back(
+          {.customer = customer, .virtual_service = account.virtual_service});
+    }
+  }
+  return standings;
+}
+
+void service_ledger::NoteRequests(double service, std::uint32_t requests) {
+  if (requests == 0 || service <= 0) {
+    return;
+  }
+  const double mean = service / requests;
+  quantum_ += kQuantumSmoothing * (mean - quantum_);
+}
+
+}  // namespace burdocklock::allocation
--- /dev/null
+++ b/src/allocation/slot_coordinator.h
@@ -0,0 +1,155 @@
+// Coordinates the targets of one data centre: keeps their ramps, leases their
+// slots to routers and keeps the fleet's service counters.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "allocation/lease_book.h"
+#include "allocation/service_ledger.h"
+#include "allocation/slot_division.h"
+#include "allocation/types/grant.h"
+#include "allocation/types/report.h"
+#include "framework/i_random.h"
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+#include "membership/types/member.h"
+#include "targets/target_directory.h"
+
+namespace burdocklock::allocation {
+
+struct coordinator_options {
+  /// A router uses its slots this long after it sent the report that the
+  /// grant answers.
+  duration lease = std::chrono::seconds(3);
+  /// Added before the coordinator gives an expired lease to another router.
+  duration lease_margin = std::chrono::milliseconds(500);
+  /// Spare slots that a router is offered, as a share of its demand.
+  double headroom = 0.25;
+  targets::directory_options directory;
+};
+
+/// Deterministic state machine. A coordinator that has just started, or has
+/// just become the coordinator, adopts the leases that routers claim and
+/// grants nothing else until every expected router has reported or all earlier
+/// leases have run out.
+///
+/// Invariants: the slots that routers may be using at a target never exceed
+/// its ramp limit except where a cut has just lowered that limit, and then
+/// nothing is granted until they are back within it; nothing is granted at
+/// targets that are not ready, silent, or in a data centre that is out.
+class slot_coordinator {
+ public:
+  slot_coordinator(membership::member self,
+                   coordinator_options options,
+                   i_random& random);
+
+  /// Begins to coordinate. `expected_routers` others may hold leases of an
+  /// earlier coordinator.
+  void Start(std::size_t expected_routers, time_point now);
+  void OnReport(const router_report& report, time_point now);
+  targets::announce_result OnAnnouncement(
+      const targets::announcement& announcement,
+      time_point now);
+  /// The data centres whose targets this coordinator leases out. Those of
+  /// another data centre only once all leases of its own coordinator have
+  /// certainly run out.
+  void SetServed(const std::vector<data_centre_id>& data_centres,
+                 time_point now);
+  void SetDataCentreOut(const data_centre_id& data_centre, bool out);
+  /// A router has left or its process is known to have ended.
+  void OnRouterGone(const daemon_id& router);
+  /// Expires leases and divides slots anew.
+  void Allocate(time_point now);
+
+  /// Grants that have changed since they were last taken, or that answer a
+  /// report.
+  std::vector<std::pair<daemon_id, grant_table>> TakeGrants();
+
+  [[nodiscard]] const targets::target_directory& directory() const {
+    return directory_;
+  }
+  [[nodiscard]] const lease_book& leases() const { return leases_; }
+  [[nodiscard]] bool IsAdopting(time_point now) const;
+  /// Service and demand by pool, for operators.
+  struct customer_view {
+    pool_id pool;
+    customer_id customer;
+    double share = 1.0;
+    double virtual_service = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+  };
+  [[nodiscard]] std::vector<customer_view> Customers() const;
+
+ private:
+  struct router_state {
+    membership::member described;
+    std::uint64_t last_sequence = 0;
+    std::uint64_t grant_version = 0;
+    time_point last_report{};
+    bool dirty = false;
+    std::map<pool_id, std::vector<customer_demand>> demand;
+  };
+  struct pool_state {
+    service_ledger ledger;
+    std::uint32_t capacity = 0;
+    bool scarce = false;
+  };
+  struct pool_target {
+    target_key key;
+    std::uint32_t limit = 0;
+  };
+
+  [[nodiscard]] bool MayLease(const targets::announcement& target,
+                              time_point now) const;
+  /// Nobody else can hold leases on a target of another data centre.
+  [[nodiscard]] bool MayAdopt(const targets::announcement& target,
+                              time_point alone_since,
+                              time_point now) const;
+  bool AcceptSender(const router_report& report, time_point now);
+  void ApplyDemand(const router_report& report, router_state& router);
+  std::uint32_t GoodAnswers(const router_report& report,
+                            const pool_id& pool) const;
+  void ApplyEvidence(const router_report& report, time_point now);
+  void AdoptRamp(const router_report& report);
+  void ExpireRouters(time_point now);
+  void AllocatePool(const pool_id& pool, pool_state& state, time_point now);
+  std::vector<customer_need> NeedsOf(const pool_id& pool,
+                                     const pool_state& state) const;
+  void AddHeadroom(std::map<daemon_id, std::uint32_t>& wanted,
+                   std::uint32_t capacity) const;
+  void CutOverfullTargets(const std::vector<pool_target>& targets);
+  void RevokeSurplus(const std::vector<pool_target>& targets,
+                     const std::map<daemon_id, std::uint32_t>& wanted);
+  void GrantDeficits(const std::vector<pool_target>& targets,
+                     const std::map<daemon_id, std::uint32_t>& wanted,
+                     time_point now);
+  std::uint32_t HeldBy(const daemon_id& router,
+                       const std::vector<pool_target>& targets) const;
+  std::uint32_t FreeSlots(const pool_target& target) const;
+  void SetLimit(const daemon_id& router,
+                const target_key& target,
+                std::uint32_t limit);
+  grant_table MakeGrant(const daemon_id& router, router_state& state) const;
+
+  membership::member self_;
+  coordinator_options options_;
+  targets::target_directory directory_;
+  lease_book leases_;
+  std::map<daemon_id, router_state> routers_;
+  std::map<pool_id, pool_state> pools_;
+  /// Versions rise over all routers and are never used twice, so that a router
+  /// that was forgotten and came back cannot confirm a grant it has not seen.
+  std::uint64_t last_grant_version_ = 0;
+  /// Served data centres, and since when.
+  std::map<data_centre_id, time_point> served_;
+  time_point adopting_until_{};
+  std::size_t expected_routers_ = 0;
+  std::set<daemon_id> heard_since_start_;
+};
+
+}  // namespace burdocklock::allocation
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -14,11 +14,16 @@
 
 #include "config/sheet_index.h"
 #include "config/types/settings.h"
+#include "fleet/fleet_node.h"
+#include "fleet/i_fleet_port.h"
 #include "framework/logging/i_logger.h"
 #include "framework/metrics/metric_registry.h"
 #include "framework/seeded_random.h"
+#include "framework/types/endpoint.h"
+#include "framework/types/error.h"
 #include "gateway/i_control.h"
 #include "gateway/i_operations.h"
+#include "peer/peer_network.h"
 #include "routing/i_routing_observer.h"
 #include "routing/request_router.h"
 
@@ -28,7 +33,8 @@
 /// others belong to the thread that runs the io_context.
 class control_loop : public gateway::i_control,
                      public gateway::i_operations,
-                     public routing::i_routing_observer {
+                     public routing::i_routing_observer,
+                     public fleet::i_fleet_port {
  public:
   control_loop(boost::asio::io_context& io,
                const config::settings& settings,
@@ -36,6 +42,10 @@
                incarnation life,
                i_logger& logger);
 
+  /// Opens the links to other daemons and begins to take part in the fleet.
+  result<endpoint> StartFleet();
+  /// Gives all slots back and closes the links.
+  void StopFleet();
   /// Called once when a drain begins.
   void SetDrainHandler(std::function<void(const std::string& cause)> handler) {
     on_drain_ = std::move(handler);
@@ -69,8 +79,14 @@
   std::string StatusJson() override;
   std::string TargetsJson() override;
   std::string CustomersJson() override;
+  std::string MembersJson() override;
+  bool OrderDataCentre(const std::string& data_centre, bool out) override;
   void Drain(const std::string& cause) override;
 
+  // i_fleet_port
+  void Send(fleet::link_id link, const fleet::message& message) override;
+  void Reopen(fleet::link_id link) override;
+
   // i_routing_observer
   void OnQueueWait(duration wait, time_point now) override;
   void OnFirstOutput(duration latency, time_point now) override;
@@ -89,9 +105,17 @@
   void Perform(const routing::attempt_failure_report& effect, time_point now);
   void Perform(const routing::request_ended& effect, time_point now);
   void Perform(const routing::ramp_changed& effect, time_point now);
+  void Perform(const routing::lease_changed& effect, time_point now);
+  void Perform(const routing::coordinator_changed& effect, time_point now);
+  // Runs `handle` now, with what follows from it.
+  void Process(const handler& handle);
+  bool OnPeerMessage(std::uint64_t link, const std::string& bytes);
+  void CheckPlannedOutages(time_point now, routing::effects& out);
   void LogRefusal(const refusals::refusal& refusal);
   void DeliverTo(request_seq request, gateway::exchange_order order);
   void ArmTimer();
+  [[nodiscard]] std::vector<targets::target_view> TargetViews(
+      time_point now) const;
   void LogAnnouncement(const targets::announcement& announcement,
                        targets::announce_result result);
   void RegisterMetrics();
@@ -109,6 +133,8 @@
   seeded_random random_;
   time_point started_;
   routing::request_router router_;
+  fleet::fleet_node node_;
+  std::unique_ptr<peer::peer_network> peers_;
   // Exchanges of requests that have not ended or whose attempt still runs.
   std::unordered_map<request_seq, std::shared_ptr<gateway::i_exchange>>
       exchanges_;
--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -99,6 +99,21 @@
                   .Add("cause", effect.cause));
 }
 
+void control_loop::Perform(const routing::lease_changed& effect, time_point) {
+  logger_.Log(log_record("lease")
+                  .Add("target", effect.target.value())
+                  .Add("previous", effect.previous)
+                  .Add("limit", effect.limit)
+                  .Add("lessor", effect.lessor.value()));
+}
+
+void control_loop::Perform(const routing::coordinator_changed& effect,
+                           time_point) {
+  logger_.Log(log_record("coordinator")
+                  .Add("data_centre", effect.data_centre.value())
+                  .Add("coordinates", effect.coordinates));
+}
+
 void control_loop::LogRefusal(const refusals::refusal& refusal) {
   ++metrics_.Counter(
       "burdocklock_refusals_total",
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -41,6 +41,11 @@
       random_(static_cast<std::uint32_t>(life.value())),
       started_(steady_clock::now()),
       router_(MakeRouterOptions(settings), random_, *this, started_),
+      node_(MakeFleetOptions(settings, life),
+            router_,
+            random_,
+            *this,
+            started_),
       timer_(io) {
   for (const config::customer& customer : sheet_->contents().customers) {
     router_.SetCustomer(customer.id, {.share = customer.share,
@@ -87,13 +92,17 @@
 }
 
 void control_loop::Post(handler handle) {
-  boost::asio::post(io_, [this, handle = std::move(handle)] {
-    const time_point now = steady_clock::now();
-    routing::effects effects;
-    handle(now, effects);
-    Perform(effects, now);
-    ArmTimer();
-  });
+  boost::asio::post(io_,
+                    [this, handle = std::move(handle)] { Process(handle); });
+}
+
+void control_loop::Process(const handler& handle) {
+  const time_point now = steady_clock::now();
+  routing::effects effects;
+  handle(now, effects);
+  node_.AfterRouterEvent(now, effects);
+  Perform(effects, now);
+  ArmTimer();
 }
 
 void control_loop::Submit(const routing::request_spec& spec,
@@ -146,8 +155,7 @@
 void control_loop::Announce(targets::announcement announcement) {
   Post([this, announcement = std::move(announcement)](time_point now,
                                                       routing::effects& out) {
-    LogAnnouncement(announcement,
-                    router_.OnAnnouncement(announcement, now, out));
+    LogAnnouncement(announcement, node_.OnAnnouncement(announcement, now, out));
   });
 }
 
@@ -170,6 +178,7 @@
   }
   logger_.Log(
       log_record("drain").Add("cause", cause).Add("unfinished", Unfinished()));
+  node_.BeginLeave(steady_clock::now());
   if (on_drain_) {
     on_drain_(cause);
   }
@@ -188,7 +197,8 @@
 }
 
 void control_loop::ArmTimer() {
-  const time_point next = router_.NextDeadline();
+  const time_point next =
+      std::min(router_.NextDeadline(), node_.NextDeadline());
   // An earlier timer finds nothing due and arms itself again.
   if (next >= timer_at_) {
     return;
@@ -200,11 +210,13 @@
       return;
     }
     timer_at_ = kNever;
-    const time_point now = steady_clock::now();
-    routing::effects effects;
-    router_.OnTick(now, effects);
-    Perform(effects, now);
-    ArmTimer();
+    Process([this](time_point now, routing::effects& out) {
+      CheckPlannedOutages(now, out);
+      router_.OnTick(now, out);
+      if (node_.NextDeadline() <= now) {
+        node_.OnTick(now, out);
+      }
+    });
   });
 }
 
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -129,6 +129,7 @@
     signals.cancel();
     operator_server.Stop();
     StopTraffic();
+    control.StopFleet();
     return;
   }
   started = daemon_addresses{.callers = caller_address.value(),
@@ -140,6 +141,7 @@
   drain_requested.Wait();
   FinishRequests();
   StopTraffic();
+  control.StopFleet();
   operator_server.Stop();
   signals.cancel();
   logger.Log(log_record("stopped"));
--- a/src/app/internal/router_options.cc
+++ b/src/app/internal/router_options.cc
@@ -1,6 +1,8 @@
 // See the header.
 #include "app/internal/router_options.h"
 
+#include <algorithm>
+
 namespace burdocklock::app {
 
 routing::router_options MakeRouterOptions(const config::settings& settings) {
@@ -17,7 +19,8 @@
       .retries = {.ratio = settings.retries.budget_ratio,
                   .per_second = settings.retries.budget_per_second},
       .directory = {.local_data_centre = settings.data_centre,
-                    .silence = timeouts.target_silence},
+                    .silence = timeouts.target_silence,
+                    .leased = true},
       .max_queued_per_customer = settings.limits.max_queued_per_customer,
       .max_queued_total = settings.limits.max_queued_total,
       .no_target_wait = timeouts.target_silence,
@@ -39,4 +42,31 @@
   };
 }
 
+fleet::fleet_options MakeFleetOptions(const config::settings& settings,
+                                      incarnation life) {
+  const bool control =
+      std::find(settings.roles.begin(), settings.roles.end(),
+                config::role::kControl) != settings.roles.end();
+  return {
+      .self = {.daemon = settings.daemon,
+               .life = life,
+               .data_centre = settings.data_centre,
+               .region = settings.region,
+               .has_control_role = control},
+      .peer_count = settings.peers.size(),
+      .coordinator = {.directory = {.local_data_centre = settings.data_centre,
+                                    .silence =
+                                        settings.timeouts.target_silence}},
+  };
+}
+
+peer::peer_options MakePeerOptions(const config::settings& settings) {
+  peer::peer_options options{.listen_address = settings.peer_listener.address,
+                             .listen_port = settings.peer_listener.port};
+  for (const endpoint& peer : settings.peers) {
+    options.peers.push_back("ws://" + ToString(peer));
+  }
+  return options;
+}
+
 }  // namespace burdocklock::app
--- a/src/app/internal/router_options.h
+++ b/src/app/internal/router_options.h
@@ -2,12 +2,17 @@
 #pragma once
 
 #include "config/types/settings.h"
+#include "fleet/fleet_node.h"
 #include "gateway/types/gateway_options.h"
+#include "peer/peer_network.h"
 #include "routing/request_router.h"
 
 namespace burdocklock::app {
 
 routing::router_options MakeRouterOptions(const config::settings& settings);
 gateway::gateway_options MakeGatewayOptions(const config::settings& settings);
+fleet::fleet_options MakeFleetOptions(const config::settings& settings,
+                                      incarnation life);
+peer::peer_options MakePeerOptions(const config::settings& settings);
 
 }  // namespace burdocklock::app
--- a/src/app/internal/status_report.cc
+++ b/src/app/internal/status_report.cc
@@ -25,8 +25,8 @@
       {"pools", pools},
       {"state", view.silent ? "silent" : ToString(announced.state)},
       {"slots", announced.slots},
-      {"limit", view.limit},
-      {"ramp", view.paused ? "paused" : ToString(view.phase)},
+      {"leased", view.limit},
+      {"ramp_limit", view.ramp_limit},
       {"in_flight", view.in_flight},
       {"heard_ms_ago",
        static_cast<std::int64_t>(ToMilliseconds(view.since_heard))}};
@@ -40,17 +40,43 @@
 
 }  // namespace
 
+// A coordinator knows all targets of its data centre; any router knows those
+// of which it holds slots.
+std::vector<targets::target_view> control_loop::TargetViews(
+    time_point now) const {
+  std::vector<targets::target_view> views =
+      node_.coordinator().directory().View(now);
+  for (targets::target_view& view : views) {
+    view.limit = 0;
+    view.in_flight = 0;
+    for (const auto& held :
+         router_.directory().Leases(view.announced.data_centre)) {
+      if (held.target == view.announced.target) {
+        view.limit = held.limit;
+        view.in_flight = held.in_use;
+        view.ramp_limit = held.ramp_limit;
+      }
+    }
+  }
+  return views;
+}
+
 std::string control_loop::StatusJson() {
   const routing::router_totals& totals = router_.totals();
   const time_point now = std::chrono::steady_clock::now();
   std::size_t ready = 0;
-  const std::vector<targets::target_view> targets =
-      router_.directory().View(now);
+  const std::vector<targets::target_view> targets = TargetViews(now);
   for (const targets::target_view& view : targets) {
     const bool is_ready =
         !view.silent && view.announced.state == targets::target_state::kReady;
     ready += is_ready ? 1 : 0;
   }
+  ordered_json out = ordered_json::array();
+  for (const membership::data_centre_order& order : node_.orders().All()) {
+    if (order.out) {
+      out.push_back(order.data_centre.value());
+    }
+  }
   const ordered_json document = {
       {"daemon", settings_.daemon.value()},
       {"data_centre", settings_.data_centre.value()},
@@ -65,14 +91,16 @@
       {"refused", totals.refused},
       {"cut", totals.cut},
       {"caller_left", totals.caller_left},
-      {"retries", totals.retries}};
+      {"retries", totals.retries},
+      {"coordinator", node_.IsCoordinator()},
+      {"data_centres_out", out}};
   return document.dump();
 }
 
 std::string control_loop::TargetsJson() {
   ordered_json list = ordered_json::array();
   const time_point now = std::chrono::steady_clock::now();
-  for (const targets::target_view& view : router_.directory().View(now)) {
+  for (const targets::target_view& view : TargetViews(now)) {
     list.push_back(DescribeTarget(view));
   }
   return ordered_json{{"targets", list}}.dump();
@@ -80,16 +108,34 @@
 
 std::string control_loop::CustomersJson() {
   ordered_json list = ordered_json::array();
-  for (const auto& [pool, customers] : router_.CustomerView()) {
-    for (const fairness::customer_service& entry : customers) {
-      list.push_back({{"customer", entry.customer.value()},
-                      {"pool", pool.value()},
-                      {"waiting", entry.waiting},
-                      {"service", entry.charged},
-                      {"weighted_service", entry.virtual_service}});
-    }
+  for (const auto& entry : node_.coordinator().Customers()) {
+    list.push_back({{"customer", entry.customer.value()},
+                    {"pool", entry.pool.value()},
+                    {"share", entry.share},
+                    {"waiting", entry.waiting},
+                    {"running", entry.running},
+                    {"weighted_service", entry.virtual_service}});
+  }
+  return ordered_json{{"coordinator", node_.IsCoordinator()},
+                      {"customers", list}}
+      .dump();
+}
+
+std::string control_loop::MembersJson() {
+  ordered_json list = ordered_json::array();
+  const time_point now = std::chrono::steady_clock::now();
+  for (const membership::member& member : node_.members().Alive(now)) {
+    const auto coordinator =
+        node_.members().Coordinator(member.data_centre, now);
+    list.push_back(
+        {{"daemon", member.daemon.value()},
+         {"incarnation", member.life.value()},
+         {"data_centre", member.data_centre.value()},
+         {"region", member.region.value()},
+         {"role", member.has_control_role ? "control" : "router"},
+         {"coordinates", coordinator && coordinator->daemon == member.daemon}});
   }
-  return ordered_json{{"customers", list}}.dump();
+  return ordered_json{{"members", list}}.dump();
 }
 
 }  // namespace burdocklock::app
--- a/src/config/types/settings.h
+++ b/src/config/types/settings.h
@@ -83,7 +83,8 @@
   std::vector<role> roles = {role::kRouter};
   endpoint callers{.port = 8080};
   endpoint operators{.port = 8081};
-  endpoint peer_listener{.port = 8082};
+  /// Without peers and with port 0 no links to other daemons are kept.
+  endpoint peer_listener;
   /// Peers to start from.
   std::vector<endpoint> peers;
   std::string data_folder;
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -48,13 +48,16 @@
   return kExitOk;
 }
 
-int Drain(const ctl_options& options) {
+// Gives an order and prints `done` if it was accepted.
+int Order(const ctl_options& options,
+          const std::string& path,
+          const std::string& done) {
   const operator_client client(options.address, options.token);
-  const auto document = client.Post("/v1/drain");
+  const auto document = client.Post(path);
   if (!document) {
     return Fail(document.error());
   }
-  std::cout << (options.json ? document.value().dump() : "draining") << '\n';
+  std::cout << (options.json ? document.value().dump() : done) << '\n';
   return kExitOk;
 }
 
@@ -79,9 +82,23 @@
   app.add_subcommand("customers", "List the service of each customer")
       ->callback(
           [&] { exit_code = Show(options, "/v1/customers", "customers"); });
-  app.add_subcommand("drain", "Shut the daemon down gracefully")->callback([&] {
-    exit_code = Drain(options);
-  });
+  app.add_subcommand("members", "List the daemons that the daemon can reach")
+      ->callback([&] { exit_code = Show(options, "/v1/members", "members"); });
+  CLI::App* data_centre =
+      app.add_subcommand("dc", "Take a data centre out of service or back in");
+  data_centre->require_subcommand(1);
+  std::string name;
+  for (const char* order : {"out", "in"}) {
+    CLI::App* command = data_centre->add_subcommand(order);
+    command->add_option("name", name, "Data centre")->required();
+    command->callback([&, order] {
+      exit_code = Order(options, "/v1/data-centres/" + name + "/" + order,
+                        name + " " + order + ": accepted");
+    });
+  }
+  app.add_subcommand("drain", "Shut the daemon down gracefully")
+      ->callback(
+          [&] { exit_code = Order(options, "/v1/drain", "draining"); });
   app.fallthrough();
   CLI11_PARSE(app, argc, argv);
   return exit_code;
--- a/src/fairness/fair_queue.h
+++ b/src/fairness/fair_queue.h
@@ -19,6 +19,7 @@
 /// A customer's place in a pool, as operators see it.
 struct customer_service {
   customer_id customer;
+  double share = 1.0;
   std::size_t waiting = 0;
   /// Service received, divided by the customer's share.
   double virtual_service = 0;
@@ -33,7 +34,8 @@
 /// goes first once per age limit.
 ///
 /// Invariants: a customer is in `order_` exactly while it has waiting
-/// requests; counters never decrease except by `Refund`.
+/// requests; counters change by charges, refunds and
+/// `SetVirtualService` only.
 class fair_queue {
  public:
   explicit fair_queue(duration age_limit) : age_limit_(age_limit) {}
@@ -56,6 +58,8 @@
 
   /// Adds service to a customer's counter.
   void Charge(const customer_id& customer, service_units units);
+  /// Sets a customer's counter to its value over the whole fleet.
+  void SetVirtualService(const customer_id& customer, double value);
   /// Takes back service that was charged but not received.
   void Refund(const customer_id& customer, service_units units);
 
--- a/src/fairness/internal/fair_queue.cc
+++ b/src/fairness/internal/fair_queue.cc
@@ -98,6 +98,18 @@
   AddService(customer, -units);
 }
 
+void fair_queue::SetVirtualService(const customer_id& customer, double value) {
+  line& line = LineOf(customer);
+  const bool backlogged = !line.requests.empty();
+  if (backlogged) {
+    order_.erase({line.virtual_service, customer});
+  }
+  line.virtual_service = value;
+  if (backlogged) {
+    order_.emplace(value, customer);
+  }
+}
+
 void fair_queue::AddService(const customer_id& customer, service_units units) {
   line& line = LineOf(customer);
   const bool backlogged = !line.requests.empty();
@@ -121,6 +133,7 @@
   views.reserve(lines_.size());
   for (const auto& [customer, line] : lines_) {
     views.push_back({.customer = customer,
+                     .share = line.share,
                      .waiting = line.requests.size(),
                      .virtual_service = line.virtual_service,
                      .charged = line.charged});
--- /dev/null
+++ b/src/fleet/internal/fleet_reports.cc
@@ -0,0 +1,341 @@
+// Reports to coordinators and grants from them.
+#include <algorithm>
+#include <utility>
+
+#include "fleet/fleet_node.h"
+
+namespace burdocklock::fleet {
+
+using allocation::pool_standing;
+
+namespace {
+
+const pool_standing* FindStanding(const std::vector<pool_standing>& standings,
+                                  const pool_id& pool) {
+  const auto found = std::find_if(
+      standings.begin(), standings.end(),
+      [&](const pool_standing& standing) { return standing.pool == pool; });
+  return found == standings.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+fleet_node::reporting& fleet_node::ReportingTo(const daemon_id& coordinator) {
+  return reporting_
+      .try_emplace(coordinator, reporting(options_.coordinator.lease))
+      .first->second;
+}
+
+void fleet_node::AfterRouterEvent(time_point now, routing::effects& out) {
+  if (MayBeUrgent()) {
+    MarkUrgent(router_.Load(), now);
+  }
+  ReportWhereDue(now, out);
+}
+
+bool fleet_node::MayBeUrgent() {
+  if (router_.totals().waiting > 0 ||
+      router_.mutable_directory().HasUrgentEvidence()) {
+    return true;
+  }
+  return std::any_of(
+      reporting_.begin(), reporting_.end(), [](const auto& entry) {
+        const auto& standings = entry.second.client.standings();
+        return std::any_of(standings.begin(), standings.end(),
+                           [](const pool_standing& s) { return s.scarce; });
+      });
+}
+
+void fleet_node::MarkUrgent(const load_list& loads, time_point now) {
+  targets::target_directory& directory = router_.mutable_directory();
+  std::set<pool_id> waiting_pools;
+  for (const auto& load : loads) {
+    if (load.waiting == 0) {
+      continue;
+    }
+    waiting_pools.insert(load.pool);
+    for (auto& [coordinator, state] : reporting_) {
+      if (!state.waiting.contains({load.pool, load.customer})) {
+        state.urgent = true;
+      }
+    }
+  }
+  for (auto& [coordinator, state] : reporting_) {
+    for (const pool_standing& standing : state.client.standings()) {
+      const bool others_need =
+          standing.scarce && !waiting_pools.contains(standing.pool);
+      if (others_need && directory.FreeLeased(standing.pool, now) > 0 &&
+          directory.ReturnIdle(standing.pool)) {
+        state.urgent = true;
+      }
+    }
+  }
+  if (directory.HasUrgentEvidence()) {
+    for (auto& [coordinator, state] : reporting_) {
+      state.urgent = true;
+    }
+  }
+}
+
+bool fleet_node::IsDue(const daemon_id& coordinator,
+                       const reporting& state,
+                       time_point now) const {
+  const duration age = now - state.last_report;
+  // Messages to oneself cost nothing.
+  const duration spacing = coordinator == options_.self.daemon
+                               ? duration::zero()
+                               : options_.report_spacing;
+  return age >= options_.heartbeat || (state.urgent && age >= spacing);
+}
+
+void fleet_node::ReportWhereDue(time_point now, routing::effects& out) {
+  next_report_check_ = kNever;
+  if (leaving_ && router_.totals().waiting + router_.totals().in_flight == 0) {
+    return;
+  }
+  for (const auto& [coordinator, served] : Coordinators(now)) {
+    reporting& state = ReportingTo(coordinator);
+    if (IsDue(coordinator, state, now)) {
+      Report(coordinator, served, router_.Load(), now, out);
+    } else if (state.urgent) {
+      next_report_check_ = std::min(
+          next_report_check_, state.last_report + options_.report_spacing);
+    }
+  }
+}
+
+void fleet_node::Report(const daemon_id& coordinator,
+                        const std::vector<data_centre_id>& served,
+                        const load_list& loads,
+                        time_point now,
+                        routing::effects& out) {
+  const auto described = FindAlive(coordinator, now);
+  if (!described) {
+    return;
+  }
+  reporting& state = ReportingTo(coordinator);
+  state.last_report = now;
+  state.urgent = false;
+  allocation::router_report report{.sender = options_.self,
+                                   .orders = orders_.All()};
+  report.announcements = std::exchange(state.announcements, {});
+  targets::target_directory& directory = router_.mutable_directory();
+  for (const data_centre_id& data_centre : served) {
+    for (auto& evidence : directory.TakeEvidence(data_centre)) {
+      report.evidence.push_back(std::move(evidence));
+    }
+    for (const auto& holding : directory.Leases(data_centre)) {
+      report.holdings.push_back({.target = holding.target,
+                                 .life = holding.life,
+                                 .limit = holding.limit,
+                                 .in_use = holding.in_use,
+                                 .ramp_limit = holding.ramp_limit});
+    }
+  }
+  FillDemand(report, state, coordinator, served, loads);
+  state.client.Stamp(report, *described, now);
+  if (coordinator == options_.self.daemon) {
+    Handle(link_id(0), report, now, out);
+    return;
+  }
+  SendTo(coordinator, report);
+}
+
+void fleet_node::FillDemand(allocation::router_report& report,
+                            reporting& state,
+                            const daemon_id& coordinator,
+                            const std::vector<data_centre_id>& served,
+                            const load_list& loads) const {
+  std::map<pool_id, std::vector<allocation::customer_demand>> demand;
+  state.waiting.clear();
+  for (const auto& load : loads) {
+    std::uint32_t running = 0;
+    for (const data_centre_id& data_centre : served) {
+      const auto found = load.running.find(data_centre);
+      running += found == load.running.end() ? 0 : found->second;
+    }
+    const std::pair<pool_id, customer_id> key{load.pool, load.customer};
+    double& reported = state.service[key];
+    if (load.waiting == 0 && running == 0 && reported == load.service) {
+      continue;
+    }
+    reported = load.service;
+    if (load.waiting > 0) {
+      state.waiting.insert(key);
+    }
+    demand[load.pool].push_back(
+        {.customer = load.customer,
+         .share = load.share,
+         .waiting = WaitingFor(coordinator, load.pool, load.waiting),
+         .running = running,
+         .service = load.service});
+  }
+  for (auto& [pool, customers] : demand) {
+    report.demand.push_back({.pool = pool, .customers = std::move(customers)});
+  }
+}
+
+std::uint32_t fleet_node::WaitingFor(const daemon_id& coordinator,
+                                     const pool_id& pool,
+                                     std::uint32_t waiting) const {
+  std::uint64_t total = 0;
+  std::uint64_t there = 0;
+  bool local_suffices = false;
+  bool is_local = false;
+  for (const auto& [other, state] : reporting_) {
+    const pool_standing* standing =
+        FindStanding(state.client.standings(), pool);
+    const std::uint32_t capacity = standing == nullptr ? 0 : standing->capacity;
+    total += capacity;
+    there += other == coordinator ? capacity : 0;
+    const auto local =
+        members_.Coordinator(options_.self.data_centre, state.last_report);
+    if (local && local->daemon == other) {
+      local_suffices = standing != nullptr && capacity > 0 && !standing->scarce;
+      is_local = other == coordinator;
+    }
+  }
+  if (local_suffices || total == 0) {
+    return is_local || total == 0 ? waiting : 0;
+  }
+  // Where the local data centre is short the demand is spread over all.
+  return static_cast<std::uint32_t>((waiting * there + total - 1) / total);
+}
+
+void fleet_node::Handle(link_id link,
+                        const allocation::router_report& report,
+                        time_point now,
+                        routing::effects& out) {
+  if (link != link_id(0)) {
+    members_.Heard(report.sender, now);
+    MergeOrders(report.orders, now, out);
+    report_links_[report.sender.daemon] = link;
+  }
+  for (const targets::announcement& announcement : report.announcements) {
+    known_data_centres_.insert(announcement.data_centre);
+  }
+  if (!is_coordinator_) {
+    return;
+  }
+  coordinator_.OnReport(report, now);
+  coordinator_.Allocate(now);
+  SendGrants(now, out);
+}
+
+void fleet_node::SendGrants(time_point now, routing::effects& out) {
+  for (auto& [router, grant] : coordinator_.TakeGrants()) {
+    grant.orders = orders_.All();
+    if (router == options_.self.daemon) {
+      ApplyGrant(grant, now, out);
+      continue;
+    }
+    const auto link = report_links_.find(router);
+    if (link != report_links_.end()) {
+      port_.Send(link->second, grant);
+    }
+  }
+}
+
+void fleet_node::Handle(link_id link,
+                        const allocation::grant_table& grant,
+                        time_point now,
+                        routing::effects& out) {
+  members_.Heard(grant.sender, now);
+  const auto found = outbound_.find(link);
+  if (found != outbound_.end()) {
+    found->second.last_heard = now;
+  }
+  MergeOrders(grant.orders, now, out);
+  ApplyGrant(grant, now, out);
+}
+
+void fleet_node::ApplyGrant(const allocation::grant_table& grant,
+                            time_point now,
+                            routing::effects& out) {
+  reporting& state = ReportingTo(grant.sender.daemon);
+  if (!state.client.Apply(grant)) {
+    return;
+  }
+  ApplyStandings(state);
+  UpdateCapacity(now);
+  for (const data_centre_id& data_centre : grant.served) {
+    std::vector<targets::target_lease> leases;
+    for (const targets::target_lease& lease : grant.leases) {
+      if (lease.target.data_centre == data_centre) {
+        leases.push_back(lease);
+      }
+    }
+    NoteLeaseChanges(data_centre, leases, grant.sender.daemon, out);
+    router_.ApplyLeases(data_centre, leases, state.client.valid_until(), now,
+                        out);
+  }
+}
+
+void fleet_node::NoteLeaseChanges(
+    const data_centre_id& data_centre,
+    const std::vector<targets::target_lease>& leases,
+    const daemon_id& lessor,
+    routing::effects& out) const {
+  std::map<target_id, std::uint32_t> before;
+  for (const auto& held : router_.directory().Leases(data_centre)) {
+    before[held.target] = held.limit;
+  }
+  const auto note = [&](const target_id& target, std::uint32_t limit) {
+    out.emplace_back(routing::lease_changed{.target = target,
+                                            .previous = before[target],
+                                            .limit = limit,
+                                            .lessor = lessor});
+  };
+  for (const targets::target_lease& lease : leases) {
+    if (before[lease.target.target] != lease.limit) {
+      note(lease.target.target, lease.limit);
+    }
+    before.erase(lease.target.target);
+  }
+  for (const auto& [target, limit] : before) {
+    if (limit > 0) {
+      note(target, 0);
+    }
+  }
+}
+
+void fleet_node::ApplyStandings(const reporting& state) {
+  // Only an answer to the last report can be compared with what has been
+  // charged since.
+  if (state.client.answered() != state.client.last_sequence()) {
+    return;
+  }
+  const load_list loads = router_.Load();
+  for (const auto& load : loads) {
+    const pool_standing* standing =
+        FindStanding(state.client.standings(), load.pool);
+    if (standing == nullptr) {
+      continue;
+    }
+    for (const allocation::customer_standing& customer : standing->customers) {
+      if (customer.customer != load.customer) {
+        continue;
+      }
+      const auto reported = state.service.find({load.pool, load.customer});
+      const double since =
+          reported == state.service.end() ? 0 : load.service - reported->second;
+      router_.SetVirtualService(load.pool, load.customer,
+                                customer.virtual_service + since / load.share);
+    }
+  }
+}
+
+void fleet_node::UpdateCapacity(time_point now) {
+  std::map<pool_id, std::uint32_t> capacity;
+  for (const auto& [coordinator, state] : reporting_) {
+    const bool in_force = now < state.client.valid_until();
+    for (const pool_standing& standing : state.client.standings()) {
+      capacity[standing.pool] += in_force ? standing.capacity : 0;
+    }
+  }
+  for (const auto& [pool, slots] : capacity) {
+    router_.mutable_directory().SetPoolCapacity(pool, slots);
+  }
+}
+
+}  // namespace burdocklock::fleet
--- a/src/gateway/i_operations.h
+++ b/src/gateway/i_operations.h
@@ -17,6 +17,10 @@
   virtual std::string StatusJson() = 0;
   virtual std::string TargetsJson() = 0;
   virtual std::string CustomersJson() = 0;
+  virtual std::string MembersJson() = 0;
+  /// Takes a data centre out of service, or back in; false if the sheet does
+  /// not name it.
+  virtual bool OrderDataCentre(const std::string& data_centre, bool out) = 0;
   /// Begins a graceful shutdown.
   virtual void Drain(const std::string& cause) = 0;
 };
--- a/src/gateway/internal/operator_handler.cc
+++ b/src/gateway/internal/operator_handler.cc
@@ -14,6 +14,8 @@
 
 constexpr char kText[] = "text/plain; version=0.0.4";
 
+constexpr std::string_view kDataCentres = "/v1/data-centres/";
+
 bool IsPlatformPath(std::string_view path) {
   return path == "/healthz" || path == "/readyz" || path == "/metrics";
 }
@@ -78,6 +80,12 @@
     if (path == "/v1/customers") {
       return {.body = operations_.CustomersJson()};
     }
+    if (path == "/v1/members") {
+      return {.body = operations_.MembersJson()};
+    }
+  }
+  if (request.method() == http::verb::post && path.starts_with(kDataCentres)) {
+    return OrderDataCentre(path.substr(kDataCentres.size()));
   }
   if (request.method() == http::verb::post && path == "/v1/drain") {
     operations_.Drain("operator");
@@ -86,4 +94,20 @@
   return {.status = 404, .body = R"({"error":"there is nothing here"})"};
 }
 
+operator_handler::reply operator_handler::OrderDataCentre(
+    std::string_view rest) const {
+  const std::size_t slash = rest.find('/');
+  const std::string name(rest.substr(0, slash));
+  const std::string_view order =
+      slash == std::string_view::npos ? "" : rest.substr(slash + 1);
+  if (order != "out" && order != "in") {
+    return {.status = 404,
+            .body = R"({"error":"the order must be out or in"})"};
+  }
+  if (!operations_.OrderDataCentre(name, order == "out")) {
+    return {.status = 404, .body = R"({"error":"no such data centre"})"};
+  }
+  return {.status = 202, .body = R"({"accepted":true})"};
+}
+
 }  // namespace burdocklock::gateway
--- a/src/gateway/operator_handler.h
+++ b/src/gateway/operator_handler.h
@@ -29,6 +29,8 @@
   [[nodiscard]] reply AnswerPlatform(std::string_view path) const;
   [[nodiscard]] reply AnswerOperator(const net::http_request& request) const;
 
+  [[nodiscard]] reply OrderDataCentre(std::string_view rest) const;
+
   i_operations& operations_;
   std::vector<config::key_hash> tokens_;
 };
--- /dev/null
+++ b/src/membership/internal/data_centre_orders.cc
@@ -0,0 +1,53 @@
+// See the header.
+#include "membership/data_centre_orders.h"
+
+#include <tuple>
+
+namespace burdocklock::membership {
+
+namespace {
+
+auto Rank(const data_centre_order& order) {
+  return std::tie(order.version, order.out, order.accepted_by);
+}
+
+}  // namespace
+
+data_centre_order data_centre_orders::Accept(const data_centre_id& data_centre,
+                                             bool out,
+                                             const daemon_id& here) {
+  data_centre_order& kept = orders_[data_centre];
+  kept = {.data_centre = data_centre,
+          .out = out,
+          .version = kept.version + 1,
+          .accepted_by = here};
+  return kept;
+}
+
+bool data_centre_orders::Merge(const data_centre_order& order) {
+  const auto [kept, inserted] = orders_.emplace(order.data_centre, order);
+  if (inserted) {
+    return true;
+  }
+  if (Rank(order) <= Rank(kept->second)) {
+    return false;
+  }
+  kept->second = order;
+  return true;
+}
+
+bool data_centre_orders::IsOut(const data_centre_id& data_centre) const {
+  const auto found = orders_.find(data_centre);
+  return found != orders_.end() && found->second.out;
+}
+
+std::vector<data_centre_order> data_centre_orders::All() const {
+  std::vector<data_centre_order> all;
+  all.reserve(orders_.size());
+  for (const auto& [data_centre, order] : orders_) {
+    all.push_back(order);
+  }
+  return all;
+}
+
+}  // namespace burdocklock::membership
--- /dev/null
+++ b/src/membership/internal/member_table.cc
@@ -0,0 +1,103 @@
+// See the header.
+#include "membership/member_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdocklock::membership {
+
+namespace {
+
+bool ComesFirst(const member& a, const member& b) {
+  if (a.has_control_role != b.has_control_role) {
+    return a.has_control_role;
+  }
+  return a.daemon < b.daemon;
+}
+
+}  // namespace
+
+member_table::member_table(member self, duration timeout)
+    : self_(std::move(self)), timeout_(timeout) {}
+
+bool member_table::Heard(const member& member, time_point now) {
+  if (member.daemon == self_.daemon) {
+    return false;
+  }
+  entry& known = others_[member.daemon];
+  if (member.life < known.described.life) {
+    return false;
+  }
+  if (member.life > known.described.life) {
+    known.left = false;
+  }
+  known.described = member;
+  known.last_heard = now;
+  return true;
+}
+
+void member_table::Left(const daemon_id& daemon) {
+  const auto found = others_.find(daemon);
+  if (found != others_.end()) {
+    found->second.left = true;
+  }
+}
+
+bool member_table::IsAlive(const entry& entry, time_point now) const {
+  return !entry.left && now - entry.last_heard < timeout_;
+}
+
+bool member_table::IsAlive(const daemon_id& daemon, time_point now) const {
+  if (daemon == self_.daemon) {
+    return true;
+  }
+  const auto found = others_.find(daemon);
+  return found != others_.end() && IsAlive(found->second, now);
+}
+
+std::vector<member> member_table::Alive(time_point now) const {
+  std::vector<member> alive = {self_};
+  for (const auto& [daemon, entry] : others_) {
+    if (IsAlive(entry, now)) {
+      alive.push_back(entry.described);
+    }
+  }
+  return alive;
+}
+
+std::optional<member> member_table::Coordinator(
+    const data_centre_id& data_centre,
+    time_point now) const {
+  std::optional<member> first;
+  for (const member& candidate : Alive(now)) {
+    if (candidate.data_centre != data_centre) {
+      continue;
+    }
+    const bool steps_back = self_leaves_ && candidate.daemon == self_.daemon;
+    if (steps_back) {
+      continue;
+    }
+    if (!first || ComesFirst(candidate, *first)) {
+      first = candidate;
+    }
+  }
+  if (!first && self_.data_centre == data_centre) {
+    return self_;
+  }
+  return first;
+}
+
+std::vector<data_centre_id> member_table::DataCentres(time_point now) const {
+  std::vector<data_centre_id> data_centres;
+  for (const member& member : Alive(now)) {
+    if (member.region == self_.region) {
+      data_centres.push_back(member.data_centre);
+    }
+  }
+  std::sort(data_centres.begin(), data_centres.end());
+  data_centres.erase(std::unique(data_centres.begin(), data_centres.end()),
+                     data_centres.end());
+  return data_centres;
+}
+
+}  // namespace burdocklock::membership
--- /dev/null
+++ b/src/peer/internal/message_codec.cc
@@ -0,0 +1,289 @@
+// See the header. Members have short names, as they travel every second.
+#include "peer/message_codec.h"
+
+#include <exception>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace burdocklock {
+
+using nlohmann::json;
+
+// Conversions found by nlohmann::json through the types' own namespaces.
+
+template <typename Tag, typename Rep>
+void to_json(json& j, const strong_type<Tag, Rep>& id) {
+  j = id.value();
+}
+template <typename Tag, typename Rep>
+void from_json(const json& j, strong_type<Tag, Rep>& id) {
+  id = strong_type<Tag, Rep>(j.get<Rep>());
+}
+
+void to_json(json& j, const endpoint& value) {
+  j = ToString(value);
+}
+void from_json(const json& j, endpoint& value) {
+  value = ParseEndpoint(j.get_ref<const std::string&>()).value();
+}
+
+namespace membership {
+
+void to_json(json& j, const member& m) {
+  j = json::array(
+      {m.daemon, m.life, m.data_centre, m.region, m.has_control_role});
+}
+void from_json(const json& j, member& m) {
+  j.at(0).get_to(m.daemon);
+  j.at(1).get_to(m.life);
+  j.at(2).get_to(m.data_centre);
+  j.at(3).get_to(m.region);
+  j.at(4).get_to(m.has_control_role);
+}
+
+void to_json(json& j, const data_centre_order& o) {
+  j = json::array({o.data_centre, o.out, o.version, o.accepted_by});
+}
+void from_json(const json& j, data_centre_order& o) {
+  j.at(0).get_to(o.data_centre);
+  j.at(1).get_to(o.out);
+  j.at(2).get_to(o.version);
+  j.at(3).get_to(o.accepted_by);
+}
+
+}  // namespace membership
+
+namespace targets {
+
+template <typename Enum>
+Enum ToEnum(const json& j, Enum last) {
+  const auto value = j.get<unsigned>();
+  if (value > static_cast<unsigned>(last)) {
+    throw std::out_of_range("enumerator");
+  }
+  return static_cast<Enum>(value);
+}
+
+void to_json(json& j, const load_report& l) {
+  j = json::array({l.running, l.waiting, l.kv_used, l.at_ms});
+}
+void from_json(const json& j, load_report& l) {
+  j.at(0).get_to(l.running);
+  j.at(1).get_to(l.waiting);
+  j.at(2).get_to(l.kv_used);
+  j.at(3).get_to(l.at_ms);
+}
+
+void to_json(json& j, const announcement& a) {
+  j = json::array({a.target, a.life, a.data_centre,
+                   static_cast<unsigned>(a.kind), a.address, a.pools,
+                   static_cast<unsigned>(a.state), a.slots, a.cold_slots,
+                   static_cast<unsigned>(a.fencing),
+                   a.load ? json(*a.load) : json()});
+}
+void from_json(const json& j, announcement& a) {
+  j.at(0).get_to(a.target);
+  j.at(1).get_to(a.life);
+  j.at(2).get_to(a.data_centre);
+  a.kind = ToEnum(j.at(3), target_kind::kService);
+  j.at(4).get_to(a.address);
+  j.at(5).get_to(a.pools);
+  a.state = ToEnum(j.at(6), target_state::kLeaving);
+  j.at(7).get_to(a.slots);
+  j.at(8).get_to(a.cold_slots);
+  a.fencing = ToEnum(j.at(9), fencing_support::kIgnores);
+  if (!j.at(10).is_null()) {
+    a.load = j.at(10).get<load_report>();
+  }
+  if (a.pools.empty() || a.slots == 0 || a.cold_slots == 0 ||
+      a.cold_slots > a.slots) {
+    throw std::out_of_range("announcement");
+  }
+}
+
+void to_json(json& j, const lease_evidence& e) {
+  j = json::array(
+      {e.target, e.life, e.epoch, e.good, e.bad, e.first_output_jumped});
+}
+void from_json(const json& j, lease_evidence& e) {
+  j.at(0).get_to(e.target);
+  j.at(1).get_to(e.life);
+  j.at(2).get_to(e.epoch);
+  j.at(3).get_to(e.good);
+  j.at(4).get_to(e.bad);
+  j.at(5).get_to(e.first_output_jumped);
+}
+
+void to_json(json& j, const target_lease& l) {
+  j = json::array({l.target, l.limit, l.ramp_limit, l.epoch});
+}
+void from_json(const json& j, target_lease& l) {
+  j.at(0).get_to(l.target);
+  j.at(1).get_to(l.limit);
+  j.at(2).get_to(l.ramp_limit);
+  j.at(3).get_to(l.epoch);
+}
+
+}  // namespace targets
+
+namespace allocation {
+
+void to_json(json& j, const customer_demand& d) {
+  j = json::array({d.customer, d.share, d.waiting, d.running, d.service});
+}
+void from_json(const json& j, customer_demand& d) {
+  j.at(0).get_to(d.customer);
+  j.at(1).get_to(d.share);
+  j.at(2).get_to(d.waiting);
+  j.at(3).get_to(d.running);
+  j.at(4).get_to(d.service);
+  if (!(d.share > 0)) {
+    throw std::out_of_range("share");
+  }
+}
+
+void to_json(json& j, const pool_demand& d) {
+  j = json::array({d.pool, d.customers});
+}
+void from_json(const json& j, pool_demand& d) {
+  j.at(0).get_to(d.pool);
+  j.at(1).get_to(d.customers);
+}
+
+void to_json(json& j, const slot_holding& h) {
+  j = json::array({h.target, h.life, h.limit, h.in_use, h.ramp_limit});
+}
+void from_json(const json& j, slot_holding& h) {
+  j.at(0).get_to(h.target);
+  j.at(1).get_to(h.life);
+  j.at(2).get_to(h.limit);
+  j.at(3).get_to(h.in_use);
+  j.at(4).get_to(h.ramp_limit);
+}
+
+void to_json(json& j, const customer_standing& s) {
+  j = json::array({s.customer, s.virtual_service});
+}
+void from_json(const json& j, customer_standing& s) {
+  j.at(0).get_to(s.customer);
+  j.at(1).get_to(s.virtual_service);
+}
+
+void to_json(json& j, const pool_standing& s) {
+  j = json::array({s.pool, s.capacity, s.scarce, s.customers});
+}
+void from_json(const json& j, pool_standing& s) {
+  j.at(0).get_to(s.pool);
+  j.at(1).get_to(s.capacity);
+  j.at(2).get_to(s.scarce);
+  j.at(3).get_to(s.customers);
+}
+
+void to_json(json& j, const router_report& r) {
+  j = {{"f", r.sender},       {"n", r.sequence},      {"g", r.applied_grant},
+       {"c", r.applied_from}, {"d", r.demand},        {"h", r.holdings},
+       {"e", r.evidence},     {"a", r.announcements}, {"o", r.orders},
+       {"l", r.leaving}};
+}
+void from_json(const json& j, router_report& r) {
+  j.at("f").get_to(r.sender);
+  j.at("n").get_to(r.sequence);
+  j.at("g").get_to(r.applied_grant);
+  j.at("c").get_to(r.applied_from);
+  j.at("d").get_to(r.demand);
+  j.at("h").get_to(r.holdings);
+  j.at("e").get_to(r.evidence);
+  j.at("a").get_to(r.announcements);
+  j.at("o").get_to(r.orders);
+  j.at("l").get_to(r.leaving);
+}
+
+void to_json(json& j, const grant_table& g) {
+  j = {{"f", g.sender}, {"v", g.version},   {"n", g.answers}, {"s", g.served},
+       {"l", g.leases}, {"p", g.standings}, {"o", g.orders}};
+}
+void from_json(const json& j, grant_table& g) {
+  j.at("f").get_to(g.sender);
+  j.at("v").get_to(g.version);
+  j.at("n").get_to(g.answers);
+  j.at("s").get_to(g.served);
+  j.at("l").get_to(g.leases);
+  j.at("p").get_to(g.standings);
+  j.at("o").get_to(g.orders);
+}
+
+}  // namespace allocation
+
+namespace fleet {
+
+void to_json(json& j, const hello& h) {
+  j = {{"f", h.sender}, {"o", h.orders}, {"l", h.leaving}};
+}
+void from_json(const json& j, hello& h) {
+  j.at("f").get_to(h.sender);
+  j.at("o").get_to(h.orders);
+  j.at("l").get_to(h.leaving);
+}
+
+}  // namespace fleet
+
+namespace peer {
+
+namespace {
+
+constexpr char kVersionKey[] = "v";
+constexpr char kKindKey[] = "k";
+constexpr char kBodyKey[] = "b";
+
+error Malformed(std::string detail) {
+  return error{.code = error_code::kMalformed,
+               .step = "decode message",
+               .peer = {},
+               .detail = std::move(detail)};
+}
+
+fleet::message DecodeBody(std::size_t kind, const json& body) {
+  switch (kind) {
+    case 0:
+      return body.get<fleet::hello>();
+    case 1:
+      return body.get<allocation::router_report>();
+    case 2:
+      return body.get<allocation::grant_table>();
+    default:
+      throw std::out_of_range("unknown kind of message");
+  }
+}
+
+}  // namespace
+
+std::string Encode(const fleet::message& message) {
+  json document = {{kVersionKey, kProtocolVersion},
+                   {kKindKey, message.index()}};
+  std::visit([&](const auto& body) { document[kBodyKey] = body; }, message);
+  std::string bytes;
+  json::to_cbor(document, bytes);
+  return bytes;
+}
+
+result<fleet::message> Decode(std::string_view bytes) {
+  const json document = json::from_cbor(bytes, /*strict=*/true,
+                                        /*allow_exceptions=*/false);
+  if (!document.is_object()) {
+    return Malformed("not a CBOR map");
+  }
+  // nlohmann::json reports missing and wrong members by exception.
+  try {
+    if (document.at(kVersionKey).get<int>() != kProtocolVersion) {
+      return Malformed("another protocol version");
+    }
+    return DecodeBody(document.at(kKindKey).get<std::size_t>(),
+                      document.at(kBodyKey));
+  } catch (const std::exception& problem) {
+    return Malformed(problem.what());
+  }
+}
+
+}  // namespace peer
+}  // namespace burdocklock
--- /dev/null
+++ b/src/peer/message_codec.h
@@ -0,0 +1,19 @@
+// CBOR form of the messages between daemons.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "fleet/types/message.h"
+#include "framework/types/error.h"
+
+namespace burdocklock::peer {
+
+/// First member of each message; a peer with another version is not understood.
+inline constexpr int kProtocolVersion = 1;
+
+std::string Encode(const fleet::message& message);
+/// Unknown members are ignored; missing or wrong ones are an error.
+result<fleet::message> Decode(std::string_view bytes);
+
+}  // namespace burdocklock::peer
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -18,6 +18,9 @@
     const request_spec& spec) {
   pool_state& state = PoolOf(spec.pool);
   const auto terms = customers_.find(spec.customer);
+  if (terms != customers_.end()) {
+    state.queue.SetShare(spec.customer, terms->second.share);
+  }
   const std::uint32_t limit =
       terms != customers_.end() && terms->second.max_queued
           ? *terms->second.max_queued
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -30,9 +30,6 @@
 void request_router::SetCustomer(const customer_id& customer,
                                  const customer_terms& terms) {
   customers_[customer] = terms;
-  for (auto& [pool, state] : pools_) {
-    state.queue.SetShare(customer, terms.share);
-  }
 }
 
 void request_router::SetDataCentreOut(const data_centre_id& data_centre,
@@ -190,17 +187,57 @@
   return view;
 }
 
+std::vector<request_router::customer_load> request_router::Load() const {
+  std::map<std::pair<pool_id, customer_id>, customer_load> loads;
+  for (const auto& [pool, state] : pools_) {
+    for (const fairness::customer_service& entry : state.queue.View()) {
+      loads[{pool, entry.customer}] = {
+          .pool = pool,
+          .customer = entry.customer,
+          .share = entry.share,
+          .waiting = static_cast<std::uint32_t>(entry.waiting),
+          .service = entry.charged};
+    }
+  }
+  for (const auto& [id, record] : records_) {
+    if (record.grant) {
+      ++loads[{record.spec.pool, record.spec.customer}]
+            .running[record.grant->data_centre];
+    }
+  }
+  std::vector<customer_load> list;
+  list.reserve(loads.size());
+  for (auto& [key, load] : loads) {
+    list.push_back(std::move(load));
+  }
+  return list;
+}
+
+void request_router::ApplyLeases(
+    const data_centre_id& data_centre,
+    const std::vector<targets::target_lease>& leases,
+    time_point valid_until,
+    time_point now,
+    effects& out) {
+  directory_.ApplyLeases(data_centre, leases, valid_until, now);
+  DispatchAll(now, out);
+}
+
+void request_router::SetVirtualService(const pool_id& pool,
+                                       const customer_id& customer,
+                                       double value) {
+  PoolOf(pool).queue.SetVirtualService(customer, value);
+}
+
 request_router::pool_state& request_router::PoolOf(const pool_id& pool) {
   const auto found = pools_.find(pool);
   if (found != pools_.end()) {
     return found->second;
   }
-  const auto [added, inserted] = pools_.emplace(
-      pool, pool_state{.queue = fairness::fair_queue(options_.age_limit)});
-  for (const auto& [customer, terms] : customers_) {
-    added->second.queue.SetShare(customer, terms.share);
-  }
-  return added->second;
+  return pools_
+      .emplace(pool,
+               pool_state{.queue = fairness::fair_queue(options_.age_limit)})
+      .first->second;
 }
 
 request_router::record* request_router::Find(request_seq request) {
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -93,6 +94,33 @@
   /// and gives it its number.
   refusals::refusal RecordRefusal(refusals::refusal refusal);
 
+  /// Demand and service of one customer in one pool.
+  struct customer_load {
+    pool_id pool;
+    customer_id customer;
+    double share = 1.0;
+    std::uint32_t waiting = 0;
+    /// Service received through this router.
+    fairness::service_units service = 0;
+    /// Running requests by the data centre of their target.
+    std::map<data_centre_id, std::uint32_t> running;
+  };
+  [[nodiscard]] std::vector<customer_load> Load() const;
+  /// Takes leased slots of one data centre and dispatches.
+  void ApplyLeases(const data_centre_id& data_centre,
+                   const std::vector<targets::target_lease>& leases,
+                   time_point valid_until,
+                   time_point now,
+                   effects& out);
+  /// Sets a customer's fleet-wide counter.
+  void SetVirtualService(const pool_id& pool,
+                         const customer_id& customer,
+                         double value);
+  /// Access to leases and evidence, for their reports.
+  [[nodiscard]] targets::target_directory& mutable_directory() {
+    return directory_;
+  }
+
   [[nodiscard]] const router_totals& totals() const { return totals_; }
   [[nodiscard]] const targets::target_directory& directory() const {
     return directory_;
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -93,6 +93,21 @@
   std::string cause;
 };
 
+/// This router may use another number of a target's slots.
+struct lease_changed {
+  target_id target;
+  std::uint32_t previous = 0;
+  std::uint32_t limit = 0;
+  /// The coordinator that decided it.
+  daemon_id lessor;
+};
+
+/// This daemon has begun or ceased to coordinate a data centre's targets.
+struct coordinator_changed {
+  data_centre_id data_centre;
+  bool coordinates = false;
+};
+
 using effect = std::variant<start_attempt,
                             cancel_attempt,
                             refuse_request,
@@ -100,7 +115,9 @@
                             routing_decision,
                             attempt_failure_report,
                             request_ended,
-                            ramp_changed>;
+                            ramp_changed,
+                            lease_changed,
+                            coordinator_changed>;
 using effects = std::vector<effect>;
 
 }  // namespace burdocklock::routing
--- a/src/targets/admission_ramp.h
+++ b/src/targets/admission_ramp.h
@@ -57,6 +57,12 @@
   bool OnFirstOutput(ramp_epoch admitted_in, duration latency);
   /// A request was answered in full. Returns true if the limit rose.
   bool OnGood(ramp_epoch admitted_in);
+  /// Several requests were answered in full.
+  void OnGoodCount(ramp_epoch admitted_in, std::uint32_t count);
+  /// Somebody else has found that the target turned cold.
+  void OnJump(ramp_epoch admitted_in);
+  /// Somebody else has evidence for a larger limit.
+  void RaiseTo(std::uint32_t limit);
   /// A refusal, timeout or broken connection.
   void OnBad(ramp_epoch admitted_in, time_point now);
 
--- a/src/targets/internal/admission_ramp.cc
+++ b/src/targets/internal/admission_ramp.cc
@@ -86,6 +86,22 @@
   paused_until_ = now + std::min(pause, options_.max_pause);
 }
 
+void admission_ramp::OnGoodCount(ramp_epoch admitted_in, std::uint32_t count) {
+  for (std::uint32_t i = 0; i < count; ++i) {
+    OnGood(admitted_in);
+  }
+}
+
+void admission_ramp::OnJump(ramp_epoch admitted_in) {
+  if (admitted_in == epoch_ && limit_ > cold_slots_) {
+    Cut(cold_slots_);
+  }
+}
+
+void admission_ramp::RaiseTo(std::uint32_t limit) {
+  limit_ = std::max(limit_, std::min(limit, slots_));
+}
+
 ramp_phase admission_ramp::phase() const {
   if (limit_ == slots_) {
     return ramp_phase::kWarm;
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -15,7 +15,8 @@
     entry fresh{.announced = announcement,
                 .ramp = admission_ramp(announcement.slots,
                                        announcement.cold_slots, options_.ramp),
-                .last_heard = now};
+                .last_heard = now,
+                .heard_since = now};
     const auto [added, inserted] =
         entries_.emplace(announcement.target, std::move(fresh));
     IndexPools(added->second);
@@ -32,6 +33,9 @@
   } else {
     Refresh(known, announcement);
   }
+  if (now - known.last_heard > options_.silence / 2) {
+    known.heard_since = now;
+  }
   known.last_heard = now;
   known.silence_reported = false;
   next_deadline_ = std::min(next_deadline_, now + options_.silence);
@@ -178,7 +182,9 @@
   return choice{.grant = {.target = picked->announced.target,
                           .life = picked->announced.life,
                           .address = picked->announced.address,
-                          .epoch = picked->ramp.epoch()},
+                          .epoch = picked->ramp.epoch(),
+                          .data_centre = picked->announced.data_centre,
+                          .lease_epoch = picked->lease_epoch},
                 .considered = std::move(considered)};
 }
 
@@ -205,10 +211,10 @@
   return best;
 }
 
-bool target_directory::IsBetter(const entry& a, const entry& b) {
+bool target_directory::IsBetter(const entry& a, const entry& b) const {
   // Compares a.in_flight / a.limit with b.in_flight / b.limit.
-  const auto load_a = static_cast<std::uint64_t>(a.in_flight) * b.ramp.limit();
-  const auto load_b = static_cast<std::uint64_t>(b.in_flight) * a.ramp.limit();
+  const auto load_a = static_cast<std::uint64_t>(a.in_flight) * LimitOf(b);
+  const auto load_b = static_cast<std::uint64_t>(b.in_flight) * LimitOf(a);
   if (load_a != load_b) {
     return load_a < load_b;
   }
@@ -222,25 +228,42 @@
 
 bool target_directory::ReportFirstOutput(const slot_grant& grant,
                                          duration latency) {
-  entry* known = Find(grant);
-  return known != nullptr && known->ramp.OnFirstOutput(grant.epoch, latency);
+  entry* known = Find(grant.target, grant.life);
+  if (known == nullptr || !known->ramp.OnFirstOutput(grant.epoch, latency)) {
+    return false;
+  }
+  if (options_.leased) {
+    EvidenceOf(grant).first_output_jumped = true;
+    known->lease_limit =
+        std::min(known->lease_limit, known->announced.cold_slots);
+  }
+  return true;
 }
 
 bool target_directory::ReleaseGood(const slot_grant& grant) {
-  entry* known = Find(grant);
+  entry* known = Find(grant.target, grant.life);
   if (known == nullptr) {
     return false;
   }
   --known->in_flight;
+  if (options_.leased) {
+    ++EvidenceOf(grant).good;
+    returned_revoked_ |= known->in_flight >= known->lease_limit;
+  }
   return known->ramp.OnGood(grant.epoch);
 }
 
 void target_directory::ReleaseBad(const slot_grant& grant, time_point now) {
-  entry* known = Find(grant);
+  entry* known = Find(grant.target, grant.life);
   if (known == nullptr) {
     return;
   }
   --known->in_flight;
+  if (options_.leased) {
+    ++EvidenceOf(grant).bad;
+    // Nothing new until the lessor has judged the failure.
+    known->lease_limit = 0;
+  }
   known->ramp.OnBad(grant.epoch, now);
   if (known->ramp.paused_until() > now) {
     next_deadline_ = std::min(next_deadline_, known->ramp.paused_until());
@@ -248,15 +271,234 @@
 }
 
 void target_directory::ReleaseNeutral(const slot_grant& grant) {
-  if (entry* known = Find(grant)) {
+  if (entry* known = Find(grant.target, grant.life)) {
     --known->in_flight;
+    returned_revoked_ |=
+        options_.leased && known->in_flight >= known->lease_limit;
+  }
+}
+
+void target_directory::NoteGood(const target_id& target,
+                                incarnation life,
+                                ramp_epoch epoch,
+                                std::uint32_t count) {
+  if (entry* known = Find(target, life)) {
+    known->ramp.OnGoodCount(epoch, count);
+  }
+}
+
+void target_directory::NoteBad(const target_id& target,
+                               incarnation life,
+                               ramp_epoch epoch,
+                               time_point now) {
+  entry* known = Find(target, life);
+  if (known == nullptr) {
+    return;
+  }
+  known->ramp.OnBad(epoch, now);
+  next_deadline_ = std::min(next_deadline_, NextDeadlineOf(*known, now));
+}
+
+void target_directory::NoteJump(const target_id& target,
+                                incarnation life,
+                                ramp_epoch epoch) {
+  if (entry* known = Find(target, life)) {
+    known->ramp.OnJump(epoch);
+  }
+}
+
+void target_directory::RaiseLimit(const target_id& target,
+                                  incarnation life,
+                                  std::uint32_t limit) {
+  if (entry* known = Find(target, life)) {
+    known->ramp.RaiseTo(limit);
+  }
+}
+
+std::vector<pool_id> target_directory::Pools() const {
+  std::vector<pool_id> pools;
+  pools.reserve(by_pool_.size());
+  for (const auto& [pool, entries] : by_pool_) {
+    pools.push_back(pool);
   }
+  std::sort(pools.begin(), pools.end());
+  return pools;
+}
+
+std::vector<const announcement*> target_directory::OfPool(
+    const pool_id& pool) const {
+  std::vector<const announcement*> targets;
+  const auto found = by_pool_.find(pool);
+  if (found == by_pool_.end()) {
+    return targets;
+  }
+  for (const entry* entry : found->second) {
+    targets.push_back(&entry->announced);
+  }
+  std::sort(targets.begin(), targets.end(),
+            [](const announcement* a, const announcement* b) {
+              return a->target < b->target;
+            });
+  return targets;
+}
+
+bool target_directory::IsUsable(const target_id& target, time_point now) const {
+  const auto found = entries_.find(target);
+  return found != entries_.end() && IsUsable(found->second, now);
+}
+
+const announcement* target_directory::FindLife(const target_id& target,
+                                               incarnation life) const {
+  const auto found = entries_.find(target);
+  return found != entries_.end() && found->second.announced.life == life
+             ? &found->second.announced
+             : nullptr;
+}
+
+time_point target_directory::HeardSince(const target_id& target) const {
+  const auto found = entries_.find(target);
+  return found == entries_.end() ? kNever : found->second.heard_since;
+}
+
+ramp_epoch target_directory::RampEpoch(const target_id& target) const {
+  const auto found = entries_.find(target);
+  return found == entries_.end() ? ramp_epoch() : found->second.ramp.epoch();
 }
 
 bool target_directory::HasUsable(const pool_id& pool, time_point now) const {
+  if (options_.leased) {
+    const auto found = capacity_.find(pool);
+    return found != capacity_.end() && found->second > 0;
+  }
   return UsableSlots(pool, now) > 0;
 }
 
+void target_directory::ApplyLeases(const data_centre_id& data_centre,
+                                   const std::vector<target_lease>& leases,
+                                   time_point valid_until,
+                                   time_point now) {
+  for (auto& [id, entry] : entries_) {
+    if (entry.announced.data_centre == data_centre) {
+      entry.lease_limit = 0;
+    }
+  }
+  for (const target_lease& lease : leases) {
+    auto known = entries_.find(lease.target.target);
+    if (known == entries_.end()) {
+      Announce(lease.target, now);
+      known = entries_.find(lease.target.target);
+    } else if (known->second.announced.life < lease.target.life) {
+      Replace(known->second, lease.target);
+    } else if (known->second.announced.life == lease.target.life) {
+      UnindexPools(known->second);
+      known->second.announced = lease.target;
+      IndexPools(known->second);
+    } else {
+      continue;
+    }
+    entry& entry = known->second;
+    entry.last_heard = now;
+    entry.lease_limit = lease.limit;
+    entry.lease_ramp_limit = lease.ramp_limit;
+    entry.lease_epoch = lease.epoch;
+    entry.lease_until = valid_until;
+  }
+}
+
+std::vector<target_directory::held_lease> target_directory::Leases(
+    const data_centre_id& data_centre) const {
+  std::vector<held_lease> held;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.announced.data_centre == data_centre &&
+        (entry.lease_limit > 0 || entry.in_flight > 0)) {
+      held.push_back({.target = id,
+                      .life = entry.announced.life,
+                      .limit = entry.lease_limit,
+                      .in_use = entry.in_flight,
+                      .ramp_limit = entry.lease_ramp_limit});
+    }
+  }
+  return held;
+}
+
+bool target_directory::HasUrgentEvidence() const {
+  return returned_revoked_ ||
+         std::any_of(
+             evidence_.begin(), evidence_.end(), [this](const auto& entry) {
+               const lease_evidence& seen = entry.second;
+               const auto known = entries_.find(seen.target);
+               const std::uint32_t limit =
+                   known == entries_.end() ? 0 : known->second.lease_ramp_limit;
+               const bool still_ramping = known != entries_.end() &&
+                                          limit < known->second.announced.slots;
+               return seen.bad > 0 || seen.first_output_jumped ||
+                      (still_ramping && seen.good >= limit);
+             });
+}
+
+bool target_directory::ReturnIdle(const pool_id& pool) {
+  const auto found = by_pool_.find(pool);
+  if (found == by_pool_.end()) {
+    return false;
+  }
+  bool any = false;
+  for (entry* entry : found->second) {
+    if (entry->lease_limit > entry->in_flight) {
+      entry->lease_limit = entry->in_flight;
+      any = true;
+    }
+  }
+  return any;
+}
+
+std::uint32_t target_directory::FreeLeased(const pool_id& pool,
+                                           time_point now) const {
+  const auto found = by_pool_.find(pool);
+  std::uint32_t free = 0;
+  if (found == by_pool_.end()) {
+    return free;
+  }
+  for (const entry* entry : found->second) {
+    if (IsUsable(*entry, now) && HasRoom(*entry)) {
+      free += entry->lease_limit - entry->in_flight;
+    }
+  }
+  return free;
+}
+
+void target_directory::SetPoolCapacity(const pool_id& pool,
+                                       std::uint32_t slots) {
+  capacity_[pool] = slots;
+}
+
+std::vector<lease_evidence> target_directory::TakeEvidence(
+    const data_centre_id& data_centre) {
+  std::vector<lease_evidence> taken;
+  returned_revoked_ = false;
+  std::erase_if(evidence_, [&](const auto& entry) {
+    if (entry.first != data_centre) {
+      return false;
+    }
+    taken.push_back(entry.second);
+    return true;
+  });
+  return taken;
+}
+
+lease_evidence& target_directory::EvidenceOf(const slot_grant& grant) {
+  for (auto& [data_centre, evidence] : evidence_) {
+    if (evidence.target == grant.target && evidence.life == grant.life &&
+        evidence.epoch == grant.lease_epoch) {
+      return evidence;
+    }
+  }
+  evidence_.emplace_back(grant.data_centre,
+                         lease_evidence{.target = grant.target,
+                                        .life = grant.life,
+                                        .epoch = grant.lease_epoch});
+  return evidence_.back().second;
+}
+
 std::uint32_t target_directory::UsableSlots(const pool_id& pool,
                                             time_point now) const {
   const auto found = by_pool_.find(pool);
@@ -278,7 +520,9 @@
   for (const auto& [id, entry] : entries_) {
     views.push_back({.announced = entry.announced,
                      .in_flight = entry.in_flight,
-                     .limit = entry.ramp.limit(),
+                     .limit = LimitOf(entry),
+                     .ramp_limit = options_.leased ? entry.lease_ramp_limit
+                                                   : entry.ramp.limit(),
                      .phase = entry.ramp.phase(),
                      .silent = now - entry.last_heard >= options_.silence,
                      .paused = entry.ramp.paused_until() > now,
@@ -301,19 +545,26 @@
 }
 
 bool target_directory::IsUsable(const entry& entry, time_point now) const {
-  return entry.announced.state == target_state::kReady &&
-         now - entry.last_heard < options_.silence &&
-         entry.ramp.paused_until() <= now &&
+  const bool in_force = options_.leased
+                            ? entry.lease_limit > 0 && now < entry.lease_until
+                            : now - entry.last_heard < options_.silence &&
+                                  entry.ramp.paused_until() <= now;
+  return in_force && entry.announced.state == target_state::kReady &&
          !IsDataCentreOut(entry.announced.data_centre);
 }
 
-bool target_directory::HasRoom(const entry& entry) {
-  return entry.in_flight < entry.ramp.limit();
+std::uint32_t target_directory::LimitOf(const entry& entry) const {
+  return options_.leased ? entry.lease_limit : entry.ramp.limit();
 }
 
-target_directory::entry* target_directory::Find(const slot_grant& grant) {
-  const auto found = entries_.find(grant.target);
-  if (found == entries_.end() || found->second.announced.life != grant.life) {
+bool target_directory::HasRoom(const entry& entry) const {
+  return entry.in_flight < LimitOf(entry);
+}
+
+target_directory::entry* target_directory::Find(const target_id& target,
+                                                incarnation life) {
+  const auto found = entries_.find(target);
+  if (found == entries_.end() || found->second.announced.life != life) {
     return nullptr;
   }
   return &found->second;
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -22,6 +22,9 @@
   duration silence = std::chrono::seconds(6);
   /// A target silent for this time is forgotten.
   duration retention = std::chrono::minutes(10);
+  /// Limits come from leases (`ApplyLeases`) instead of this directory's own
+  /// ramps.
+  bool leased = false;
   ramp_options ramp;
 };
 
@@ -47,6 +50,28 @@
   incarnation life;
   endpoint address;
   ramp_epoch epoch;
+  data_centre_id data_centre;
+  /// Epoch of the lessor's ramp; evidence is reported under it.
+  ramp_epoch lease_epoch;
+};
+
+/// Slots of one target that may be used.
+struct target_lease {
+  announcement target;
+  std::uint32_t limit = 0;
+  /// The lessor's ramp limit, for its successor.
+  std::uint32_t ramp_limit = 0;
+  ramp_epoch epoch;
+};
+
+/// What was seen of a target under one epoch of the lessor's ramp.
+struct lease_evidence {
+  target_id target;
+  incarnation life;
+  ramp_epoch epoch;
+  std::uint32_t good = 0;
+  std::uint32_t bad = 0;
+  bool first_output_jumped = false;
 };
 
 struct choice {
@@ -60,6 +85,8 @@
   announcement announced;
   std::uint32_t in_flight = 0;
   std::uint32_t limit = 0;
+  /// The lessor's ramp limit; equal to `limit` without leases.
+  std::uint32_t ramp_limit = 0;
   ramp_phase phase = ramp_phase::kCold;
   bool silent = false;
   bool paused = false;
@@ -101,6 +128,62 @@
   /// The request ended for reasons that say nothing about the target.
   void ReleaseNeutral(const slot_grant& grant);
 
+  /// Replaces the leases on targets of one data centre; they hold until
+  /// `valid_until`.
+  void ApplyLeases(const data_centre_id& data_centre,
+                   const std::vector<target_lease>& leases,
+                   time_point valid_until,
+                   time_point now);
+  /// What this router holds of that data centre's targets.
+  struct held_lease {
+    target_id target;
+    incarnation life;
+    std::uint32_t limit = 0;
+    std::uint32_t in_use = 0;
+    std::uint32_t ramp_limit = 0;
+  };
+  [[nodiscard]] std::vector<held_lease> Leases(
+      const data_centre_id& data_centre) const;
+  /// The lessor should learn something at once: a failure, enough good answers
+  /// to raise a limit, or that a revoked slot has become free.
+  [[nodiscard]] bool HasUrgentEvidence() const;
+  /// Gives up idle leased slots of the pool; true if there were any.
+  bool ReturnIdle(const pool_id& pool);
+  /// What was seen since the last call of targets in that data centre.
+  std::vector<lease_evidence> TakeEvidence(const data_centre_id& data_centre);
+  /// Leased slots of the pool that are free now.
+  [[nodiscard]] std::uint32_t FreeLeased(const pool_id& pool,
+                                         time_point now) const;
+  /// Slots that lessors have for the pool; decides whether waiting can help.
+  void SetPoolCapacity(const pool_id& pool, std::uint32_t slots);
+
+  // Evidence collected by others, for a directory that leases slots out.
+  void NoteGood(const target_id& target,
+                incarnation life,
+                ramp_epoch epoch,
+                std::uint32_t count);
+  void NoteBad(const target_id& target,
+               incarnation life,
+               ramp_epoch epoch,
+               time_point now);
+  void NoteJump(const target_id& target, incarnation life, ramp_epoch epoch);
+  void RaiseLimit(const target_id& target,
+                  incarnation life,
+                  std::uint32_t limit);
+
+  [[nodiscard]] std::vector<pool_id> Pools() const;
+  /// Targets of the pool, usable or not, in order of their names.
+  [[nodiscard]] std::vector<const announcement*> OfPool(
+      const pool_id& pool) const;
+  [[nodiscard]] bool IsUsable(const target_id& target, time_point now) const;
+  /// The target's announcement if it is in that life; nullptr otherwise.
+  [[nodiscard]] const announcement* FindLife(const target_id& target,
+                                             incarnation life) const;
+  /// Since when the target has announced itself without a gap of half the
+  /// silence limit; kNever if it is not known.
+  [[nodiscard]] time_point HeardSince(const target_id& target) const;
+  [[nodiscard]] ramp_epoch RampEpoch(const target_id& target) const;
+
   /// True if some target of the pool can take work, now or once a slot frees.
   [[nodiscard]] bool HasUsable(const pool_id& pool, time_point now) const;
   /// Slots that ramp limits allow over usable targets of the pool.
@@ -117,15 +200,23 @@
     admission_ramp ramp;
     std::uint32_t in_flight = 0;
     time_point last_heard;
+    /// Start of the present run of announcements without a long gap.
+    time_point heard_since;
     bool silence_reported = false;
+    std::uint32_t lease_limit = 0;
+    std::uint32_t lease_ramp_limit = 0;
+    ramp_epoch lease_epoch;
+    time_point lease_until{};
   };
 
   [[nodiscard]] bool IsUsable(const entry& entry, time_point now) const;
-  static bool HasRoom(const entry& entry);
-  static bool IsBetter(const entry& a, const entry& b);
+  [[nodiscard]] std::uint32_t LimitOf(const entry& entry) const;
+  [[nodiscard]] bool HasRoom(const entry& entry) const;
+  [[nodiscard]] bool IsBetter(const entry& a, const entry& b) const;
+  lease_evidence& EvidenceOf(const slot_grant& grant);
   entry* PickAmong(const std::vector<entry*>& candidates,
                    std::vector<target_id>& considered);
-  entry* Find(const slot_grant& grant);
+  entry* Find(const target_id& target, incarnation life);
   void IndexPools(entry& entry);
   void UnindexPools(entry& entry);
   bool IsStale(const entry& known, const announcement& announcement) const;
@@ -141,6 +232,10 @@
   std::unordered_map<pool_id, std::vector<entry*>> by_pool_;
   std::unordered_map<data_centre_id, bool> out_;
   time_point next_deadline_ = kNever;
+  std::unordered_map<pool_id, std::uint32_t> capacity_;
+  std::vector<std::pair<data_centre_id, lease_evidence>> evidence_;
+  /// A slot that was to be given back has become free since the last report.
+  bool returned_revoked_ = false;
 };
 
 }  // namespace burdocklock::targets
