--- a/src/fleet/internal/fleet_node.cc
+++ b/src/fleet/internal/fleet_node.cc
@@ -84,7 +84,7 @@
     bool out,
     time_point now,
     routing::effects& effects) {
-  const membership::data_centre_order order =
+  membership::data_centre_order order =
       orders_.Accept(data_centre, out, options_.self.daemon);
   ApplyOutage(data_centre, now, effects);
   for (const auto& [link, state] : outbound_) {
--- a/src/peer/internal/peer_network.cc
+++ b/src/peer/internal/peer_network.cc
@@ -67,7 +67,7 @@
   acceptor.init_asio(&io, ec);
   acceptor.set_reuse_addr(true);
   acceptor.set_max_message_size(options.max_message_bytes);
-  acceptor.set_tcp_post_init_handler([this](connection_hdl handle) {
+  acceptor.set_tcp_post_init_handler([this](const connection_hdl& handle) {
     websocketpp::lib::error_code lookup;
     const auto connection = acceptor.get_con_from_hdl(handle, lookup);
     if (!lookup) {
@@ -76,19 +76,19 @@
           boost::asio::ip::tcp::no_delay(true), ignored);
     }
   });
-  acceptor.set_open_handler([this](connection_hdl handle) {
+  acceptor.set_open_handler([this](const connection_hdl& handle) {
     const std::uint64_t link = next_inbound++;
     in[link] = handle;
     in_by_handle[handle] = link;
   });
   acceptor.set_message_handler(
-      [this](connection_hdl handle, const server::message_ptr& message) {
+      [this](const connection_hdl& handle, const server::message_ptr& message) {
         const auto found = in_by_handle.find(handle);
         if (!stopped && found != in_by_handle.end()) {
           Receive(found->second, message->get_payload());
         }
       });
-  const auto on_gone = [this](connection_hdl handle) {
+  const auto on_gone = [this](const connection_hdl& handle) {
     const auto found = in_by_handle.find(handle);
     if (found == in_by_handle.end()) {
       return;
--- /dev/null
+++ b/tools/capacity/main.cc
@@ -0,0 +1,170 @@
+// Measures the coordinator's decision code at a given size, without sockets:
+// processor time for each report and allocation, size of messages and memory.
+#include <sys/resource.h>
+
+#include <chrono>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include "allocation/slot_coordinator.h"
+#include "framework/seeded_random.h"
+#include "peer/message_codec.h"
+
+namespace {
+
+using namespace burdocklock;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct capacity_options {
+  std::uint32_t routers = 280;
+  std::uint32_t targets = 1300;
+  std::uint32_t customers = 87;
+  std::uint32_t pools = 7;
+  std::uint32_t slots = 46;
+  /// Backlogged customers at each router.
+  std::uint32_t customers_per_router = 8;
+};
+
+class capacity_run {
+ public:
+  explicit capacity_run(const capacity_options& options)
+      : options_(options),
+        coordinator_(Member("c"),
+                     {.directory = {.silence = seconds(1000)}},
+                     random_) {}
+
+  nlohmann::ordered_json Run() {
+    coordinator_.Start(1, now_);
+    for (std::uint32_t i = 0; i < options_.targets; ++i) {
+      coordinator_.OnAnnouncement(Target(i), now_);
+    }
+    // The first rounds hand the slots out.
+    Round(1);
+    Round(2);
+    const double begin = CpuSeconds();
+    constexpr std::uint64_t kRounds = 3;
+    for (std::uint64_t round = 3; round < 3 + kRounds; ++round) {
+      Round(round);
+    }
+    const double used = (CpuSeconds() - begin) / kRounds;
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return {{"routers", options_.routers},
+            {"targets", options_.targets},
+            {"customers", options_.customers},
+            {"cpu_percent", 100 * used},
+            {"report_bytes", report_bytes_},
+            {"grant_bytes", grant_bytes_},
+            {"peak_memory_mb", static_cast<double>(usage.ru_maxrss) / 1000}};
+  }
+
+ private:
+  static membership::member Member(const std::string& name) {
+    return {.daemon = daemon_id(name),
+            .life = incarnation(1),
+            .data_centre = data_centre_id("a"),
+            .region = region_id("r")};
+  }
+
+  targets::announcement Target(std::uint32_t i) const {
+    return {.target = target_id("target-" + std::to_string(i)),
+            .life = incarnation(1),
+            .data_centre = data_centre_id("a"),
+            .address = {.address = "10.0.0.1", .port = 9000},
+            .pools = {pool_id("model-" + std::to_string(i % options_.pools))},
+            .state = targets::target_state::kReady,
+            .slots = options_.slots,
+            .cold_slots = options_.slots,
+            .load = targets::load_report{.at_ms = 1}};
+  }
+
+  // A second of the fleet: every router reports once, and the coordinator
+  // divides the slots anew every 50 ms.
+  void Round(std::uint64_t round) {
+    report_bytes_ = 0;
+    grant_bytes_ = 0;
+    const std::uint32_t divisions = 20;
+    for (std::uint32_t i = 0; i < options_.routers; ++i) {
+      const allocation::router_report report = MakeReport(i, round);
+      report_bytes_ += peer::Encode(report).size();
+      coordinator_.OnReport(report, now_);
+      if (i % std::max(1U, options_.routers / divisions) == 0) {
+        coordinator_.Allocate(now_);
+        for (const auto& [router, grant] : coordinator_.TakeGrants()) {
+          grant_bytes_ += peer::Encode(grant).size();
+          held_[router] = grant;
+        }
+      }
+    }
+    now_ += seconds(1);
+    report_bytes_ /= options_.routers;
+    grant_bytes_ /= options_.routers;
+  }
+
+  allocation::router_report MakeReport(std::uint32_t index,
+                                       std::uint64_t round) {
+    const std::string name = "router-" + std::to_string(index);
+    const allocation::grant_table& held = held_[daemon_id(name)];
+    allocation::router_report report{.sender = Member(name),
+                                     .sequence = round,
+                                     .applied_grant = held.version,
+                                     .applied_from = incarnation(1)};
+    for (const targets::target_lease& lease : held.leases) {
+      report.holdings.push_back({.target = lease.target.target,
+                                 .life = lease.target.life,
+                                 .limit = lease.limit,
+                                 .in_use = lease.limit,
+                                 .ramp_limit = lease.ramp_limit});
+    }
+    for (std::uint32_t i = 0; i < options_.customers_per_router; ++i) {
+      const std::uint32_t customer =
+          (index * options_.customers_per_router + i) % options_.customers;
+      const std::uint32_t pool = (index + i) % options_.pools;
+      report.demand.push_back(
+          {.pool = pool_id("model-" + std::to_string(pool)),
+           .customers = {
+               {.customer = customer_id("customer-" + std::to_string(customer)),
+                .share = 1.0 + customer % 8,
+                .waiting = 20,
+                .running = 27,
+                .service = 1000.0 * static_cast<double>(round)}}});
+    }
+    return report;
+  }
+
+  static double CpuSeconds() {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+           static_cast<double>(usage.ru_utime.tv_usec +
+                               usage.ru_stime.tv_usec) /
+               1e6;
+  }
+
+  capacity_options options_;
+  seeded_random random_{1};
+  time_point now_{seconds(1000)};
+  allocation::slot_coordinator coordinator_;
+  std::map<daemon_id, allocation::grant_table> held_;
+  std::uint64_t report_bytes_ = 0;
+  std::uint64_t grant_bytes_ = 0;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Measures the coordinator's decision code at a given size.");
+  capacity_options options;
+  app.add_option("--routers", options.routers, "Routers that report");
+  app.add_option("--targets", options.targets, "Targets of the data centre");
+  app.add_option("--customers", options.customers, "Backlogged customers");
+  app.add_option("--pools", options.pools, "Models");
+  CLI11_PARSE(app, argc, argv);
+  std::cout << capacity_run(options).Run().dump() << '\n';
+  return 0;
+}
