Divide slots in time linear in leases; grant them in pieces

Cause: each division copied the lease tables once a target and router, and spread a router's slots singly over all targets. Standings name only customers that the router has reported.

--- a/src/allocation/internal/lease_book.cc
+++ b/src/allocation/internal/lease_book.cc
@@ -14,6 +14,7 @@
   for (const slot_holding& holding : holdings) {
     const target_key key{holding.target, holding.life};
     named.insert(key);
+    of_router_[router].insert(key);
     lease& lease = targets_[key][router];
     lease.in_use = holding.in_use;
     if (adopt && lease.limit == 0) {
@@ -30,25 +31,28 @@
   if (!confirmed) {
     return;
   }
-  for (auto& [key, routers] : targets_) {
+  for (const target_key& key : of_router_[router]) {
     if (!named.contains(key)) {
-      routers.erase(router);
+      targets_[key].erase(router);
     }
   }
+  of_router_[router] = std::move(named);
 }
 
 void lease_book::SetLimit(const daemon_id& router,
                           const target_key& target,
                           std::uint32_t limit) {
+  of_router_[router].insert(target);
   lease& lease = targets_[target][router];
   lease.limit = limit;
   lease.bound = std::max(lease.bound, limit);
 }
 
 void lease_book::Drop(const daemon_id& router) {
-  for (auto& [key, routers] : targets_) {
-    routers.erase(router);
+  for (const target_key& key : of_router_[router]) {
+    targets_[key].erase(router);
   }
+  of_router_.erase(router);
 }
 
 void lease_book::DropTarget(const target_key& target) {
@@ -83,23 +87,24 @@
 
 std::vector<target_key> lease_book::TargetsOf(const daemon_id& router) const {
   std::vector<target_key> keys;
-  for (const auto& [key, routers] : targets_) {
-    const auto found = routers.find(router);
-    if (found != routers.end() &&
-        (found->second.limit > 0 || found->second.bound > 0)) {
+  const auto held = of_router_.find(router);
+  if (held == of_router_.end()) {
+    return keys;
+  }
+  for (const target_key& key : held->second) {
+    const lease lease = Get(router, key);
+    if (lease.limit > 0 || lease.bound > 0) {
       keys.push_back(key);
     }
   }
   return keys;
 }
 
-std::vector<std::pair<daemon_id, lease_book::lease>> lease_book::LeasesOf(
+const lease_book::by_router& lease_book::LeasesOf(
     const target_key& target) const {
+  static const by_router kNone;
   const auto found = targets_.find(target);
-  if (found == targets_.end()) {
-    return {};
-  }
-  return {found->second.begin(), found->second.end()};
+  return found == targets_.end() ? kNone : found->second;
 }
 
 }  // namespace burdocklock::allocation
--- a/src/allocation/internal/service_ledger.cc
+++ b/src/allocation/internal/service_ledger.cc
@@ -84,17 +84,6 @@
   return found == accounts_.end() ? 0 : found->second.virtual_service;
 }
 
-std::vector<customer_standing> service_ledger::Backlogged() const {
-  std::vector<customer_standing> standings;
-  for (const auto& [customer, account] : accounts_) {
-    if (!account.backlog.empty()) {
-      standings.push_back(
-          {.customer = customer, .virtual_service = account.virtual_service});
-    }
-  }
-  return standings;
-}
-
 void service_ledger::NoteRequests(double service, std::uint32_t requests) {
   if (requests == 0 || service <= 0) {
     return;
--- a/src/allocation/internal/slot_allocation.cc
+++ b/src/allocation/internal/slot_allocation.cc
@@ -1,6 +1,7 @@
 // The division of slots by slot_coordinator.
 #include <algorithm>
 #include <cmath>
+#include <queue>
 #include <utility>
 
 #include "allocation/slot_coordinator.h"
@@ -12,6 +13,8 @@
 
 // Smallest deficit for which slots are taken from another router.
 constexpr std::uint32_t kLeastMove = 2;
+// A target's slots are granted in pieces of this part of its limit.
+constexpr std::uint32_t kPieces = 4;
 
 }  // namespace
 
@@ -38,7 +41,8 @@
         MayLease(*target, now)
             ? directory_.RampLimit(target->target).value_or(0)
             : 0;
-    targets.push_back({.key = {target->target, target->life}, .limit = limit});
+    const target_key key{target->target, target->life};
+    targets.push_back({.key = key, .limit = limit});
     capacity += limit;
   }
   const std::vector<customer_need> needs = NeedsOf(pool, state);
@@ -62,8 +66,9 @@
     AddHeadroom(wanted, capacity);
   }
   CutOverfullTargets(targets);
-  RevokeSurplus(targets, wanted);
-  GrantDeficits(targets, wanted, now);
+  std::map<daemon_id, std::uint32_t> held = CountHeld(targets);
+  RevokeSurplus(targets, wanted, held);
+  GrantDeficits(targets, wanted, held, now);
 }
 
 std::vector<customer_need> slot_coordinator::NeedsOf(
@@ -114,52 +119,86 @@
   }
 }
 
-void slot_coordinator::CutOverfullTargets(
-    const std::vector<pool_target>& targets) {
-  for (const pool_target& target : targets) {
+void slot_coordinator::CutOverfullTargets(std::vector<pool_target>& targets) {
+  for (pool_target& target : targets) {
     std::uint32_t left = target.limit;
+    std::uint32_t bound = 0;
+    std::vector<std::pair<daemon_id, std::uint32_t>> cuts;
     for (const auto& [router, lease] : leases_.LeasesOf(target.key)) {
+      bound += lease.bound;
       const std::uint32_t kept = std::min(left, lease.limit);
       left -= kept;
+      if (kept < lease.limit) {
+        cuts.emplace_back(router, kept);
+      }
+    }
+    for (const auto& [router, kept] : cuts) {
       SetLimit(router, target.key, kept);
     }
+    target.free = target.limit > bound ? target.limit - bound : 0;
   }
 }
 
+std::map<daemon_id, std::uint32_t> slot_coordinator::CountHeld(
+    const std::vector<pool_target>& targets) const {
+  std::map<daemon_id, std::uint32_t> held;
+  for (const pool_target& target : targets) {
+    for (const auto& [router, lease] : leases_.LeasesOf(target.key)) {
+      held[router] += lease.limit;
+    }
+  }
+  return held;
+}
+
 void slot_coordinator::RevokeSurplus(
     const std::vector<pool_target>& targets,
-    const std::map<daemon_id, std::uint32_t>& wanted) {
+    const std::map<daemon_id, std::uint32_t>& wanted,
+    const std::map<daemon_id, std::uint32_t>& held) {
+  const auto count_of = [](const auto& counts, const daemon_id& router) {
+    const auto found = counts.find(router);
+    return found == counts.end() ? 0U : found->second;
+  };
   std::uint32_t missing = 0;
   for (const auto& [router, count] : wanted) {
-    const std::uint32_t held = HeldBy(router, targets);
-    const std::uint32_t deficit = count > held ? count - held : 0;
+    const std::uint32_t has = count_of(held, router);
+    const std::uint32_t deficit = count > has ? count - has : 0;
     // Moving a busy slot leaves it idle for a round trip, so that a router
     // that has some is not helped for one more.
-    missing += held == 0 || deficit >= kLeastMove ? deficit : 0;
+    missing += has == 0 || deficit >= kLeastMove ? deficit : 0;
   }
   std::uint32_t free = 0;
   for (const pool_target& target : targets) {
-    free += FreeSlots(target);
+    free += target.free;
   }
   std::uint32_t to_revoke = missing > free ? missing - free : 0;
-  for (auto& [router, state] : routers_) {
-    const auto want = wanted.find(router);
-    const std::uint32_t keep = want == wanted.end() ? 0 : want->second;
-    const std::uint32_t held = HeldBy(router, targets);
-    std::uint32_t surplus = std::min(to_revoke, held > keep ? held - keep : 0);
+  for (const auto& [router, has] : held) {
+    const std::uint32_t keep = count_of(wanted, router);
+    const std::uint32_t surplus =
+        std::min(to_revoke, has > keep ? has - keep : 0);
     to_revoke -= surplus;
-    // Idle slots first, as they come back at once.
-    for (const bool idle_only : {true, false}) {
-      for (const pool_target& target : targets) {
-        const lease_book::lease lease = leases_.Get(router, target.key);
-        const std::uint32_t available =
-            idle_only ? lease.limit - std::min(lease.limit, lease.in_use)
-                      : lease.limit;
-        const std::uint32_t taken = std::min(surplus, available);
-        surplus -= taken;
-        if (taken > 0) {
-          SetLimit(router, target.key, lease.limit - taken);
-        }
+    if (surplus > 0) {
+      RevokeFrom(router, surplus, targets);
+    }
+  }
+}
+
+void slot_coordinator::RevokeFrom(const daemon_id& router,
+                                  std::uint32_t count,
+                                  const std::vector<pool_target>& targets) {
+  // Idle slots first, as they come back at once.
+  for (const bool idle_only : {true, false}) {
+    for (const pool_target& target : targets) {
+      if (count == 0) {
+        return;
+      }
+      const lease_book::lease lease = leases_.Get(router, target.key);
+      const std::uint32_t available =
+          idle_only ? lease.limit - std::min(lease.limit, lease.in_use)
+                    : lease.limit;
+      const std::uint32_t taken = std::min(count, available);
+      count -= taken;
+      if (taken > 0) {
+        SetLimit(router, target.key, lease.limit - taken);
       }
     }
   }
@@ -168,45 +207,42 @@
 void slot_coordinator::GrantDeficits(
     const std::vector<pool_target>& targets,
     const std::map<daemon_id, std::uint32_t>& wanted,
+    const std::map<daemon_id, std::uint32_t>& held,
     time_point now) {
+  // The target with the most free slots first.
+  std::priority_queue<std::pair<std::uint32_t, std::size_t>> roomiest;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    if (targets[i].free > 0) {
+      roomiest.emplace(targets[i].free, i);
+    }
+  }
   for (const auto& [router, count] : wanted) {
     const auto known = routers_.find(router);
     if (known == routers_.end() ||
         now - known->second.last_report >= options_.lease) {
       continue;
     }
-    std::uint32_t held = HeldBy(router, targets);
-    while (held < count) {
-      const auto roomiest =
-          std::max_element(targets.begin(), targets.end(),
-                           [this](const pool_target& a, const pool_target& b) {
-                             return FreeSlots(a) < FreeSlots(b);
-                           });
-      if (roomiest == targets.end() || FreeSlots(*roomiest) == 0) {
-        return;
+    const auto has = held.find(router);
+    const std::uint32_t already = has == held.end() ? 0 : has->second;
+    std::uint32_t deficit = count > already ? count - already : 0;
+    while (deficit > 0 && !roomiest.empty()) {
+      const auto [free, index] = roomiest.top();
+      roomiest.pop();
+      const pool_target& target = targets[index];
+      // Slots of a large target are given out in pieces, so that a router's
+      // leases stay few.
+      const std::uint32_t piece =
+          std::min({deficit, free, std::max(1U, target.limit / kPieces)});
+      SetLimit(router, target.key,
+               leases_.Get(router, target.key).limit + piece);
+      deficit -= piece;
+      if (free > piece) {
+        roomiest.emplace(free - piece, index);
       }
-      SetLimit(router, roomiest->key,
-               leases_.Get(router, roomiest->key).limit + 1);
-      ++held;
     }
   }
 }
 
-std::uint32_t slot_coordinator::HeldBy(
-    const daemon_id& router,
-    const std::vector<pool_target>& targets) const {
-  std::uint32_t held = 0;
-  for (const pool_target& target : targets) {
-    held += leases_.Get(router, target.key).limit;
-  }
-  return held;
-}
-
-std::uint32_t slot_coordinator::FreeSlots(const pool_target& target) const {
-  const std::uint32_t bound = leases_.Bound(target.key);
-  return target.limit > bound ? target.limit - bound : 0;
-}
-
 void slot_coordinator::SetLimit(const daemon_id& router,
                                 const target_key& target,
                                 std::uint32_t limit) {
--- a/src/allocation/lease_book.h
+++ b/src/allocation/lease_book.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -51,13 +52,13 @@
   /// Targets of which the router has a limit or slots in use.
   [[nodiscard]] std::vector<target_key> TargetsOf(
       const daemon_id& router) const;
-  [[nodiscard]] std::vector<std::pair<daemon_id, lease>> LeasesOf(
-      const target_key& target) const;
-
- private:
   using by_router = std::map<daemon_id, lease>;
+  [[nodiscard]] const by_router& LeasesOf(const target_key& target) const;
 
+ private:
   std::map<target_key, by_router> targets_;
+  /// The keys under which each router stands in `targets_`.
+  std::map<daemon_id, std::set<target_key>> of_router_;
 };
 
 }  // namespace burdocklock::allocation
--- a/src/allocation/service_ledger.h
+++ b/src/allocation/service_ledger.h
@@ -33,7 +33,6 @@
   void ForgetRouter(const daemon_id& router);
 
   [[nodiscard]] double VirtualService(const customer_id& customer) const;
-  [[nodiscard]] std::vector<customer_standing> Backlogged() const;
   /// Smoothed service of one request, for dividing slots.
   [[nodiscard]] double quantum() const { return quantum_; }
   /// Requests that ended well, and the service that was new meanwhile.
--- a/src/allocation/slot_coordinator.h
+++ b/src/allocation/slot_coordinator.h
@@ -102,6 +102,8 @@
   struct pool_target {
     target_key key;
     std::uint32_t limit = 0;
+    /// Slots within the limit that nobody may be using.
+    std::uint32_t free = 0;
   };
 
   [[nodiscard]] bool MayLease(const targets::announcement& target,
@@ -122,15 +124,20 @@
                                      const pool_state& state) const;
   void AddHeadroom(std::map<daemon_id, std::uint32_t>& wanted,
                    std::uint32_t capacity) const;
-  void CutOverfullTargets(const std::vector<pool_target>& targets);
+  /// Brings leases within the targets' limits and counts free slots.
+  void CutOverfullTargets(std::vector<pool_target>& targets);
+  [[nodiscard]] std::map<daemon_id, std::uint32_t> CountHeld(
+      const std::vector<pool_target>& targets) const;
   void RevokeSurplus(const std::vector<pool_target>& targets,
-                     const std::map<daemon_id, std::uint32_t>& wanted);
+                     const std::map<daemon_id, std::uint32_t>& wanted,
+                     const std::map<daemon_id, std::uint32_t>& held);
+  void RevokeFrom(const daemon_id& router,
+                  std::uint32_t count,
+                  const std::vector<pool_target>& targets);
   void GrantDeficits(const std::vector<pool_target>& targets,
                      const std::map<daemon_id, std::uint32_t>& wanted,
+                     const std::map<daemon_id, std::uint32_t>& held,
                      time_point now);
-  std::uint32_t HeldBy(const daemon_id& router,
-                       const std::vector<pool_target>& targets) const;
-  std::uint32_t FreeSlots(const pool_target& target) const;
   void SetLimit(const daemon_id& router,
                 const target_key& target,
                 std::uint32_t limit);
--- a/src/allocation/types/grant.h
+++ b/src/allocation/types/grant.h
@@ -23,7 +23,7 @@
   std::uint32_t capacity = 0;
   /// More requests want slots than there are: idle ones are to be returned.
   bool scarce = false;
-  /// Customers with waiting requests.
+  /// Customers that the router has reported.
   std::vector<customer_standing> customers;
 };
 
