--- a/scripts/benches/control.sh
+++ b/scripts/benches/control.sh
@@ -44,18 +44,24 @@
   hub=$(curl -s "http://${fleet_operators[0]}/metrics" |
     awk '/^burdocklock_peer_bytes_(sent|received) / { s += $2 } END { print s }')
   cpu=$(cpu_seconds "${fleet_pids[0]}")
+  router_cpu=$(cpu_seconds "${fleet_pids[-1]}")
   sleep 5
   sent_after=$(curl -s "http://${fleet_operators[-1]}/metrics" |
     awk '/^burdocklock_peer_bytes_(sent|received) / { s += $2 } END { print s }')
   hub_after=$(curl -s "http://${fleet_operators[0]}/metrics" |
     awk '/^burdocklock_peer_bytes_(sent|received) / { s += $2 } END { print s }')
   cpu_after=$(cpu_seconds "${fleet_pids[0]}")
+  router_cpu_after=$(cpu_seconds "${fleet_pids[-1]}")
   emit control "router_bytes_at_$size" "$(calc "($sent_after - $sent) / 5")" \
     B/s at-most 6000
   emit control "coordinator_bytes_at_$size" \
     "$(calc "($hub_after - $hub) / 5")" B/s
   emit control "coordinator_cpu_at_$size" \
     "$(calc "100 * ($cpu_after - $cpu) / 5")" "% of a core"
+  # With the router's share of the requests.
+  emit control "router_cpu_at_$size" \
+    "$(calc "100 * ($router_cpu_after - $router_cpu) / 5")" "% of a core" \
+    at-most 4.8
   emit control "router_memory_at_$size" "$(rss_mb "${fleet_pids[-1]}")" MB \
     at-most 64
   emit control "coordinator_memory_at_$size" "$(rss_mb "${fleet_pids[0]}")" MB
