--- a/src/peer/internal/peer_network.cc
+++ b/src/peer/internal/peer_network.cc
@@ -131,7 +131,7 @@
     return;
   }
   entry.handle = connection->get_handle();
-  connection->set_open_handler([this, link, generation](connection_hdl) {
+  connection->set_open_handler([this, link, generation](const connection_hdl&) {
     outbound& current = out[link];
     if (stopped || current.generation != generation) {
       return;
@@ -140,17 +140,18 @@
     handlers.on_up(link);
   });
   connection->set_message_handler(
-      [this, link, generation](connection_hdl,
+      [this, link, generation](const connection_hdl&,
                                const client::message_ptr& message) {
         if (!stopped && out[link].generation == generation) {
           Receive(link, message->get_payload());
         }
       });
-  connection->set_close_handler([this, link, generation](connection_hdl) {
-    OnClientDown(link, generation, "closed by peer");
-  });
+  connection->set_close_handler(
+      [this, link, generation](const connection_hdl&) {
+        OnClientDown(link, generation, "closed by peer");
+      });
   connection->set_fail_handler(
-      [this, link, generation, raw = connection.get()](connection_hdl) {
+      [this, link, generation, raw = connection.get()](const connection_hdl&) {
         OnClientDown(link, generation, raw->get_ec().message());
       });
   connector.connect(connection);
--- a/tools/capacity/main.cc
+++ b/tools/capacity/main.cc
@@ -2,6 +2,7 @@
 // processor time for each report and allocation, size of messages and memory.
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <string>
@@ -76,7 +77,8 @@
             .life = incarnation(1),
             .data_centre = data_centre_id("a"),
             .address = {.address = "10.0.0.1", .port = 9000},
-            .pools = {pool_id("model-" + std::to_string(i % options_.pools))},
+            .pools = {pool_id(
+                "model-" + std::to_string(i % std::max(1U, options_.pools)))},
             .state = targets::target_state::kReady,
             .slots = options_.slots,
             .cold_slots = options_.slots,
@@ -102,8 +104,9 @@
       }
     }
     now_ += seconds(1);
-    report_bytes_ /= options_.routers;
-    grant_bytes_ /= options_.routers;
+    const std::uint32_t routers = std::max(1U, options_.routers);
+    report_bytes_ /= routers;
+    grant_bytes_ /= routers;
   }
 
   allocation::router_report MakeReport(std::uint32_t index,
@@ -123,8 +126,9 @@
     }
     for (std::uint32_t i = 0; i < options_.customers_per_router; ++i) {
       const std::uint32_t customer =
-          (index * options_.customers_per_router + i) % options_.customers;
-      const std::uint32_t pool = (index + i) % options_.pools;
+          (index * options_.customers_per_router + i) %
+          std::max(1U, options_.customers);
+      const std::uint32_t pool = (index + i) % std::max(1U, options_.pools);
       report.demand.push_back(
           {.pool = pool_id("model-" + std::to_string(pool)),
            .customers = {
