--- a/src/peer/internal/peer_network.cc
+++ b/src/peer/internal/peer_network.cc
@@ -229,16 +229,17 @@
   state_->connector.clear_error_channels(websocketpp::log::elevel::all);
   state_->connector.init_asio(&state_->io, ec);
   state_->connector.set_max_message_size(state_->options.max_message_bytes);
-  state_->connector.set_tcp_post_init_handler([state = state_.get()](
-                                                  connection_hdl handle) {
-    websocketpp::lib::error_code lookup;
-    const auto connection = state->connector.get_con_from_hdl(handle, lookup);
-    if (!lookup) {
-      boost::system::error_code ignored;
-      connection->get_raw_socket().set_option(
-          boost::asio::ip::tcp::no_delay(true), ignored);
-    }
-  });
+  state_->connector.set_tcp_post_init_handler(
+      [state = state_.get()](const connection_hdl& handle) {
+        websocketpp::lib::error_code lookup;
+        const auto connection =
+            state->connector.get_con_from_hdl(handle, lookup);
+        if (!lookup) {
+          boost::system::error_code ignored;
+          connection->get_raw_socket().set_option(
+              boost::asio::ip::tcp::no_delay(true), ignored);
+        }
+      });
   for (std::uint64_t link = 1; link <= state_->options.peers.size(); ++link) {
     state_->Connect(link);
   }
