--- a/src/allocation/internal/slot_coordinator.cc
+++ b/src/allocation/internal/slot_coordinator.cc
@@ -177,8 +177,9 @@
 }
 
 void slot_coordinator::SetDataCentreOut(const data_centre_id& data_centre,
-                                        bool out) {
-  directory_.SetDataCentreOut(data_centre, out);
+                                        bool out,
+                                        time_point now) {
+  directory_.SetDataCentreOut(data_centre, out, now);
 }
 
 void slot_coordinator::OnRouterGone(const daemon_id& router) {
--- a/src/allocation/slot_coordinator.h
+++ b/src/allocation/slot_coordinator.h
@@ -59,7 +59,9 @@
   /// certainly run out.
   void SetServed(const std::vector<data_centre_id>& data_centres,
                  time_point now);
-  void SetDataCentreOut(const data_centre_id& data_centre, bool out);
+  void SetDataCentreOut(const data_centre_id& data_centre,
+                        bool out,
+                        time_point now);
   /// A router has left or its process is known to have ended.
   void OnRouterGone(const daemon_id& router);
   /// Expires leases and divides slots anew.
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -14,6 +14,8 @@
 
 #include "config/sheet_index.h"
 #include "config/types/settings.h"
+#include "app/i_interface_adapter.h"
+#include "app/internal/operator_feed.h"
 #include "fleet/fleet_node.h"
 #include "fleet/i_fleet_port.h"
 #include "framework/logging/i_logger.h"
@@ -36,9 +38,12 @@
                      public routing::i_routing_observer,
                      public fleet::i_fleet_port {
  public:
+  /// With `adapter`, routes, outages and targets come from control hosts;
+  /// without, targets are leased in a fleet.
   control_loop(boost::asio::io_context& io,
                const config::settings& settings,
                std::shared_ptr<const config::sheet_index> sheet,
+               const i_interface_adapter* adapter,
                incarnation life,
                i_logger& logger);
 
@@ -50,6 +55,8 @@
   void SetDrainHandler(std::function<void(const std::string& cause)> handler) {
     on_drain_ = std::move(handler);
   }
+  /// Where control hosts are looked for has changed.
+  void SetControlHosts(const std::vector<endpoint>& hosts);
   /// Ends all requests that still run and returns how many there were.
   std::size_t CutRunning();
   /// Requests waiting or in flight.
@@ -61,6 +68,8 @@
   [[nodiscard]] std::string RefusalName(refusal_seq refusal) const override;
   [[nodiscard]] std::shared_ptr<const config::sheet_index> Sheet()
       const override;
+  [[nodiscard]] std::shared_ptr<const routes::route_table> Routes()
+      const override;
   [[nodiscard]] bool IsDraining() const override;
   void Submit(const routing::request_spec& spec,
               std::shared_ptr<gateway::i_exchange> exchange) override;
@@ -74,7 +83,7 @@
   void Announce(targets::announcement announcement) override;
 
   // i_operations
-  [[nodiscard]] bool IsReady() const override { return !IsDraining(); }
+  [[nodiscard]] bool IsReady() const override;
   std::string Metrics() override;
   std::string StatusJson() override;
   std::string TargetsJson() override;
@@ -100,6 +109,7 @@
   void Perform(const routing::start_attempt& effect, time_point now);
   void Perform(const routing::cancel_attempt& effect, time_point now);
   void Perform(const routing::refuse_request& effect, time_point now);
+  void Perform(const routing::pass_on_failure& effect, time_point now);
   void Perform(const routing::cut_answer& effect, time_point now);
   void Perform(const routing::routing_decision& effect, time_point now);
   void Perform(const routing::attempt_failure_report& effect, time_point now);
@@ -112,6 +122,8 @@
   bool OnPeerMessage(std::uint64_t link, const std::string& bytes);
   void CheckPlannedOutages(time_point now, routing::effects& out);
   void LogRefusal(const refusals::refusal& refusal);
+  // The caller's own name of a request; this daemon's if it gave none.
+  [[nodiscard]] std::string LogName(request_seq request) const;
   void DeliverTo(request_seq request, gateway::exchange_order order);
   void ArmTimer();
   [[nodiscard]] std::vector<targets::target_view> TargetViews(
@@ -133,11 +145,16 @@
   seeded_random random_;
   time_point started_;
   routing::request_router router_;
-  fleet::fleet_node node_;
+  // One of these two.
+  std::unique_ptr<fleet::fleet_node> node_;
+  std::unique_ptr<operator_feed> feed_;
   std::unique_ptr<peer::peer_network> peers_;
-  // Exchanges of requests that have not ended or whose attempt still runs.
-  std::unordered_map<request_seq, std::shared_ptr<gateway::i_exchange>>
-      exchanges_;
+  struct open_exchange {
+    std::shared_ptr<gateway::i_exchange> exchange;
+    std::string caller_name;
+  };
+  // Requests that have not ended or whose attempt still runs.
+  std::unordered_map<request_seq, open_exchange> exchanges_;
   boost::asio::steady_timer timer_;
   time_point timer_at_ = kNever;
   std::function<void(const std::string& cause)> on_drain_;
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "app/i_interface_adapter.h"
 #include "config/types/settings.h"
 #include "config/types/sheet.h"
 #include "framework/logging/i_logger.h"
@@ -19,9 +20,19 @@
   endpoint operators;
 };
 
+/// Reads the settings again; they may have changed.
+using settings_source = std::function<result<config::settings>()>;
+
 class daemon {
  public:
-  daemon(config::settings settings, config::sheet sheet, i_logger& logger);
+  /// `adapter` serves routed callers; nullptr for the OpenAI-style interface.
+  /// With `reread`, the settings are read again from time to time and on
+  /// SIGHUP.
+  daemon(config::settings settings,
+         config::sheet sheet,
+         i_logger& logger,
+         const i_interface_adapter* adapter = nullptr,
+         settings_source reread = {});
   ~daemon();
 
   /// Runs until a drain is complete. `on_started` is called once all listeners
--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -43,6 +43,11 @@
   DeliverTo(*effect.refusal.request, effect);
 }
 
+void control_loop::Perform(const routing::pass_on_failure& effect,
+                           time_point) {
+  DeliverTo(effect.request, effect);
+}
+
 void control_loop::Perform(const routing::cut_answer& effect, time_point) {
   LogRefusal(effect.refusal);
   DeliverTo(*effect.refusal.request, effect);
@@ -52,7 +57,7 @@
                            time_point) {
   const bool is_retry = effect.reason == routing::routing_reason::kRetry;
   logger_.Log(log_record("route")
-                  .Add("request", RequestName(effect.request))
+                  .Add("request", LogName(effect.request))
                   .Add("customer", effect.customer.value())
                   .Add("pool", effect.pool.value())
                   .Add("attempt", effect.attempt.value())
@@ -67,7 +72,7 @@
   ++metrics_.Counter("burdocklock_attempt_failures_total",
                      {{"kind", ToString(effect.kind)}});
   logger_.Log(log_record("attempt_failed", log_level::kWarning)
-                  .Add("request", RequestName(effect.request))
+                  .Add("request", LogName(effect.request))
                   .Add("attempt", effect.attempt.value())
                   .Add("target", effect.target.value())
                   .Add("kind", ToString(effect.kind))
@@ -83,7 +88,7 @@
                      {{"outcome", OutcomeName(effect.result)},
                       {"customer", effect.customer.value()}});
   logger_.Log(log_record("request_ended")
-                  .Add("request", RequestName(effect.request))
+                  .Add("request", LogName(effect.request))
                   .Add("customer", effect.customer.value())
                   .Add("pool", effect.pool.value())
                   .Add("outcome", OutcomeName(effect.result))
@@ -124,7 +129,7 @@
       .Add("reason", ToString(refusal.reason))
       .Add("run", ToString(refusal.run));
   if (refusal.request) {
-    record.Add("request", RequestName(*refusal.request));
+    record.Add("request", LogName(*refusal.request));
   }
   logger_.Log(record.Add("detail", refusal.detail));
 }
--- a/src/app/internal/control_fleet.cc
+++ b/src/app/internal/control_fleet.cc
@@ -13,9 +13,18 @@
 using std::chrono::steady_clock;
 
 result<endpoint> control_loop::StartFleet() {
+  if (feed_) {
+    if (const result<void> started = feed_->Start(); !started) {
+      return started.error();
+    }
+    Process([this](time_point now, routing::effects& out) {
+      feed_->OnTick(now, out);
+    });
+    return endpoint{};
+  }
   Process([this](time_point now, routing::effects& out) {
     CheckPlannedOutages(now, out);
-    node_.OnTick(now, out);
+    node_->OnTick(now, out);
   });
   if (settings_.peers.empty() && settings_.peer_listener.port == 0) {
     return endpoint{};
@@ -27,7 +36,7 @@
               [this](std::uint64_t link) {
                 logger_.Log(log_record("link_up").Add("link", link));
                 Process([this, link](time_point now, routing::effects&) {
-                  node_.OnLinkUp(fleet::link_id(link), now);
+                  node_->OnLinkUp(fleet::link_id(link), now);
                 });
               },
           .on_message =
@@ -61,7 +70,12 @@
 }
 
 void control_loop::StopFleet() {
-  node_.EndLeave(steady_clock::now());
+  if (feed_) {
+    feed_->Stop();
+    timer_.cancel();
+    return;
+  }
+  node_->EndLeave(steady_clock::now());
   if (peers_) {
     peers_->Stop();
   }
@@ -77,7 +91,7 @@
     return false;
   }
   Process([&](time_point now, routing::effects& out) {
-    node_.OnMessage(fleet::link_id(link), message.value(), now, out);
+    node_->OnMessage(fleet::link_id(link), message.value(), now, out);
   });
   return true;
 }
@@ -103,11 +117,15 @@
     for (const config::outage_window& window : entry.planned_outages) {
       is_out |= window.from <= wall && wall < window.to;
     }
-    node_.SetPlannedOutage(entry.id, is_out, now, out);
+    node_->SetPlannedOutage(entry.id, is_out, now, out);
   }
 }
 
 bool control_loop::OrderDataCentre(const std::string& data_centre, bool out) {
+  if (!node_) {
+    // Only control hosts take such orders.
+    return false;
+  }
   const auto& known = sheet_->contents().data_centres;
   const bool exists = std::any_of(
       known.begin(), known.end(),
@@ -117,7 +135,7 @@
   }
   Process([&](time_point now, routing::effects& effects) {
     const auto order =
-        node_.OrderDataCentre(data_centre_id(data_centre), out, now, effects);
+        node_->OrderDataCentre(data_centre_id(data_centre), out, now, effects);
     logger_.Log(log_record("data_centre_order")
                     .Add("data_centre", data_centre)
                     .Add("out", out)
--- /dev/null
+++ b/src/app/internal/control_links.cc
@@ -0,0 +1,105 @@
+// See the header.
+#include "app/internal/control_links.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/outcome/success_failure.hpp>
+
+#include "control/message_codec.h"
+
+namespace burdocklock::app {
+
+namespace {
+
+// A snapshot with the largest configuration must fit.
+constexpr std::size_t kMaxMessageBytes = 16 * 1024 * 1024;
+constexpr std::uint32_t kReconnectMs = 200;
+
+}  // namespace
+
+control_links::control_links(boost::asio::io_context& io,
+                             const endpoint& listen,
+                             i_logger& logger)
+    : io_(io), listen_(listen), logger_(logger) {
+  peer::peer_options options{.listen_address = listen.address,
+                             .listen_port = listen.port,
+                             .peers = {},
+                             .max_message_bytes = kMaxMessageBytes,
+                             .reconnect_ms = kReconnectMs,
+                             .listen = listen.port != 0};
+  network_ = std::make_unique<peer::peer_network>(
+      io, options,
+      peer::peer_handlers{
+          .on_up =
+              [this](std::uint64_t link) {
+                logger_.Log(log_record("link_up").Add("link", link));
+                handlers_.on_up(control::link_id(link));
+              },
+          .on_message =
+              [this](std::uint64_t link, const std::string& bytes) {
+                return Receive(link, bytes);
+              },
+          .on_down =
+              [this](std::uint64_t link, const std::string& detail) {
+                logger_.Log(log_record("link_down", log_level::kWarning)
+                                .Add("link", link)
+                                .Add("detail", detail));
+                handlers_.on_down(control::link_id(link));
+              }});
+}
+
+control_links::~control_links() = default;
+
+result<void> control_links::Start(control_link_handlers handlers) {
+  handlers_ = std::move(handlers);
+  std::string problem;
+  network_->Start(problem);
+  if (!problem.empty()) {
+    return error{.code = error_code::kConnectionFailed,
+                 .step = "listen for links",
+                 .peer = ToString(listen_),
+                 .detail = problem};
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void control_links::Stop() {
+  network_->Stop();
+}
+
+bool control_links::Receive(std::uint64_t link, const std::string& bytes) {
+  const result<control::message> message = control::Decode(bytes);
+  if (!message) {
+    logger_.Log(log_record("link_message_malformed", log_level::kError)
+                    .Add("link", link)
+                    .Add("detail", message.error().detail));
+    return false;
+  }
+  handlers_.on_message(control::link_id(link), message.value());
+  return true;
+}
+
+control::link_id control_links::Open(const endpoint& peer) {
+  return control::link_id(network_->Open("ws://" + ToString(peer)));
+}
+
+void control_links::Reopen(control::link_id link) {
+  // Not from within an event of the same link.
+  boost::asio::post(io_, [this, link] { network_->Reopen(link.value()); });
+}
+
+void control_links::Close(control::link_id link) {
+  boost::asio::post(io_, [this, link] { network_->Drop(link.value()); });
+}
+
+void control_links::Send(control::link_id link,
+                         const control::message& message) {
+  network_->Send(link.value(), control::Encode(message));
+}
+
+const peer::peer_traffic& control_links::traffic() const {
+  return network_->traffic();
+}
+
+}  // namespace burdocklock::app
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -27,6 +27,7 @@
 control_loop::control_loop(boost::asio::io_context& io,
                            const config::settings& settings,
                            std::shared_ptr<const config::sheet_index> sheet,
+                           const i_interface_adapter* adapter,
                            incarnation life,
                            i_logger& logger)
     : io_(io),
@@ -40,13 +41,16 @@
       total_time_(metrics_.Summary("burdocklock_request_seconds")),
       random_(static_cast<std::uint32_t>(life.value())),
       started_(steady_clock::now()),
-      router_(MakeRouterOptions(settings), random_, *this, started_),
-      node_(MakeFleetOptions(settings, life),
-            router_,
-            random_,
-            *this,
-            started_),
+      router_(MakeRouterOptions(settings), random_, *this),
       timer_(io) {
+  if (adapter != nullptr) {
+    feed_ = std::make_unique<operator_feed>(
+        io, settings, adapter->configurations(), router_, logger,
+        [this](const operator_feed::event& event) { Process(event); });
+  } else {
+    node_ = std::make_unique<fleet::fleet_node>(
+        MakeFleetOptions(settings, life), router_, random_, *this, started_);
+  }
   for (const config::customer& customer : sheet_->contents().customers) {
     router_.SetCustomer(customer.id, {.share = customer.share,
                                       .max_queued = customer.max_queued});
@@ -87,6 +91,27 @@
   return sheet_;
 }
 
+std::shared_ptr<const routes::route_table> control_loop::Routes() const {
+  return feed_ ? feed_->Routes() : nullptr;
+}
+
+bool control_loop::IsReady() const {
+  return !IsDraining() && (!feed_ || feed_->Routes() != nullptr);
+}
+
+void control_loop::SetControlHosts(const std::vector<endpoint>& hosts) {
+  if (feed_) {
+    feed_->SetControlHosts(hosts);
+  }
+}
+
+std::string control_loop::LogName(request_seq request) const {
+  const auto found = exchanges_.find(request);
+  return found == exchanges_.end() || found->second.caller_name.empty()
+             ? RequestName(request)
+             : found->second.caller_name;
+}
+
 bool control_loop::IsDraining() const {
   return draining_.load(std::memory_order_relaxed);
 }
@@ -100,7 +125,9 @@
   const time_point now = steady_clock::now();
   routing::effects effects;
   handle(now, effects);
-  node_.AfterRouterEvent(now, effects);
+  if (node_) {
+    node_->AfterRouterEvent(now, effects);
+  }
   Perform(effects, now);
   ArmTimer();
 }
@@ -109,7 +136,9 @@
                           std::shared_ptr<gateway::i_exchange> exchange) {
   Post([this, spec, exchange = std::move(exchange)](time_point now,
                                                     routing::effects& out) {
-    exchanges_.emplace(spec.id, exchange);
+    exchanges_.emplace(spec.id,
+                       open_exchange{.exchange = exchange,
+                                     .caller_name = spec.caller_name});
     router_.OnRequest(spec, now, out);
   });
 }
@@ -155,7 +184,10 @@
 void control_loop::Announce(targets::announcement announcement) {
   Post([this, announcement = std::move(announcement)](time_point now,
                                                       routing::effects& out) {
-    LogAnnouncement(announcement, node_.OnAnnouncement(announcement, now, out));
+    if (node_) {
+      LogAnnouncement(announcement,
+                      node_->OnAnnouncement(announcement, now, out));
+    }
   });
 }
 
@@ -178,7 +210,9 @@
   }
   logger_.Log(
       log_record("drain").Add("cause", cause).Add("unfinished", Unfinished()));
-  node_.BeginLeave(steady_clock::now());
+  if (node_) {
+    node_->BeginLeave(steady_clock::now());
+  }
   if (on_drain_) {
     on_drain_(cause);
   }
@@ -198,7 +232,8 @@
 
 void control_loop::ArmTimer() {
   const time_point next =
-      std::min(router_.NextDeadline(), node_.NextDeadline());
+      std::min(router_.NextDeadline(),
+               node_ ? node_->NextDeadline() : feed_->NextDeadline());
   // An earlier timer finds nothing due and arms itself again.
   if (next >= timer_at_) {
     return;
@@ -211,10 +246,15 @@
     }
     timer_at_ = kNever;
     Process([this](time_point now, routing::effects& out) {
-      CheckPlannedOutages(now, out);
       router_.OnTick(now, out);
-      if (node_.NextDeadline() <= now) {
-        node_.OnTick(now, out);
+      if (feed_ && feed_->NextDeadline() <= now) {
+        feed_->OnTick(now, out);
+      }
+      if (node_) {
+        CheckPlannedOutages(now, out);
+        if (node_->NextDeadline() <= now) {
+          node_->OnTick(now, out);
+        }
       }
     });
   });
@@ -224,7 +264,7 @@
                              gateway::exchange_order order) {
   const auto found = exchanges_.find(request);
   if (found != exchanges_.end()) {
-    found->second->Deliver(std::move(order));
+    found->second.exchange->Deliver(std::move(order));
   }
 }
 
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -15,12 +15,14 @@
 
 #include "app/control_loop.h"
 #include "app/internal/router_options.h"
+#include "app/internal/settings_watch.h"
 #include "config/sheet_index.h"
 #include "framework/fiber/fiber_thread.h"
 #include "framework/fiber/sleep.h"
 #include "framework/fiber/use_fiber.h"
 #include "framework/net/http_server.h"
 #include "gateway/operator_handler.h"
+#include "gateway/traffic_service.h"
 #include "gateway/traffic_thread.h"
 
 namespace burdocklock::app {
@@ -31,6 +33,9 @@
 constexpr std::chrono::milliseconds kDrainCheckPeriod{20};
 // Time for the last answers to be written after the deadline has cut them.
 constexpr std::chrono::seconds kCutGrace{2};
+// Of the time for a whole shutdown, what is kept for ending after the last
+// requests were cut.
+constexpr std::chrono::milliseconds kEndReserve{600};
 
 incarnation NewIncarnation() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -42,12 +47,24 @@
 }  // namespace
 
 struct daemon::state {
-  state(config::settings settings, config::sheet sheet, i_logger& logger)
+  state(config::settings settings,
+        config::sheet sheet,
+        i_logger& logger,
+        const i_interface_adapter* adapter,
+        settings_source reread)
       : settings(std::move(settings)),
         logger(logger),
+        adapter(adapter),
+        watch(control_io,
+              std::move(reread),
+              logger,
+              [this](const config::settings& changed) {
+                control.SetControlHosts(changed.control.hosts);
+              }),
         control(control_io,
                 this->settings,
                 std::make_shared<config::sheet_index>(std::move(sheet)),
+                adapter,
                 NewIncarnation(),
                 logger),
         operators(control, this->settings.operator_tokens),
@@ -56,6 +73,9 @@
                         operators) {}
 
   result<endpoint> StartTraffic();
+  result<void> StartReadiness();
+  void StopAccepting();
+  [[nodiscard]] duration DrainDeadline() const;
   void RunControl();
   void WatchSignals(boost::asio::signal_set& signals);
   void FinishRequests();
@@ -63,22 +83,34 @@
 
   config::settings settings;
   i_logger& logger;
+  const i_interface_adapter* adapter;
   // Outlives its thread, as the scheduler of a thread refers to it.
   boost::asio::io_context control_io{1};
+  settings_watch watch;
   control_loop control;
   gateway::operator_handler operators;
   net::http_server operator_server;
   std::atomic<std::uint32_t> connections{0};
   std::vector<std::unique_ptr<gateway::traffic_thread>> traffic;
+  // Serves callers on the control thread if there are no traffic threads.
+  std::unique_ptr<gateway::traffic_service> own_traffic;
+  std::unique_ptr<net::i_http_handler> readiness_handler;
+  std::unique_ptr<net::http_server> readiness;
   fiber_event drain_requested;
   result<daemon_addresses> started = daemon_addresses{};
   std::function<void(const daemon_addresses&)> on_started;
 };
 
-daemon::daemon(config::settings settings, config::sheet sheet, i_logger& logger)
+daemon::daemon(config::settings settings,
+               config::sheet sheet,
+               i_logger& logger,
+               const i_interface_adapter* adapter,
+               settings_source reread)
     : state_(std::make_unique<state>(std::move(settings),
                                      std::move(sheet),
-                                     logger)) {}
+                                     logger,
+                                     adapter,
+                                     std::move(reread))) {}
 
 daemon::~daemon() = default;
 
@@ -102,9 +134,16 @@
 
 result<endpoint> daemon::state::StartTraffic() {
   gateway::gateway_options options = MakeGatewayOptions(settings);
+  const gateway::i_call_dialect* dialect =
+      adapter != nullptr ? &adapter->calls() : nullptr;
+  if (settings.limits.share_control_thread) {
+    own_traffic = std::make_unique<gateway::traffic_service>(
+        control_io, options, control, dialect, connections);
+    return own_traffic->Start();
+  }
   for (std::uint32_t i = 0; i < settings.limits.traffic_threads; ++i) {
     traffic.push_back(std::make_unique<gateway::traffic_thread>(
-        options, control, connections));
+        options, control, dialect, connections));
     result<endpoint> bound = traffic.back()->Start();
     if (!bound) {
       return bound;
@@ -115,16 +154,36 @@
   return options.listen;
 }
 
+result<void> daemon::state::StartReadiness() {
+  if (adapter == nullptr || settings.readiness.port == 0) {
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+  readiness_handler =
+      adapter->MakeReadinessHandler([this] { return control.IsReady(); });
+  readiness = std::make_unique<net::http_server>(
+      control_io, net::http_server_options{.listen = settings.readiness},
+      *readiness_handler);
+  const result<endpoint> bound = readiness->Start();
+  if (!bound) {
+    return bound.error();
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 void daemon::state::RunControl() {
   control.SetDrainHandler(
       [this](const std::string&) { drain_requested.Set(); });
-  boost::asio::signal_set signals(control_io, SIGTERM, SIGINT);
+  boost::asio::signal_set signals(control_io, SIGTERM, SIGINT, SIGHUP);
   WatchSignals(signals);
   const result<endpoint> peer_address = control.StartFleet();
   const result<endpoint> operator_address =
       peer_address ? operator_server.Start() : peer_address;
+  const result<void> readiness_started =
+      operator_address ? StartReadiness()
+                       : result<void>(operator_address.error());
   const result<endpoint> caller_address =
-      operator_address ? StartTraffic() : operator_address;
+      readiness_started ? StartTraffic()
+                        : result<endpoint>(readiness_started.error());
   if (!caller_address) {
     started = caller_address.error();
     signals.cancel();
@@ -139,11 +198,16 @@
                  .Add("callers", ToString(caller_address.value()))
                  .Add("operators", ToString(operator_address.value())));
   on_started(started.value());
+  watch.Start();
   drain_requested.Wait();
+  watch.Stop();
   FinishRequests();
   StopTraffic();
   control.StopFleet();
   operator_server.Stop();
+  if (readiness) {
+    readiness->Stop();
+  }
   signals.cancel();
   logger.Log(log_record("stopped"));
 }
@@ -154,7 +218,9 @@
         if (ec) {
           return;
         }
-        if (control.IsDraining()) {
+        if (signal == SIGHUP) {
+          watch.ReadAgain("SIGHUP");
+        } else if (control.IsDraining()) {
           // A second signal ends what still runs.
           const std::size_t cut = control.CutRunning();
           logger.Log(
@@ -169,11 +235,8 @@
 void daemon::state::FinishRequests() {
   const time_point begin = std::chrono::steady_clock::now();
   SleepFor(control_io, settings.timeouts.drain_notice);
-  for (const auto& thread : traffic) {
-    thread->Stop();
-  }
-  const time_point deadline =
-      begin + settings.timeouts.drain_notice + settings.timeouts.drain_deadline;
+  StopAccepting();
+  const time_point deadline = begin + DrainDeadline();
   while (control.Unfinished() > 0 &&
          std::chrono::steady_clock::now() < deadline) {
     SleepFor(control_io, kDrainCheckPeriod);
@@ -190,15 +253,31 @@
   }
 }
 
-void daemon::state::StopTraffic() {
+void daemon::state::StopAccepting() {
   for (const auto& thread : traffic) {
     thread->Stop();
   }
+  if (own_traffic) {
+    own_traffic->Stop();
+  }
+}
+
+duration daemon::state::DrainDeadline() const {
+  const config::timeout_settings& timeouts = settings.timeouts;
+  if (timeouts.shutdown.count() > 0) {
+    return timeouts.shutdown - kEndReserve;
+  }
+  return timeouts.drain_notice + timeouts.drain_deadline;
+}
+
+void daemon::state::StopTraffic() {
+  StopAccepting();
   // The control thread must go on to answer while they end.
   while (connections.load() > 0) {
     SleepFor(control_io, kDrainCheckPeriod);
   }
   traffic.clear();
+  own_traffic.reset();
 }
 
 }  // namespace burdocklock::app
--- /dev/null
+++ b/src/app/internal/operator_feed.h
@@ -0,0 +1,91 @@
+// Brings what the control hosts tell to this router: routes, outages, targets.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "app/internal/control_links.h"
+#include "config/types/settings.h"
+#include "control/i_router_view.h"
+#include "control/router_client.h"
+#include "framework/logging/i_logger.h"
+#include "framework/types/error.h"
+#include "framework/types/time.h"
+#include "routes/i_configuration_reader.h"
+#include "routes/route_table.h"
+#include "routing/request_router.h"
+#include "routing/types/effect.h"
+
+namespace burdocklock::app {
+
+/// All members but `Routes` must be called on the control thread.
+class operator_feed : public control::i_router_view {
+ public:
+  using event = std::function<void(time_point now, routing::effects& out)>;
+  /// Runs an event with what follows from it.
+  using event_runner = std::function<void(const event& event)>;
+
+  operator_feed(boost::asio::io_context& io,
+                const config::settings& settings,
+                const routes::i_configuration_reader& reader,
+                routing::request_router& router,
+                i_logger& logger,
+                event_runner run);
+
+  result<void> Start();
+  void Stop();
+  void OnTick(time_point now, routing::effects& out);
+  [[nodiscard]] time_point NextDeadline() const;
+  void SetControlHosts(std::vector<endpoint> hosts);
+
+  /// The routes in force; nullptr until they are known. Callable from any
+  /// thread.
+  [[nodiscard]] std::shared_ptr<const routes::route_table> Routes() const;
+  [[nodiscard]] const peer::peer_traffic& traffic() const {
+    return links_.traffic();
+  }
+
+  // control::i_router_view
+  void OnState(control::state_revision revision,
+               const control::state_contents& contents,
+               bool current) override;
+  void OnTarget(const targets::announcement& announcement,
+                time_point heard) override;
+  void OnRouters(const std::vector<daemon_id>& routers) override;
+  void OnContact(bool in_contact) override;
+
+ private:
+  // Runs `handle` as an event, with `out_` and `now_` set.
+  void Run(const std::function<void(time_point now)>& handle);
+  void TakeConfiguration(const std::string& document);
+  void TakeOutages(const std::set<data_centre_id>& out);
+  void SetShares();
+
+  const config::settings& settings_;
+  const routes::i_configuration_reader& reader_;
+  routing::request_router& router_;
+  i_logger& logger_;
+  event_runner run_;
+  control_links links_;
+  /// Set once started.
+  std::unique_ptr<control::router_client> client_;
+  std::set<data_centre_id> out_of_service_;
+  std::size_t routers_ = 0;
+  std::uint64_t version_ = 0;
+  bool in_contact_ = false;
+  // Of the event that is being handled.
+  routing::effects* out_ = nullptr;
+  time_point now_{};
+
+  mutable std::mutex mutex_;
+  // Guarded by `mutex_`.
+  std::shared_ptr<const routes::route_table> routes_;
+};
+
+}  // namespace burdocklock::app
--- a/src/app/internal/router_options.cc
+++ b/src/app/internal/router_options.cc
@@ -5,8 +5,20 @@
 
 namespace burdocklock::app {
 
+namespace {
+
+// Tries beyond the attempts that may have run: a target that did not run a
+// request costs only the way there.
+constexpr std::uint32_t kExtraTries = 2;
+// With routes, how long a call waits for a target of a service that has none.
+constexpr std::chrono::milliseconds kNoTargetWait{300};
+
+}  // namespace
+
 routing::router_options MakeRouterOptions(const config::settings& settings) {
   const config::timeout_settings& timeouts = settings.timeouts;
+  const bool routed = settings.interface == config::caller_interface::kRoutes;
+  const std::uint32_t attempts = settings.retries.max_attempts;
   return {
       .lifecycle = {.queue_timeout = timeouts.queue,
                     .connect_timeout = timeouts.connect,
@@ -15,21 +27,26 @@
                     .service_answer_timeout = timeouts.service_answer,
                     .between_tokens_timeout = timeouts.between_tokens,
                     .total_timeout = timeouts.total,
-                    .max_attempts = settings.retries.max_attempts},
+                    .max_attempts = attempts,
+                    .max_tries = attempts + (routed ? kExtraTries : 0)},
       .retries = {.ratio = settings.retries.budget_ratio,
                   .per_second = settings.retries.budget_per_second},
       .directory = {.local_data_centre = settings.data_centre,
                     .silence = timeouts.target_silence,
-                    .leased = true},
+                    .leased = !routed,
+                    .self = settings.daemon},
       .max_queued_per_customer = settings.limits.max_queued_per_customer,
       .max_queued_total = settings.limits.max_queued_total,
-      .no_target_wait = timeouts.target_silence,
+      .no_target_wait = routed ? duration(kNoTargetWait)
+                               : duration(timeouts.target_silence),
+      .reuse_for_all = routed,
   };
 }
 
 gateway::gateway_options MakeGatewayOptions(const config::settings& settings) {
   return {
       .listen = settings.callers,
+      .share_port = settings.limits.traffic_threads > 1,
       .max_connections = settings.limits.max_connections,
       .max_header_bytes = settings.limits.max_header_bytes,
       .max_body_bytes = settings.limits.max_body_bytes,
--- a/src/app/internal/status_report.cc
+++ b/src/app/internal/status_report.cc
@@ -44,8 +44,11 @@
 // of which it holds slots.
 std::vector<targets::target_view> control_loop::TargetViews(
     time_point now) const {
+  if (!node_) {
+    return router_.directory().View(now);
+  }
   std::vector<targets::target_view> views =
-      node_.coordinator().directory().View(now);
+      node_->coordinator().directory().View(now);
   for (targets::target_view& view : views) {
     view.limit = 0;
     view.in_flight = 0;
@@ -72,16 +75,14 @@
     ready += is_ready ? 1 : 0;
   }
   ordered_json out = ordered_json::array();
-  for (const membership::data_centre_order& order : node_.orders().All()) {
-    if (order.out) {
-      out.push_back(order.data_centre.value());
-    }
+  for (const data_centre_id& data_centre : router_.directory().OutOfService()) {
+    out.push_back(data_centre.value());
   }
   const ordered_json document = {
       {"daemon", settings_.daemon.value()},
       {"data_centre", settings_.data_centre.value()},
       {"region", settings_.region.value()},
-      {"state", IsDraining() ? "draining" : "ready"},
+      {"state", IsDraining() ? "draining" : IsReady() ? "ready" : "starting"},
       {"uptime_s", static_cast<std::int64_t>(ToSeconds(now - started_))},
       {"targets", targets.size()},
       {"targets_ready", ready},
@@ -92,7 +93,7 @@
       {"cut", totals.cut},
       {"caller_left", totals.caller_left},
       {"retries", totals.retries},
-      {"coordinator", node_.IsCoordinator()},
+      {"coordinator", node_ && node_->IsCoordinator()},
       {"data_centres_out", out}};
   return document.dump();
 }
@@ -108,7 +109,10 @@
 
 std::string control_loop::CustomersJson() {
   ordered_json list = ordered_json::array();
-  for (const auto& entry : node_.coordinator().Customers()) {
+  if (!node_) {
+    return ordered_json{{"customers", list}}.dump();
+  }
+  for (const auto& entry : node_->coordinator().Customers()) {
     list.push_back({{"customer", entry.customer.value()},
                     {"pool", entry.pool.value()},
                     {"share", entry.share},
@@ -116,7 +120,7 @@
                     {"running", entry.running},
                     {"weighted_service", entry.virtual_service}});
   }
-  return ordered_json{{"coordinator", node_.IsCoordinator()},
+  return ordered_json{{"coordinator", node_->IsCoordinator()},
                       {"customers", list}}
       .dump();
 }
@@ -124,9 +128,12 @@
 std::string control_loop::MembersJson() {
   ordered_json list = ordered_json::array();
   const time_point now = std::chrono::steady_clock::now();
-  for (const membership::member& member : node_.members().Alive(now)) {
+  if (!node_) {
+    return ordered_json{{"members", list}}.dump();
+  }
+  for (const membership::member& member : node_->members().Alive(now)) {
     const auto coordinator =
-        node_.members().Coordinator(member.data_centre, now);
+        node_->members().Coordinator(member.data_centre, now);
     list.push_back(
         {{"daemon", member.daemon.value()},
          {"incarnation", member.life.value()},
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,12 +1,15 @@
 // Command line of burdocklockd.
+#include <algorithm>
 #include <iostream>
 #include <string>
 
 #include <CLI/CLI.hpp>
 
+#include "app/control_host.h"
 #include "app/daemon.h"
 #include "config/config_reader.h"
 #include "framework/logging/boost_logger.h"
+#include "platform/platform_adapter.h"
 
 namespace {
 
@@ -22,24 +25,21 @@
   return exit_code;
 }
 
-int RunDaemon(const std::string& settings_path, bool check_only) {
-  auto settings = burdocklock::config::ReadSettings(settings_path);
-  if (!settings) {
-    return Fail(settings.error(), kExitBadConfig);
-  }
-  auto sheet = burdocklock::config::ReadSheet(settings.value().sheet_path);
-  if (!sheet) {
-    return Fail(sheet.error(), kExitBadConfig);
-  }
-  if (check_only) {
-    std::cout << settings_path << ": ok\n"
-              << settings.value().sheet_path << ": ok\n";
-    return kExitOk;
-  }
-  burdocklock::boost_logger logger({.path = settings.value().log.path,
-                                    .min_level = settings.value().log.level,
-                                    .daemon = settings.value().daemon.value()});
-  burdocklock::app::daemon daemon(settings.value(), sheet.value(), logger);
+using burdocklock::config::caller_interface;
+using burdocklock::config::role;
+using burdocklock::config::settings;
+
+bool HasRole(const settings& settings, role role) {
+  return std::find(settings.roles.begin(), settings.roles.end(), role) !=
+         settings.roles.end();
+}
+
+int RunRouter(const settings& settings,
+              const burdocklock::config::sheet& sheet,
+              burdocklock::i_logger& logger,
+              const burdocklock::app::i_interface_adapter* adapter,
+              const burdocklock::app::settings_source& reread) {
+  burdocklock::app::daemon daemon(settings, sheet, logger, adapter, reread);
   const auto run = daemon.Run([](const auto& addresses) {
     std::cout << "{\"callers\":\"" << ToString(addresses.callers)
               << "\",\"operators\":\"" << ToString(addresses.operators) << "\"}"
@@ -48,6 +48,55 @@
   return run ? kExitOk : Fail(run.error(), kExitCannotRun);
 }
 
+int RunControlHost(const settings& settings,
+                   burdocklock::i_logger& logger,
+                   const burdocklock::app::i_interface_adapter& adapter,
+                   const burdocklock::app::settings_source& reread) {
+  burdocklock::app::control_host host(settings, logger, adapter, reread);
+  const auto run = host.Run([&settings] {
+    std::cout << "{\"commands\":\"" << ToString(settings.commands) << "\"}"
+              << std::endl;
+  });
+  return run ? kExitOk : Fail(run.error(), kExitCannotRun);
+}
+
+int RunDaemon(const std::string& settings_path, bool check_only) {
+  auto read = burdocklock::config::ReadSettings(settings_path);
+  if (!read) {
+    return Fail(read.error(), kExitBadConfig);
+  }
+  const settings& settings = read.value();
+  const bool routed = settings.interface == caller_interface::kRoutes;
+  burdocklock::config::sheet sheet;
+  if (!routed) {
+    auto sheet_read = burdocklock::config::ReadSheet(settings.sheet_path);
+    if (!sheet_read) {
+      return Fail(sheet_read.error(), kExitBadConfig);
+    }
+    sheet = sheet_read.value();
+  }
+  if (check_only) {
+    std::cout << settings_path << ": ok\n";
+    if (!routed) {
+      std::cout << settings.sheet_path << ": ok\n";
+    }
+    return kExitOk;
+  }
+  burdocklock::boost_logger logger({.path = settings.log.path,
+                                    .min_level = settings.log.level,
+                                    .daemon = settings.daemon.value()});
+  if (!routed) {
+    return RunRouter(settings, sheet, logger, nullptr, {});
+  }
+  const burdocklock::platform::platform_adapter adapter;
+  const auto reread = [&settings_path] {
+    return burdocklock::config::ReadSettings(settings_path);
+  };
+  return HasRole(settings, role::kControl)
+             ? RunControlHost(settings, logger, adapter, reread)
+             : RunRouter(settings, sheet, logger, &adapter, reread);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
--- a/src/config/internal/checked_table.cc
+++ b/src/config/internal/checked_table.cc
@@ -68,6 +68,18 @@
   return node->as_string()->get();
 }
 
+std::optional<bool> checked_table::Boolean(std::string_view key) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) {
+    return std::nullopt;
+  }
+  if (!node->is_boolean()) {
+    Report(key, "must be true or false");
+    return std::nullopt;
+  }
+  return node->as_boolean()->get();
+}
+
 std::optional<double> checked_table::Number(std::string_view key) {
   const toml::node* node = Find(key);
   if (node == nullptr) {
--- a/src/config/internal/checked_table.h
+++ b/src/config/internal/checked_table.h
@@ -45,6 +45,7 @@
   double RequiredNumber(std::string_view key);
 
   std::optional<std::string> String(std::string_view key);
+  std::optional<bool> Boolean(std::string_view key);
   std::optional<double> Number(std::string_view key);
   std::optional<std::int64_t> Integer(std::string_view key,
                                       std::int64_t min,
--- a/src/config/internal/settings_reader.cc
+++ b/src/config/internal/settings_reader.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr char kStep[] = "read settings";
+constexpr double kMillisecondsPerSecond = 1000;
 constexpr std::int64_t kMaxMilliseconds = 24LL * 3600 * 1000;
 
 void ReadEndpoint(checked_table& table, std::string_view key, endpoint& out) {
@@ -87,6 +88,47 @@
   }
 }
 
+void ReadInterface(checked_table& root, settings& out) {
+  const std::string name = root.String("interface").value_or("openai");
+  if (name == "routes") {
+    out.interface = caller_interface::kRoutes;
+  } else if (name != "openai") {
+    root.Report("interface", "must be \"openai\" or \"routes\"");
+  }
+}
+
+void ReadControl(checked_table& root, settings& out) {
+  const toml::table* node = root.Table("control");
+  if (node == nullptr) {
+    return;
+  }
+  checked_table table(*node, "control", root.log());
+  control_settings& control = out.control;
+  for (const std::string& text : table.Strings("hosts")) {
+    const std::optional<endpoint> host = ParseEndpoint(text);
+    if (!host) {
+      table.Report("hosts", "must hold \"address:port\" strings");
+      break;
+    }
+    control.hosts.push_back(*host);
+  }
+  if (const auto port = table.Integer("link_port", 0, 65535)) {
+    control.link_port = static_cast<std::uint16_t>(*port);
+  }
+  if (control.link_port != 0) {
+    for (endpoint& host : control.hosts) {
+      host.port = control.link_port;
+    }
+  }
+  control.first_start = table.Boolean("first_start").value_or(false);
+  ReadCount(table, "tolerated_disk_losses", 0, 10,
+            control.tolerated_disk_losses);
+  for (const std::string& name : table.Strings("data_centres")) {
+    control.data_centres.emplace_back(name);
+  }
+  table.Finish();
+}
+
 void ReadListen(checked_table& root, settings& out) {
   const toml::table* node = root.Table("listen");
   if (node == nullptr) {
@@ -96,6 +138,8 @@
   ReadEndpoint(table, "callers", out.callers);
   ReadEndpoint(table, "operators", out.operators);
   ReadEndpoint(table, "peers", out.peer_listener);
+  ReadEndpoint(table, "readiness", out.readiness);
+  ReadEndpoint(table, "commands", out.commands);
   table.Finish();
 }
 
@@ -141,6 +185,8 @@
   checked_table table(*node, "limits", root.log());
   limit_settings& limits = out.limits;
   ReadCount(table, "traffic_threads", 1, 64, limits.traffic_threads);
+  limits.share_control_thread =
+      table.Boolean("share_control_thread").value_or(false);
   ReadCount(table, "max_connections", 1, 1'000'000, limits.max_connections);
   ReadCount(table, "max_header_bytes", 256, 1 << 20, limits.max_header_bytes);
   ReadCount(table, "max_body_bytes", 1, kMaxBytes, limits.max_body_bytes);
@@ -172,6 +218,10 @@
   ReadMilliseconds(table, "target_idle_ms", 1, timeouts.target_idle);
   ReadMilliseconds(table, "drain_notice_ms", 0, timeouts.drain_notice);
   ReadMilliseconds(table, "drain_deadline_ms", 0, timeouts.drain_deadline);
+  if (const auto seconds = table.Number("shutdown_s")) {
+    timeouts.shutdown = std::chrono::milliseconds(
+        static_cast<std::int64_t>(*seconds * kMillisecondsPerSecond));
+  }
   table.Finish();
 }
 
@@ -186,6 +236,11 @@
       table.Number("budget_ratio").value_or(out.retries.budget_ratio);
   out.retries.budget_per_second =
       table.Number("budget_per_second").value_or(out.retries.budget_per_second);
+  out.retries.fleet_budget =
+      table.Number("fleet_budget").value_or(out.retries.fleet_budget);
+  if (out.retries.fleet_budget < 0) {
+    table.Report("fleet_budget", "must not be negative");
+  }
   if (out.retries.budget_ratio < 0 || out.retries.budget_ratio > 1) {
     table.Report("budget_ratio", "must be between 0 and 1");
   }
@@ -200,8 +255,11 @@
   out.data_centre = data_centre_id(root.RequiredString("data_centre"));
   out.region = region_id(root.RequiredString("region"));
   out.data_folder = root.String("data_folder").value_or("");
-  const std::filesystem::path sheet = root.RequiredString("sheet");
-  out.sheet_path = (std::filesystem::path(file).parent_path() / sheet).string();
+  if (out.interface == caller_interface::kOpenai) {
+    const std::filesystem::path sheet = root.RequiredString("sheet");
+    out.sheet_path =
+        (std::filesystem::path(file).parent_path() / sheet).string();
+  }
 }
 
 }  // namespace
@@ -214,9 +272,11 @@
   problem_log log(kStep, file);
   checked_table root(parsed.value(), "", log);
   settings out;
+  ReadInterface(root, out);
   ReadIdentity(root, file, out);
   ReadRoles(root, out);
   ReadPeers(root, out);
+  ReadControl(root, out);
   ReadListen(root, out);
   ReadTokens(root, out);
   ReadLog(root, out);
--- a/src/config/types/settings.h
+++ b/src/config/types/settings.h
@@ -15,8 +15,16 @@
 
 enum class role { kRouter, kControl };
 
+/// How callers and targets speak to routers.
+enum class caller_interface {
+  /// OpenAI-style calls and plain services of the sheet.
+  kOpenai,
+  /// Routes of the configuration that the control hosts keep.
+  kRoutes,
+};
+
 struct log_settings {
-  /// Standard error if empty.
+  /// Standard error if empty, standard output if "stdout".
   std::string path;
   log_level level = log_level::kInfo;
   friend bool operator==(const log_settings&, const log_settings&) = default;
@@ -24,6 +32,9 @@
 
 struct limit_settings {
   std::uint32_t traffic_threads = 1;
+  /// Callers are served on the control thread instead, for hosts with less
+  /// than a core.
+  bool share_control_thread = false;
   std::uint32_t max_connections = 4096;
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint32_t max_body_bytes = 4 * 1024 * 1024;
@@ -62,6 +73,8 @@
   std::chrono::milliseconds drain_notice{0};
   /// After SIGTERM, streams still running after this time are cut.
   std::chrono::milliseconds drain_deadline{120'000};
+  /// If not 0, the whole shutdown must end in this time.
+  std::chrono::milliseconds shutdown{0};
   friend bool operator==(const timeout_settings&,
                          const timeout_settings&) = default;
 };
@@ -72,10 +85,30 @@
   double budget_ratio = 0.1;
   /// Retries allowed at any time on top of the ratio, per second.
   double budget_per_second = 2.0;
+  /// Retries that all routers together may save up, for each service; 0 leaves
+  /// it to each router.
+  double fleet_budget = 0;
   friend bool operator==(const retry_settings&,
                          const retry_settings&) = default;
 };
 
+/// How daemons find the control hosts that keep the operators' state.
+struct control_settings {
+  /// Addresses to begin with.
+  std::vector<endpoint> hosts;
+  /// If not 0, links are opened to this port of `hosts`.
+  std::uint16_t link_port = 0;
+  /// Only when the whole fleet starts for the first time: `hosts` are then the
+  /// first voters.
+  bool first_start = false;
+  /// Control hosts that may lose their disks at the same time.
+  std::uint32_t tolerated_disk_losses = 1;
+  /// Data centres that may be taken out of service.
+  std::vector<data_centre_id> data_centres;
+  friend bool operator==(const control_settings&,
+                         const control_settings&) = default;
+};
+
 struct settings {
   daemon_id daemon;
   data_centre_id data_centre;
@@ -87,6 +120,12 @@
   endpoint peer_listener;
   /// Peers to start from.
   std::vector<endpoint> peers;
+  caller_interface interface = caller_interface::kOpenai;
+  /// Where readiness is asked for; port 0 if only on the other listeners.
+  endpoint readiness;
+  /// Of a control host: where operators and targets call.
+  endpoint commands;
+  control_settings control;
   std::string data_folder;
   std::string sheet_path;
   /// Hashes of tokens that targets announce themselves with.
--- /dev/null
+++ b/src/control/control_node.h
@@ -0,0 +1,168 @@
+// A control host: its part of the replicated log, the targets it hears of, and
+// the routers and control hosts it is linked with.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control/i_control_commands.h"
+#include "control/i_control_port.h"
+#include "control/i_link_port.h"
+#include "control/link_set.h"
+#include "control/operator_state.h"
+#include "control/target_registry.h"
+#include "control/types/message.h"
+#include "framework/i_random.h"
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+#include "quorum/raft_node.h"
+
+namespace burdocklock::control {
+
+struct control_options {
+  daemon_id daemon;
+  /// Where control hosts are looked for first.
+  std::vector<endpoint> seeds;
+  /// Data centres that may be taken out of service.
+  std::vector<data_centre_id> data_centres;
+  quorum::raft_options raft;
+  link_options links;
+  /// Renewed targets are passed on this often; changes at once.
+  duration target_batch = std::chrono::milliseconds(500);
+  /// A command that is not committed in this time has no clear outcome.
+  duration command_timeout = std::chrono::seconds(2);
+  /// A follower leaves it to the leader for this long to tell routers.
+  duration follower_delay = std::chrono::milliseconds(250);
+  /// The log is cut short after so many entries, or so many bytes of commands.
+  std::size_t compact_entries = 64;
+  std::size_t compact_bytes = 4 * 1024 * 1024;
+};
+
+/// Deterministic state machine over its ports.
+///
+/// Invariants: a command is reported as done only once it is committed or was
+/// overtaken by what is committed; a read is answered only if nothing newer
+/// was acknowledged before it was asked.
+class control_node : public i_control_commands {
+ public:
+  control_node(control_options options,
+               quorum::durable_state recovered,
+               i_random& random,
+               i_link_port& links,
+               i_control_port& port,
+               time_point now);
+
+  void OnTick(time_point now);
+  [[nodiscard]] time_point NextDeadline() const;
+  void OnLinkUp(link_id link, time_point now);
+  void OnLinkDown(link_id link, time_point now);
+  void OnMessage(link_id link, const message& message, time_point now);
+  void OnDurable(quorum::batch_number batch, time_point now);
+  void SetSeeds(std::vector<endpoint> seeds, time_point now);
+  /// Must be called before a command, as commands carry no time.
+  void SetTime(time_point now) { now_ = now; }
+
+  // i_control_commands
+  void ReplaceConfiguration(std::uint64_t version,
+                            std::string document,
+                            command_done done) override;
+  void ReadConfiguration(command_done done) override;
+  void SetOutage(const data_centre_id& data_centre,
+                 bool out,
+                 command_done done) override;
+  void Announce(const targets::announcement& announcement) override;
+  void Withdraw(const target_id& target,
+                std::optional<incarnation> life) override;
+
+  [[nodiscard]] const quorum::raft_node& raft() const { return raft_; }
+  [[nodiscard]] const operator_state& state() const { return state_; }
+  [[nodiscard]] const target_registry& registry() const { return registry_; }
+  [[nodiscard]] std::size_t router_count() const;
+
+ private:
+  struct inbound_peer {
+    introduction described;
+    time_point last_heard;
+    bool is_router = false;
+    /// Contents of this revision are on their way.
+    state_revision sent;
+    /// Contents may be sent from this time on.
+    time_point contents_at{};
+  };
+  struct waiting_command {
+    quorum::term_number term;
+    time_point deadline;
+    command_done done;
+  };
+  struct waiting_read {
+    time_point deadline;
+    command_done done;
+  };
+
+  void Handle(link_id link, const introduction& m);
+  void Handle(link_id link, const state_update& m);
+  void Handle(link_id link, const target_news& m);
+  void Handle(link_id link, const quorum_envelope& m);
+
+  // Commands and reads (control_commands.cc).
+  void Propose(const operator_command& command, command_done done);
+  [[nodiscard]] command_outcome NotLeader() const;
+  void CompleteCommand(const quorum::log_entry& entry);
+  void CompleteReads(const std::vector<quorum::read_result>& reads);
+  void FailCommands();
+  void ExpireCommands();
+
+  void Drain();
+  void ApplyItem(const quorum::applied_item& item);
+  void CompactWhenLong();
+  void NoteChanges();
+  void SendQuorum(const quorum::outgoing_message& message);
+  void AskToJoin();
+  void SetWantedLinks();
+  [[nodiscard]] introduction Introduction() const;
+
+  void ExpectState();
+  void TellRouter(link_id link, inbound_peer& router);
+  void TellRoutersDue();
+  void TellTargets(const std::vector<targets::announcement>& changed);
+  void SendTargetBatch();
+  [[nodiscard]] std::vector<heard_target> AllTargets() const;
+  void ForgetSilentPeers();
+
+  control_options options_;
+  i_link_port& link_port_;
+  i_control_port& port_;
+  quorum::raft_node raft_;
+  link_set links_;
+  operator_state state_;
+  target_registry registry_;
+  time_point now_;
+
+  std::map<link_id, inbound_peer> inbound_;
+  /// When each router was last heard.
+  std::map<daemon_id, time_point> routers_;
+  std::map<quorum::log_index, waiting_command> commands_;
+  std::map<quorum::read_id, waiting_read> reads_;
+  quorum::read_id last_read_;
+  /// Renewed since the last batch: true if heard here.
+  std::map<target_id, bool> renewed_;
+
+  std::size_t entries_since_compaction_ = 0;
+  std::size_t bytes_since_compaction_ = 0;
+  time_point heartbeat_at_;
+  time_point targets_at_;
+  time_point join_at_;
+  time_point contents_at_ = kNever;
+  // What was last made known through the port.
+  quorum::raft_role known_role_ = quorum::raft_role::kFollower;
+  quorum::member_id known_leader_;
+  quorum::membership known_members_;
+  state_revision known_revision_;
+};
+
+}  // namespace burdocklock::control
--- /dev/null
+++ b/src/control/i_control_port.h
@@ -0,0 +1,35 @@
+// Port: what a control node needs beside links.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "control/i_control_commands.h"
+#include "control/target_registry.h"
+#include "control/types/message.h"
+#include "framework/types/error.h"
+#include "quorum/raft_node.h"
+
+namespace burdocklock::control {
+
+class i_control_port {
+ public:
+  virtual ~i_control_port() = default;
+
+  /// Writes records; `control_node::OnDurable` follows.
+  virtual void Store(quorum::batch_number batch,
+                     std::vector<quorum::storage_record> records) = 0;
+
+  // For the log and metrics.
+  virtual void OnRole(quorum::raft_role role,
+                      quorum::term_number term,
+                      const quorum::member_id& leader) = 0;
+  virtual void OnMembers(const quorum::membership& members) = 0;
+  virtual void OnState(state_revision revision,
+                       const state_contents& contents) = 0;
+  virtual void OnTarget(const targets::announcement& announcement,
+                        registry_result result) = 0;
+  virtual void OnProblem(const error& problem) = 0;
+};
+
+}  // namespace burdocklock::control
--- /dev/null
+++ b/src/control/internal/control_commands.cc
@@ -0,0 +1,126 @@
+// Operators' commands at a control node.
+#include <algorithm>
+#include <utility>
+
+#include "control/control_node.h"
+
+namespace burdocklock::control {
+
+command_outcome control_node::NotLeader() const {
+  command_outcome outcome{.status = command_status::kNotLeader};
+  const quorum::member* leader = raft_.FindMember(raft_.leader());
+  if (leader != nullptr && leader->id != raft_.self()) {
+    outcome.leader = leader->commands;
+  }
+  return outcome;
+}
+
+void control_node::Propose(const operator_command& command,
+                           command_done done) {
+  const auto accepted = raft_.Propose(EncodeCommand(command), now_);
+  if (!accepted) {
+    done(NotLeader());
+    return;
+  }
+  commands_[accepted->index] = {.term = accepted->term,
+                                .deadline = now_ + options_.command_timeout,
+                                .done = std::move(done)};
+  Drain();
+}
+
+void control_node::ReplaceConfiguration(std::uint64_t version,
+                                        std::string document,
+                                        command_done done) {
+  if (version > state_.contents().version) {
+    Propose(set_configuration{.version = version,
+                              .document = std::move(document)},
+            std::move(done));
+    return;
+  }
+  // Overtaken: nothing changes, but this host must be sure of what it holds.
+  ReadConfiguration([done = std::move(done)](const command_outcome& read) {
+    done({.status = read.status, .leader = read.leader});
+  });
+}
+
+void control_node::SetOutage(const data_centre_id& data_centre,
+                             bool out,
+                             command_done done) {
+  const auto& known = options_.data_centres;
+  if (std::find(known.begin(), known.end(), data_centre) == known.end()) {
+    done({.status = command_status::kNoSuchPlace});
+    return;
+  }
+  Propose(set_outage{.data_centre = data_centre, .out = out},
+          std::move(done));
+}
+
+void control_node::ReadConfiguration(command_done done) {
+  last_read_ = quorum::read_id(last_read_.value() + 1);
+  // Before the request, as the answer may come at once.
+  reads_[last_read_] = {.deadline = now_ + options_.command_timeout,
+                        .done = std::move(done)};
+  if (!raft_.RequestRead(last_read_, now_)) {
+    const auto node = reads_.extract(last_read_);
+    node.mapped().done(NotLeader());
+    return;
+  }
+  Drain();
+}
+
+void control_node::CompleteCommand(const quorum::log_entry& entry) {
+  const auto found = commands_.find(entry.index);
+  if (found == commands_.end()) {
+    return;
+  }
+  const auto node = commands_.extract(found);
+  const bool own = node.mapped().term == entry.term;
+  node.mapped().done({.status = own ? command_status::kDone
+                                    : command_status::kUnknown});
+}
+
+void control_node::CompleteReads(
+    const std::vector<quorum::read_result>& reads) {
+  for (const quorum::read_result& read : reads) {
+    const auto found = reads_.find(read.id);
+    if (found == reads_.end()) {
+      continue;
+    }
+    const auto node = reads_.extract(found);
+    if (read.sure) {
+      node.mapped().done({.status = command_status::kDone,
+                          .document = state_.contents().document});
+    } else {
+      node.mapped().done({.status = command_status::kUnknown});
+    }
+  }
+}
+
+void control_node::FailCommands() {
+  for (auto& [index, command] : std::exchange(commands_, {})) {
+    command.done({.status = command_status::kUnknown});
+  }
+}
+
+void control_node::ExpireCommands() {
+  std::vector<command_done> expired;
+  std::erase_if(commands_, [&](auto& command) {
+    if (command.second.deadline > now_) {
+      return false;
+    }
+    expired.push_back(std::move(command.second.done));
+    return true;
+  });
+  std::erase_if(reads_, [&](auto& read) {
+    if (read.second.deadline > now_) {
+      return false;
+    }
+    expired.push_back(std::move(read.second.done));
+    return true;
+  });
+  for (const command_done& done : expired) {
+    done({.status = command_status::kUnknown});
+  }
+}
+
+}  // namespace burdocklock::control
--- /dev/null
+++ b/src/control/internal/message_codec.cc
@@ -0,0 +1,122 @@
+// See the header.
+#include "control/message_codec.h"
+
+#include <exception>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "framework/codec/cbor_types.h"
+#include "quorum/quorum_codec.h"
+#include "targets/announcement_codec.h"
+
+namespace burdocklock::control {
+
+using nlohmann::json;
+
+void to_json(json& j, const state_contents& c) {
+  j = json::array({c.version, c.document, c.out});
+}
+void from_json(const json& j, state_contents& c) {
+  j.at(0).get_to(c.version);
+  j.at(1).get_to(c.document);
+  j.at(2).get_to(c.out);
+}
+
+void to_json(json& j, const heard_target& t) {
+  j = json::array({t.announced, t.age_ms});
+}
+void from_json(const json& j, heard_target& t) {
+  j.at(0).get_to(t.announced);
+  j.at(1).get_to(t.age_ms);
+}
+
+namespace {
+
+constexpr char kIntroduction[] = "i";
+constexpr char kStateUpdate[] = "s";
+constexpr char kTargetNews[] = "t";
+constexpr char kQuorum[] = "q";
+
+template <typename T>
+json OrNull(const std::optional<T>& value) {
+  return value ? json(*value) : json();
+}
+
+template <typename T>
+void ReadOptional(const json& j, std::optional<T>& value) {
+  if (!j.is_null()) {
+    value = j.get<T>();
+  }
+}
+
+struct encoder {
+  json operator()(const introduction& m) const {
+    return json::array({kIntroduction, m.daemon, OrNull(m.member), m.held});
+  }
+  json operator()(const state_update& m) const {
+    return json::array({kStateUpdate, m.revision, m.current,
+                        OrNull(m.contents), m.control_hosts, m.routers});
+  }
+  json operator()(const target_news& m) const {
+    return json::array({kTargetNews, m.targets});
+  }
+  json operator()(const quorum_envelope& m) const {
+    return json::array({kQuorum, m.from, m.to, m.contents});
+  }
+};
+
+message Read(const json& j) {
+  const auto& kind = j.at(0).get_ref<const std::string&>();
+  if (kind == kIntroduction) {
+    introduction m;
+    j.at(1).get_to(m.daemon);
+    ReadOptional(j.at(2), m.member);
+    j.at(3).get_to(m.held);
+    return m;
+  }
+  if (kind == kStateUpdate) {
+    state_update m;
+    j.at(1).get_to(m.revision);
+    j.at(2).get_to(m.current);
+    ReadOptional(j.at(3), m.contents);
+    j.at(4).get_to(m.control_hosts);
+    j.at(5).get_to(m.routers);
+    return m;
+  }
+  if (kind == kTargetNews) {
+    target_news m;
+    j.at(1).get_to(m.targets);
+    return m;
+  }
+  if (kind == kQuorum) {
+    quorum_envelope m;
+    j.at(1).get_to(m.from);
+    j.at(2).get_to(m.to);
+    j.at(3).get_to(m.contents);
+    return m;
+  }
+  throw std::out_of_range("kind of message");
+}
+
+}  // namespace
+
+std::string Encode(const message& message) {
+  std::string bytes;
+  json::to_cbor(std::visit(encoder{}, message), bytes);
+  return bytes;
+}
+
+result<message> Decode(const std::string& bytes) {
+  // nlohmann::json reports malformed input by exception only.
+  try {
+    return Read(json::from_cbor(bytes));
+  } catch (const std::exception& problem) {
+    return error{.code = error_code::kMalformed,
+                 .step = "decode control message",
+                 .peer = {},
+                 .detail = problem.what()};
+  }
+}
+
+}  // namespace burdocklock::control
--- /dev/null
+++ b/src/control/internal/target_registry.cc
@@ -0,0 +1,87 @@
+// See the header.
+#include "control/target_registry.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace burdocklock::control {
+
+using targets::announcement;
+
+namespace {
+
+// Longer than any announcement may be late.
+constexpr std::chrono::minutes kRetention{2};
+
+bool IsStale(const announcement& known, const announcement& news) {
+  if (news.life != known.life) {
+    return news.life < known.life;
+  }
+  return news.sequence <= known.sequence;
+}
+
+// Routers decide by these; the rest can wait for the next batch.
+bool MattersAtOnce(const announcement& known, const announcement& news) {
+  const bool turned_cold =
+      news.cold_for.value_or(std::chrono::milliseconds(0)) >
+      known.cold_for.value_or(std::chrono::milliseconds(0));
+  return news.life != known.life || news.state != known.state ||
+         news.address != known.address || news.pools != known.pools ||
+         news.slots != known.slots || turned_cold;
+}
+
+}  // namespace
+
+registry_result target_registry::Update(const announcement& announcement,
+                                        time_point heard) {
+  const auto [found, added] = entries_.try_emplace(
+      announcement.target,
+      registry_entry{.announced = announcement, .heard = heard});
+  if (added) {
+    return registry_result::kChanged;
+  }
+  registry_entry& known = found->second;
+  if (IsStale(known.announced, announcement)) {
+    return registry_result::kStale;
+  }
+  const bool changed = MattersAtOnce(known.announced, announcement);
+  known.announced = announcement;
+  known.heard = std::max(known.heard, heard);
+  return changed ? registry_result::kChanged : registry_result::kRenewed;
+}
+
+std::optional<announcement> target_registry::Withdraw(
+    const target_id& target,
+    std::optional<incarnation> life,
+    time_point now) {
+  const auto found = entries_.find(target);
+  if (found == entries_.end()) {
+    return std::nullopt;
+  }
+  registry_entry& known = found->second;
+  const bool other_life = life && *life != known.announced.life;
+  if (other_life || known.announced.sequence == targets::kLastSequence) {
+    return std::nullopt;
+  }
+  known.announced.state = targets::target_state::kLeaving;
+  known.announced.sequence = targets::kLastSequence;
+  known.heard = now;
+  return known.announced;
+}
+
+void target_registry::Expire(time_point now) {
+  std::erase_if(entries_, [now](const auto& entry) {
+    return now - entry.second.heard >= kRetention;
+  });
+}
+
+std::vector<registry_entry> target_registry::All() const {
+  std::vector<registry_entry> all;
+  all.reserve(entries_.size());
+  for (const auto& [target, entry] : entries_) {
+    all.push_back(entry);
+  }
+  return all;
+}
+
+}  // namespace burdocklock::control
--- /dev/null
+++ b/src/control/message_codec.h
@@ -0,0 +1,16 @@
+// CBOR form of control messages.
+#pragma once
+
+#include <string>
+
+#include "control/types/message.h"
+#include "framework/types/error.h"
+
+namespace burdocklock::control {
+
+std::string Encode(const message& message);
+/// Fails if the bytes are not a message; members that are not known are
+/// ignored.
+result<message> Decode(const std::string& bytes);
+
+}  // namespace burdocklock::control
--- /dev/null
+++ b/src/control/operator_state.h
@@ -0,0 +1,51 @@
+// What operators have decided, as the replicated log builds it up.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "control/types/message.h"
+#include "framework/types/error.h"
+
+namespace burdocklock::control {
+
+/// Takes effect if the version is higher than the one held.
+struct set_configuration {
+  std::uint64_t version = 0;
+  std::string document;
+};
+
+/// Takes a data centre out of service, or back in.
+struct set_outage {
+  data_centre_id data_centre;
+  bool out = false;
+};
+
+using operator_command = std::variant<set_configuration, set_outage>;
+
+std::string EncodeCommand(const operator_command& command);
+
+/// Deterministic: the same commands in the same order build the same state.
+///
+/// Invariant: the version never decreases, and the document held under a
+/// version never changes.
+class operator_state {
+ public:
+  /// Applies the command at that position of the log; fails if the bytes are
+  /// not a command.
+  result<void> Apply(state_revision position, const std::string& command);
+  /// Replaces everything by an encoded state.
+  result<void> Restore(const std::string& encoded);
+  [[nodiscard]] std::string Encode() const;
+
+  [[nodiscard]] const state_contents& contents() const { return contents_; }
+  /// Position of the last command that changed something.
+  [[nodiscard]] state_revision revision() const { return revision_; }
+
+ private:
+  state_contents contents_;
+  state_revision revision_;
+};
+
+}  // namespace burdocklock::control
--- /dev/null
+++ b/src/control/router_client.h
@@ -0,0 +1,81 @@
+// A router's links to the control hosts, and what it holds of their state.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "control/i_link_port.h"
+#include "control/i_router_view.h"
+#include "control/link_set.h"
+#include "control/types/message.h"
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+
+namespace burdocklock::control {
+
+struct router_client_options {
+  daemon_id daemon;
+  /// Where control hosts are looked for first.
+  std::vector<endpoint> seeds;
+  link_options links;
+  /// A router that holds nothing takes a state of which no control host is
+  /// certain only after this time.
+  duration uncertain_wait = std::chrono::seconds(2);
+};
+
+/// Deterministic state machine over its ports.
+///
+/// Invariant: the revision that the view is told never decreases.
+class router_client {
+ public:
+  router_client(router_client_options options,
+                i_link_port& links,
+                i_router_view& view,
+                time_point now);
+
+  void OnTick(time_point now);
+  [[nodiscard]] time_point NextDeadline() const { return heartbeat_at_; }
+  void OnLinkUp(link_id link, time_point now);
+  void OnLinkDown(link_id link, time_point now);
+  void OnMessage(link_id link, const message& message, time_point now);
+  void SetSeeds(std::vector<endpoint> seeds, time_point now);
+
+  [[nodiscard]] state_revision held() const { return held_; }
+  [[nodiscard]] bool InContact(time_point now) const {
+    return links_.AnyHeard(now);
+  }
+
+ private:
+  struct candidate {
+    state_revision revision;
+    state_contents contents;
+    time_point since;
+  };
+
+  void Handle(const introduction& m, time_point now);
+  void Handle(const state_update& m, time_point now);
+  void Handle(const target_news& m, time_point now);
+  void Handle(const quorum_envelope& m, time_point now);
+  void Take(state_revision revision,
+            const state_contents& contents,
+            bool current);
+  void IntroduceToAll();
+  void SetWantedLinks(time_point now);
+  void NoteContact(time_point now);
+
+  router_client_options options_;
+  i_link_port& port_;
+  i_router_view& view_;
+  link_set links_;
+  time_point started_;
+  time_point heartbeat_at_;
+  state_revision held_;
+  /// The newest state that was told by a host not certain of it.
+  std::optional<candidate> candidate_;
+  std::set<endpoint> control_hosts_;
+  std::vector<daemon_id> routers_;
+  bool in_contact_ = false;
+};
+
+}  // namespace burdocklock::control
--- a/src/fleet/internal/fleet_node.cc
+++ b/src/fleet/internal/fleet_node.cc
@@ -109,7 +109,7 @@
                              routing::effects& out) {
   const bool is_out =
       orders_.IsOut(data_centre) || planned_out_.contains(data_centre);
-  coordinator_.SetDataCentreOut(data_centre, is_out);
+  coordinator_.SetDataCentreOut(data_centre, is_out, now);
   router_.SetDataCentreOut(data_centre, is_out, now, out);
   if (is_coordinator_) {
     coordinator_.Allocate(now);
--- a/src/fleet/tests/fake_fleet.h
+++ b/src/fleet/tests/fake_fleet.h
@@ -47,7 +47,7 @@
       options.lifecycle.total_timeout = seconds(20'000);
       options.no_target_wait = seconds(10'000);
       router = std::make_unique<routing::request_router>(options, fleet.random,
-                                                         *this, fleet.now);
+                                                         *this);
       fleet_options node_options{.self = self,
                                  .peer_count = fleet.data_centres.size() - 1};
       node_options.coordinator.directory.local_data_centre = self.data_centre;
--- a/src/framework/logging/boost_logger.h
+++ b/src/framework/logging/boost_logger.h
@@ -9,7 +9,7 @@
 namespace burdocklock {
 
 struct boost_logger_options {
-  /// File to append to; standard error if empty.
+  /// File to append to; standard error if empty, standard output if "stdout".
   std::string path;
   log_level min_level = log_level::kInfo;
   /// Value of the "daemon" field of each line; left out if empty.
--- a/src/framework/logging/internal/boost_logger.cc
+++ b/src/framework/logging/internal/boost_logger.cc
@@ -10,6 +10,8 @@
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -21,7 +23,16 @@
 namespace {
 
 using log_backend = boost::log::sinks::text_ostream_backend;
-using log_sink = boost::log::sinks::asynchronous_sink<log_backend>;
+// Lines that the sink cannot take in time are dropped, so that logging never
+// blocks and its memory is bounded.
+constexpr std::size_t kMaxQueuedLines = 8192;
+using log_sink = boost::log::sinks::asynchronous_sink<
+    log_backend,
+    boost::log::sinks::bounded_fifo_queue<
+        kMaxQueuedLines,
+        boost::log::sinks::drop_on_overflow>>;
+
+constexpr std::string_view kStandardOutput = "stdout";
 
 const char* LevelName(log_level level) {
   switch (level) {
@@ -83,7 +94,10 @@
     : state_(std::make_unique<state>()) {
   state_->options = std::move(options);
   auto backend = boost::make_shared<log_backend>();
-  if (state_->options.path.empty()) {
+  if (state_->options.path == kStandardOutput) {
+    backend->add_stream(
+        boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+  } else if (state_->options.path.empty()) {
     backend->add_stream(
         boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
   } else {
--- a/src/framework/net/http_client.h
+++ b/src/framework/net/http_client.h
@@ -1,8 +1,10 @@
 // HTTP/1.1 client connection on fibers.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,6 +41,9 @@
   [[nodiscard]] bool AtEnd() const;
   /// True if the connection can carry another request.
   [[nodiscard]] bool Reusable() const;
+  /// How long the peer keeps the connection idle, by the last answer's
+  /// Keep-Alive field; nullopt if it did not say.
+  [[nodiscard]] std::optional<std::chrono::seconds> idle_limit() const;
   /// True if nothing arrived on the idle connection and it is not closed.
   [[nodiscard]] bool IsQuiet();
 
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <unordered_set>
 
@@ -40,14 +41,21 @@
   virtual void OnBadRequest(http_connection& connection, error_code code) = 0;
 };
 
-struct http_server_options {
-  endpoint listen;
-  /// Lets several threads listen on one port.
-  bool share_port = false;
+/// Bounds on what callers may send.
+struct http_limits {
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint32_t max_body_bytes = 4 * 1024 * 1024;
   duration idle_timeout = std::chrono::seconds(60);
   duration read_timeout = std::chrono::seconds(15);
+};
+
+struct http_server_options {
+  endpoint listen;
+  /// Lets several threads listen on one port.
+  bool share_port = false;
+  http_limits limits;
+  /// If set, asked before each request instead of `limits`.
+  std::function<http_limits()> current_limits;
   duration write_timeout = std::chrono::seconds(30);
   std::uint32_t max_connections = 4096;
   /// Open connections, counted over all servers that share it.
--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -2,6 +2,7 @@
 #include "framework/net/http_client.h"
 
 #include <array>
+#include <charconv>
 #include <optional>
 
 #include <boost/asio/buffer.hpp>
@@ -167,6 +168,25 @@
          state_->stream.socket().is_open() && state_->buffer.size() == 0;
 }
 
+std::optional<std::chrono::seconds> http_client::idle_limit() const {
+  if (!state_->parser) {
+    return std::nullopt;
+  }
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view field =
+      state_->parser->get()[http::field::keep_alive];
+  const std::size_t at = field.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = field.substr(at + kTimeout.size());
+  std::int64_t seconds = 0;
+  const auto [rest, problem] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return problem == std::errc() ? std::optional(std::chrono::seconds(seconds))
+                                : std::nullopt;
+}
+
 bool http_client::IsQuiet() {
   auto& socket = state_->stream.socket();
   if (!socket.is_open()) {
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -186,21 +186,23 @@
 
 std::optional<http_request> http_server::state::ReadRequest(
     http_connection& connection) {
+  const http_limits limits =
+      options.current_limits ? options.current_limits() : options.limits;
   request_parser parser;
-  parser.header_limit(options.max_header_bytes);
-  parser.body_limit(options.max_body_bytes);
+  parser.header_limit(limits.max_header_bytes);
+  parser.body_limit(limits.max_body_bytes);
   if (connection.buffer.size() == 0) {
     // Waits for the first byte only, so that idle and slow callers differ.
-    connection.stream.expires_after(options.idle_timeout);
+    connection.stream.expires_after(limits.idle_timeout);
     const auto first = connection.stream.async_read_some(
-        connection.buffer.prepare(options.max_header_bytes), use_fiber);
+        connection.buffer.prepare(limits.max_header_bytes), use_fiber);
     if (first.ec || first.value == 0) {
       return std::nullopt;
     }
     connection.buffer.commit(first.value);
   }
   connection.idle = false;
-  connection.stream.expires_after(options.read_timeout);
+  connection.stream.expires_after(limits.read_timeout);
   const auto header = http::async_read_header(
       connection.stream, connection.buffer, parser, use_fiber);
   if (header.ec) {
--- a/src/gateway/caller_handler.h
+++ b/src/gateway/caller_handler.h
@@ -6,6 +6,7 @@
 #include "framework/net/http_server.h"
 #include "gateway/i_control.h"
 #include "gateway/internal/attempt_runner.h"
+#include "gateway/internal/call_service.h"
 #include "gateway/types/gateway_options.h"
 
 namespace burdocklock::gateway {
@@ -35,6 +36,7 @@
                          refusals::refusal refusal);
 
   traffic_context& context_;
+  call_service calls_;
   const gateway_options& options_;
 };
 
--- a/src/gateway/i_control.h
+++ b/src/gateway/i_control.h
@@ -11,6 +11,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "refusals/types/refusal.h"
+#include "routes/route_table.h"
 #include "routing/types/attempt.h"
 #include "routing/types/effect.h"
 #include "routing/types/request.h"
@@ -22,6 +23,7 @@
 using exchange_order = std::variant<routing::start_attempt,
                                     routing::cancel_attempt,
                                     routing::refuse_request,
+                                    routing::pass_on_failure,
                                     routing::cut_answer>;
 
 /// The traffic side of one request. Each `start_attempt` is answered by
@@ -59,6 +61,9 @@
   [[nodiscard]] virtual std::string RefusalName(refusal_seq refusal) const = 0;
   [[nodiscard]] virtual std::shared_ptr<const config::sheet_index> Sheet()
       const = 0;
+  /// The routes in force; nullptr until they are known.
+  [[nodiscard]] virtual std::shared_ptr<const routes::route_table> Routes()
+      const = 0;
   [[nodiscard]] virtual bool IsDraining() const = 0;
 
   virtual void Submit(const routing::request_spec& spec,
--- a/src/gateway/internal/answer_writer.cc
+++ b/src/gateway/internal/answer_writer.cc
@@ -22,8 +22,6 @@
 namespace http = net::http;
 
 constexpr unsigned kHttp11 = 11;
-constexpr char kRequestIdField[] = "X-Request-Id";
-
 // Fields that concern one connection only (RFC 9110, 7.6.1), or that are
 // written anew.
 bool IsForwarded(http::field field) {
@@ -47,23 +45,31 @@
 answer_writer::answer_writer(net::http_connection& connection,
                              const net::http_request& request,
                              std::string request_name,
-                             bool keep_alive)
+                             bool keep_alive,
+                             const i_target_dialect& dialect)
     : connection_(connection),
       version_(request.version()),
       request_name_(std::move(request_name)),
-      keep_alive_(keep_alive) {}
+      keep_alive_(keep_alive),
+      dialect_(dialect) {}
 
 net::keep_alive answer_writer::keep_alive() const {
   return keep_alive_ && !failed_ ? net::keep_alive::kYes : net::keep_alive::kNo;
 }
 
 bool answer_writer::Write(net::http_response& response) {
-  response.set(kRequestIdField, request_name_);
+  SetName(response);
   response.keep_alive(keep_alive_);
   started_ = true;
   return Check(connection_.Write(response));
 }
 
+void answer_writer::SetName(http::fields& fields) const {
+  if (!request_name_.empty()) {
+    fields.set(dialect_.name_field(), request_name_);
+  }
+}
+
 bool answer_writer::Check(bool ok) {
   failed_ |= !ok;
   return ok;
@@ -73,20 +79,25 @@
                                std::string body) {
   net::http_response response(http::int_to_status(head.status), version_);
   response.result(head.status);
+  CopyFields(head, response);
+  response.body() = std::move(body);
+  return Write(response);
+}
+
+void answer_writer::CopyFields(const net::http_response_head& head,
+                               http::fields& fields) {
   for (const auto& field : head.fields) {
-    if (IsForwarded(field.name()) && field.name_string() != kRequestIdField) {
-      response.insert(field.name_string(), field.value());
+    if (IsForwarded(field.name())) {
+      fields.insert(field.name_string(), field.value());
     }
   }
-  response.body() = std::move(body);
-  return Write(response);
 }
 
-bool answer_writer::BeginStream() {
+bool answer_writer::BeginStream(const net::http_response_head& head) {
   http::response<http::empty_body> response(http::status::ok, version_);
-  response.set(http::field::content_type, "text/event-stream");
+  CopyFields(head, response);
   response.set(http::field::cache_control, "no-cache");
-  response.set(kRequestIdField, request_name_);
+  SetName(response);
   if (version_ >= kHttp11) {
     response.chunked(true);
   } else {
@@ -116,12 +127,11 @@
 
 bool answer_writer::WriteProblem(const refusals::refusal& refusal,
                                  const std::string& refusal_name) {
-  net::http_response response(http::int_to_status(HttpStatus(refusal.reason)),
-                              version_);
+  net::http_response response(
+      http::int_to_status(HttpStatus(refusal.reason, refusal.run)), version_);
   response.set(http::field::content_type, "application/problem+json");
   if (refusal.retry_after) {
-    response.set(http::field::retry_after,
-                 std::to_string(refusal.retry_after->count()));
+    response.set(http::field::retry_after, RetryAfter(*refusal.retry_after));
   }
   if (refusal.reason == refusals::refusal_reason::kUnknownKey) {
     response.set(http::field::www_authenticate, "Bearer");
@@ -131,8 +141,24 @@
   return Write(response);
 }
 
+std::string answer_writer::RetryAfter(std::chrono::milliseconds wait) const {
+  constexpr std::int64_t kMillisecondsPerSecond = 1000;
+  if (dialect_.fractional_retry_after()) {
+    std::string text = std::to_string(wait.count() % kMillisecondsPerSecond);
+    text.insert(0, 3 - text.size(), '0');
+    return std::to_string(wait.count() / kMillisecondsPerSecond) + "." + text;
+  }
+  // Rounded up, as an early return would be in vain.
+  return std::to_string((wait.count() + kMillisecondsPerSecond - 1) /
+                        kMillisecondsPerSecond);
+}
+
 bool answer_writer::WriteCut(const refusals::refusal& refusal,
                              const std::string& refusal_name) {
+  if (!dialect_.announces_cuts()) {
+    keep_alive_ = false;
+    return true;
+  }
   const std::string event = "event: error\ndata: " +
                             FormatProblem(refusal, {.refusal = refusal_name,
                                                     .request = request_name_}) +
--- a/src/gateway/internal/answer_writer.h
+++ b/src/gateway/internal/answer_writer.h
@@ -1,11 +1,14 @@
 // Writes the one answer of a request to its caller.
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "framework/net/http_client.h"
 #include "framework/net/http_server.h"
+#include "gateway/i_target_dialect.h"
 #include "refusals/types/refusal.h"
 
 namespace burdocklock::gateway {
@@ -17,15 +20,18 @@
   answer_writer(net::http_connection& connection,
                 const net::http_request& request,
                 std::string request_name,
-                bool keep_alive);
+                bool keep_alive,
+                const i_target_dialect& dialect);
 
   bool WriteWhole(const net::http_response_head& head, std::string body);
-  bool BeginStream();
+  /// Begins a stream with the target's status and fields.
+  bool BeginStream(const net::http_response_head& head);
   bool WriteEvents(std::string_view events);
   bool EndStream();
   bool WriteProblem(const refusals::refusal& refusal,
                     const std::string& refusal_name);
-  /// Ends a stream with an error event, so that it cannot be taken for whole.
+  /// Breaks a stream off so that it cannot be taken for whole: with an error
+  /// event if the dialect has one, and without its end.
   bool WriteCut(const refusals::refusal& refusal,
                 const std::string& refusal_name);
 
@@ -33,15 +39,26 @@
   [[nodiscard]] bool started() const { return started_; }
   [[nodiscard]] bool failed() const { return failed_; }
   [[nodiscard]] net::keep_alive keep_alive() const;
+  /// Id of the last event passed on, where events have ids.
+  [[nodiscard]] const std::string& last_event_id() const {
+    return last_event_id_;
+  }
+  void SetLastEventId(std::string id) { last_event_id_ = std::move(id); }
 
  private:
   bool Write(net::http_response& response);
+  void SetName(net::http::fields& fields) const;
+  static void CopyFields(const net::http_response_head& head,
+                         net::http::fields& fields);
+  [[nodiscard]] std::string RetryAfter(std::chrono::milliseconds wait) const;
   bool Check(bool ok);
 
   net::http_connection& connection_;
   unsigned version_;
   std::string request_name_;
   bool keep_alive_;
+  const i_target_dialect& dialect_;
+  std::string last_event_id_;
   bool started_ = false;
   bool failed_ = false;
 };
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -4,10 +4,6 @@
 #include <array>
 #include <chrono>
 
-#include <boost/beast/core/string.hpp>
-
-#include "gateway/sse_scanner.h"
-
 namespace burdocklock::gateway {
 
 using routing::attempt_completed;
@@ -18,13 +14,12 @@
 
 namespace {
 
-constexpr char kRequestIdField[] = "X-Request-Id";
-constexpr char kAdmittedField[] = "X-Admitted";
-constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kOk = 200;
 // Time for a target to end its stream properly after the closing event.
 constexpr std::chrono::seconds kStreamTailTimeout{1};
 constexpr std::size_t kReadBytes = 32 * 1024;
+// Answers to earlier requests that may precede the right one.
+constexpr int kMaxOtherAnswers = 2;
 
 bool IsEventStream(const net::http_response_head& head) {
   return head.fields[net::http::field::content_type].starts_with(
@@ -65,6 +60,7 @@
     link_ = context_.links.Take(order_.address, order_.life);
   }
   if (link_) {
+    reused_link_ = true;
     return std::nullopt;
   }
   link_ = std::make_unique<net::http_client>(context_.io);
@@ -83,6 +79,14 @@
   sent_ = true;
   Report(routing::attempt_sending{});
   net::http_request request = call_.request;
+  attempt_terms terms{.target = order_.target};
+  if (call_.deadline) {
+    terms.time_left = *call_.deadline - std::chrono::steady_clock::now();
+  }
+  if (order_.resumes) {
+    terms.resume_after = writer_.last_event_id();
+  }
+  context_.dialect.Prepare(terms, request);
   const result<void> sent = link_->Send(request);
   if (!sent) {
     return FailFrom(sent.error());
@@ -91,44 +95,62 @@
 }
 
 attempt_event attempt_runner::Receive() {
-  const auto head = link_->ReadHead(context_.max_answer_bytes);
-  if (!head) {
-    return FailFrom(head.error());
-  }
-  if (auto failure = CheckHead(head.value())) {
-    return *failure;
-  }
-  if (call_.spec.kind == call_kind::kStreamedGeneration &&
-      head.value().status == kOk && IsEventStream(head.value())) {
-    return RelayStream();
+  for (int others = 0; others <= kMaxOtherAnswers; ++others) {
+    const auto head = link_->ReadHead(context_.max_answer_bytes);
+    if (!head) {
+      return FailFrom(head.error());
+    }
+    const head_verdict verdict = context_.dialect.Judge(head.value(), call_);
+    if (verdict == head_verdict::kOtherRequest && reused_link_) {
+      std::string skipped;
+      if (auto failure = ReadBody(skipped)) {
+        return *failure;
+      }
+      continue;
+    }
+    if (verdict == head_verdict::kFailure) {
+      return KeepFailure(head.value());
+    }
+    if (auto failure = CheckHead(verdict, head.value())) {
+      return *failure;
+    }
+    if (call_.spec.kind == call_kind::kStreamedGeneration &&
+        head.value().status == kOk && IsEventStream(head.value())) {
+      return RelayStream(head.value());
+    }
+    return ReceiveWhole(head.value());
   }
-  Report(routing::attempt_first_output{});
-  return ReceiveWhole(head.value());
+  return Fail(failure_kind::kWrongAnswer, "read head",
+              "only answers to other requests");
 }
 
 std::optional<attempt_failed> attempt_runner::CheckHead(
+    head_verdict verdict,
     const net::http_response_head& head) const {
-  const auto named = head.fields[kRequestIdField];
-  if (named != call_.request_name) {
-    return Fail(failure_kind::kWrongAnswer, "read head",
-                "answer names request \"" + std::string(named) + "\"");
+  const std::string status = "status " + std::to_string(head.status);
+  switch (verdict) {
+    case head_verdict::kAnswer:
+      break;
+    case head_verdict::kNotAdmitted:
+      return Fail(failure_kind::kNotAdmitted, "read head", status);
+    case head_verdict::kOtherTarget:
+      return Fail(failure_kind::kOtherTarget, "read head", status);
+    case head_verdict::kFailure:
+    case head_verdict::kHiddenFailure:
+      return Fail(failure_kind::kTargetError, "read head", status);
+    case head_verdict::kOtherRequest:
+    case head_verdict::kMalformed:
+      return Fail(failure_kind::kWrongAnswer, "read head",
+                  status + " does not answer this request");
   }
-  if (boost::beast::iequals(head.fields[kAdmittedField], "no")) {
-    return Fail(failure_kind::kNotAdmitted, "read head",
-                "status " + std::to_string(head.status));
-  }
-  // A plain service's own failure is its answer.
-  if (head.status >= kFirstServerError &&
-      call_.spec.kind != call_kind::kServiceCall) {
-    return Fail(failure_kind::kTargetError, "read head",
-                "status " + std::to_string(head.status));
+  // What was passed on already can only be continued by a stream.
+  if (order_.resumes && !IsEventStream(head)) {
+    return Fail(failure_kind::kTargetError, "resume stream", status);
   }
   return std::nullopt;
 }
 
-attempt_event attempt_runner::ReceiveWhole(
-    const net::http_response_head& head) {
-  std::string body;
+std::optional<attempt_failed> attempt_runner::ReadBody(std::string& body) {
   std::array<char, kReadBytes> piece;
   while (!link_->AtEnd()) {
     const auto read = link_->ReadSome(piece.data(), piece.size());
@@ -141,48 +163,81 @@
     body.append(piece.data(), read.value());
     meter_->Add(0);
   }
-  attempt_completed completed;
-  if (call_.spec.kind != call_kind::kServiceCall && head.status == kOk) {
-    const answer_summary summary = SummariseAnswer(body, call_.request_name);
-    if (!summary.names_request) {
-      return Fail(failure_kind::kWrongAnswer, "read answer",
-                  "the body does not name this request");
-    }
-    completed.reported = summary.reported_usage;
+  return std::nullopt;
+}
+
+attempt_event attempt_runner::ReceiveWhole(
+    const net::http_response_head& head) {
+  Report(routing::attempt_first_output{});
+  std::string body;
+  if (auto failure = ReadBody(body)) {
+    return *failure;
+  }
+  const answer_summary summary =
+      context_.dialect.Summarise(call_, head.status, body);
+  if (!summary.names_request) {
+    return Fail(failure_kind::kWrongAnswer, "read answer",
+                "the body does not name this request");
   }
   KeepLink();
   if (!writer_.WriteWhole(head, std::move(body))) {
     return Fail(failure_kind::kCallerLost, "write answer", "caller lost");
   }
-  return completed;
+  return attempt_completed{.reported = summary.reported_usage};
+}
+
+attempt_event attempt_runner::KeepFailure(
+    const net::http_response_head& head) {
+  std::string body;
+  if (auto failure = ReadBody(body)) {
+    return *failure;
+  }
+  KeepLink();
+  attempt_failed failure = Fail(failure_kind::kTargetError, "read head",
+                                "status " + std::to_string(head.status));
+  failure.has_answer = !cancelled_ && !writer_.started();
+  kept_ = {.head = head, .body = std::move(body)};
+  return failure;
 }
 
-attempt_event attempt_runner::RelayStream() {
-  sse_scanner scanner(call_.request_name);
+attempt_event attempt_runner::RelayStream(
+    const net::http_response_head& head) {
+  std::optional<std::string> resume_after;
+  if (order_.resumes) {
+    resume_after = writer_.last_event_id();
+  }
+  const auto scanner = context_.dialect.MakeScanner(call_, resume_after);
   std::array<char, kReadBytes> piece;
-  while (scanner.state() == stream_state::kOpen) {
-    if (link_->AtEnd()) {
-      return Fail(failure_kind::kBroken, "read stream",
-                  "ended before the closing event");
-    }
+  while (scanner->state() == stream_state::kOpen && !link_->AtEnd()) {
     const auto read = link_->ReadSome(piece.data(), piece.size());
     if (!read) {
       return FailFrom(read.error());
     }
     const std::string_view events =
-        scanner.Feed(std::string_view(piece.data(), read.value()));
-    if (!events.empty() && !PassOn(events, scanner.new_tokens())) {
-      return Fail(failure_kind::kCallerLost, "write stream", "caller lost");
+        scanner->Feed(std::string_view(piece.data(), read.value()));
+    if (!events.empty()) {
+      if (!PassOn(head, events, scanner->new_tokens())) {
+        return Fail(failure_kind::kCallerLost, "write stream", "caller lost");
+      }
+      writer_.SetLastEventId(scanner->last_event_id());
     }
   }
+  return FinishStream(*scanner);
+}
+
+attempt_event attempt_runner::FinishStream(i_stream_scanner& scanner) {
   if (scanner.state() == stream_state::kWrongAnswer) {
     return Fail(failure_kind::kWrongAnswer, "read stream",
-                "an event does not name this request");
+                "an event does not belong to this request");
   }
   if (scanner.state() == stream_state::kTargetError) {
     return Fail(failure_kind::kTargetError, "read stream",
                 "the engine reported an error");
   }
+  if (!scanner.IsWholeAtEnd() || !writer_.started()) {
+    return Fail(failure_kind::kBroken, "read stream",
+                "ended before it was whole");
+  }
   if (!writer_.EndStream()) {
     return Fail(failure_kind::kCallerLost, "write stream", "caller lost");
   }
@@ -190,11 +245,13 @@
   return attempt_completed{.reported = scanner.reported_usage()};
 }
 
-bool attempt_runner::PassOn(std::string_view events, std::uint32_t tokens) {
+bool attempt_runner::PassOn(const net::http_response_head& head,
+                            std::string_view events,
+                            std::uint32_t tokens) {
   const time_point now = std::chrono::steady_clock::now();
   if (!last_output_) {
     Report(routing::attempt_first_output{});
-    if (!writer_.BeginStream()) {
+    if (!writer_.started() && !writer_.BeginStream(head)) {
       return false;
     }
   } else if (tokens > 0) {
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -4,9 +4,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "framework/net/http_client.h"
 #include "gateway/i_control.h"
+#include "gateway/i_target_dialect.h"
 #include "gateway/internal/answer_writer.h"
 #include "gateway/progress_reporter.h"
 #include "gateway/target_links.h"
@@ -20,16 +22,16 @@
 struct traffic_context {
   boost::asio::io_context& io;
   i_control& control;
+  const i_target_dialect& dialect;
   target_links& links;
   progress_reporter& progress;
   std::uint32_t max_answer_bytes = 0;
 };
 
-/// What is sent to the target.
-struct outgoing_call {
-  routing::request_spec spec;
-  std::string request_name;
-  net::http_request request;
+/// A target's failure, kept in case no other target does better.
+struct kept_answer {
+  net::http_response_head head;
+  std::string body;
 };
 
 /// Invariants: no byte reaches the caller before the answer has named this
@@ -43,6 +45,8 @@
 
   /// Runs to the end and returns `attempt_completed` or `attempt_failed`.
   routing::attempt_event Run();
+  /// The failure that `Run` has returned as `has_answer`.
+  [[nodiscard]] kept_answer TakeAnswer() { return std::move(kept_); }
   /// Makes `Run` return soon; callable from handlers of the same thread.
   void Cancel();
 
@@ -51,10 +55,17 @@
   std::optional<routing::attempt_failed> Send();
   routing::attempt_event Receive();
   std::optional<routing::attempt_failed> CheckHead(
+      head_verdict verdict,
       const net::http_response_head& head) const;
+  /// Reads the rest of an answer; nullopt if `body` holds all of it.
+  std::optional<routing::attempt_failed> ReadBody(std::string& body);
   routing::attempt_event ReceiveWhole(const net::http_response_head& head);
-  routing::attempt_event RelayStream();
-  bool PassOn(std::string_view events, std::uint32_t tokens);
+  routing::attempt_event KeepFailure(const net::http_response_head& head);
+  routing::attempt_event RelayStream(const net::http_response_head& head);
+  routing::attempt_event FinishStream(i_stream_scanner& scanner);
+  bool PassOn(const net::http_response_head& head,
+              std::string_view events,
+              std::uint32_t tokens);
   void KeepLink();
   void FinishStreamTail();
   routing::attempt_failed Fail(routing::failure_kind kind,
@@ -71,6 +82,8 @@
   attempt_progress_meter* meter_ = nullptr;
   bool sent_ = false;
   bool cancelled_ = false;
+  bool reused_link_ = false;
+  kept_answer kept_;
   std::optional<time_point> last_output_;
 };
 
--- /dev/null
+++ b/src/gateway/internal/call_service.cc
@@ -0,0 +1,57 @@
+// See the header.
+#include "gateway/internal/call_service.h"
+
+#include <memory>
+#include <utility>
+
+#include "gateway/internal/caller_exchange.h"
+
+namespace burdocklock::gateway {
+
+using refusals::refusal_reason;
+
+net::keep_alive call_service::Serve(net::http_connection& connection,
+                                    const net::http_request& request,
+                                    outgoing_call call) {
+  const bool keep = request.keep_alive() && !context_.control.IsDraining();
+  answer_writer writer(connection, request, call.request_name, keep,
+                       context_.dialect);
+  std::make_shared<caller_exchange>(context_, connection, std::move(call),
+                                    writer)
+      ->Run();
+  return writer.keep_alive() == net::keep_alive::kYes &&
+                 !context_.control.IsDraining()
+             ? net::keep_alive::kYes
+             : net::keep_alive::kNo;
+}
+
+net::keep_alive call_service::Refuse(net::http_connection& connection,
+                                     const net::http_request& request,
+                                     const std::string& name,
+                                     refusals::refusal refusal) {
+  const request_seq id = *refusal.request;
+  const bool keep = request.keep_alive() && !context_.control.IsDraining() &&
+                    request.method() != net::http::verb::unknown;
+  answer_writer writer(connection, request, name, keep, context_.dialect);
+  outgoing_call nothing_sent{.spec = {.id = id, .caller_name = name},
+                             .request_name = name,
+                             .request = {}};
+  std::make_shared<caller_exchange>(context_, connection,
+                                    std::move(nothing_sent), writer)
+      ->RunRefused(std::move(refusal));
+  return writer.keep_alive();
+}
+
+void call_service::RefuseUnread(net::http_connection& connection,
+                                error_code code) {
+  const net::http_request unread;
+  const request_seq id = context_.control.NextRequest();
+  Refuse(connection, unread, context_.control.RequestName(id),
+         {.request = id,
+          .reason = code == error_code::kTooLarge
+                        ? refusal_reason::kRequestTooLarge
+                        : refusal_reason::kMalformedRequest,
+          .detail = "the request could not be read"});
+}
+
+}  // namespace burdocklock::gateway
--- a/src/gateway/internal/caller_exchange.cc
+++ b/src/gateway/internal/caller_exchange.cc
@@ -93,6 +93,7 @@
   routing::attempt_event event = runner.Run();
   running_ = nullptr;
   delivered_ = writer_.started();
+  kept_ = runner.TakeAnswer();
   if (auto* failure = std::get_if<attempt_failed>(&event)) {
     if (caller_lost_ || writer_.failed()) {
       failure->kind = failure_kind::kCallerLost;
@@ -113,6 +114,13 @@
   finished_ = true;
 }
 
+void caller_exchange::Execute(const routing::pass_on_failure&) {
+  if (!caller_lost_) {
+    writer_.WriteWhole(kept_.head, std::move(kept_.body));
+  }
+  finished_ = true;
+}
+
 void caller_exchange::Execute(const routing::cut_answer& order) {
   if (!caller_lost_) {
     writer_.WriteCut(order.refusal,
--- a/src/gateway/internal/caller_exchange.h
+++ b/src/gateway/internal/caller_exchange.h
@@ -39,6 +39,7 @@
   void Execute(const routing::start_attempt& order);
   void Execute(const routing::cancel_attempt& order);
   void Execute(const routing::refuse_request& order);
+  void Execute(const routing::pass_on_failure& order);
   void Execute(const routing::cut_answer& order);
   void AnswerUnstarted(const routing::start_attempt& order,
                        routing::failure_kind kind);
@@ -53,6 +54,8 @@
   answer_writer& writer_;
   /// Kept here because the writer may be gone when late orders arrive.
   bool delivered_ = false;
+  /// The last failure of a target that could be passed on.
+  kept_answer kept_;
   std::deque<exchange_order> inbox_;
   fiber_event inbox_changed_;
   attempt_runner* running_ = nullptr;
--- a/src/gateway/internal/caller_handler.cc
+++ b/src/gateway/internal/caller_handler.cc
@@ -3,14 +3,13 @@
 
 #include <algorithm>
 #include <array>
-#include <memory>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "config/key_hashing.h"
 #include "gateway/call_parser.h"
-#include "gateway/internal/caller_exchange.h"
+#include "gateway/forwarded_fields.h"
 #include "targets/announcement_parser.h"
 
 namespace burdocklock::gateway {
@@ -34,37 +33,12 @@
           .body = request.body()};
 }
 
-// Secrets of the caller and fields of its connection stay here.
-bool IsForwardedToService(const net::http_request::value_type& field) {
-  switch (field.name()) {
-    case http::field::authorization:
-    case http::field::connection:
-    case http::field::content_length:
-    case http::field::expect:
-    case http::field::host:
-    case http::field::keep_alive:
-    case http::field::proxy_authorization:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-      return false;
-    default:
-      return !net::beast::iequals(field.name_string(), kRequestIdField) &&
-             !net::beast::iequals(field.name_string(), kCustomerField);
-  }
-}
-
 net::http_request BuildTargetRequest(const net::http_request& received,
                                      const parsed_call& call,
                                      const std::string& request_name) {
   net::http_request request(received.method(), call.target_path, 11);
   if (call.spec.kind == routing::call_kind::kServiceCall) {
-    for (const auto& field : received) {
-      if (IsForwardedToService(field)) {
-        request.insert(field.name_string(), field.value());
-      }
-    }
+    CopyForwardedFields(received, request);
   } else {
     request.set(http::field::content_type, kJson);
   }
@@ -84,7 +58,7 @@
 
 caller_handler::caller_handler(traffic_context& context,
                                const gateway_options& options)
-    : context_(context), options_(options) {}
+    : context_(context), calls_(context), options_(options) {}
 
 net::keep_alive caller_handler::Handle(net::http_connection& connection,
                                        net::http_request& request) {
@@ -108,12 +82,7 @@
 
 void caller_handler::OnBadRequest(net::http_connection& connection,
                                   error_code code) {
-  const net::http_request unread;
-  Refuse(connection, unread,
-         {.reason = code == error_code::kTooLarge
-                        ? refusal_reason::kRequestTooLarge
-                        : refusal_reason::kMalformedRequest,
-          .detail = "the request could not be read"});
+  calls_.RefuseUnread(connection, code);
 }
 
 net::keep_alive caller_handler::HandleCall(net::http_connection& connection,
@@ -140,16 +109,10 @@
   }
   call.spec.id = context_.control.NextRequest();
   const std::string name = context_.control.RequestName(call.spec.id);
-  answer_writer writer(connection, request, name, request.keep_alive());
-  outgoing_call outgoing{.spec = call.spec,
-                         .request_name = name,
-                         .request = BuildTargetRequest(request, call, name)};
-  std::make_shared<caller_exchange>(context_, connection, std::move(outgoing),
-                                    writer)
-      ->Run();
-  const bool keep = writer.keep_alive() == net::keep_alive::kYes &&
-                    !context_.control.IsDraining();
-  return keep ? net::keep_alive::kYes : net::keep_alive::kNo;
+  return calls_.Serve(connection, request,
+                      {.spec = call.spec,
+                       .request_name = name,
+                       .request = BuildTargetRequest(request, call, name)});
 }
 
 net::keep_alive caller_handler::Refuse(net::http_connection& connection,
@@ -157,16 +120,8 @@
                                        refusals::refusal refusal) {
   const request_seq id = context_.control.NextRequest();
   refusal.request = id;
-  const std::string name = context_.control.RequestName(id);
-  const bool keep = request.keep_alive() && !context_.control.IsDraining() &&
-                    request.method() != http::verb::unknown;
-  answer_writer writer(connection, request, name, keep);
-  outgoing_call nothing_sent{
-      .spec = {.id = id}, .request_name = name, .request = {}};
-  std::make_shared<caller_exchange>(context_, connection,
-                                    std::move(nothing_sent), writer)
-      ->RunRefused(std::move(refusal));
-  return writer.keep_alive();
+  return calls_.Refuse(connection, request, context_.control.RequestName(id),
+                       std::move(refusal));
 }
 
 net::keep_alive caller_handler::HandleModels(net::http_connection& connection,
--- a/src/gateway/internal/problem_document.cc
+++ b/src/gateway/internal/problem_document.cc
@@ -11,14 +11,14 @@
   document["type"] =
       std::string("urn:burdocklock:refusal:") + ToString(refusal.reason);
   document["title"] = refusals::Describe(refusal.reason);
-  document["status"] = HttpStatus(refusal.reason);
+  document["status"] = HttpStatus(refusal.reason, refusal.run);
   document["refusal_id"] = names.refusal;
   document["request_id"] = names.request;
   document["customer"] = refusal.customer.value();
   document["reason"] = ToString(refusal.reason);
   document["run"] = ToString(refusal.run);
   if (refusal.retry_after) {
-    document["retry_after_s"] = refusal.retry_after->count();
+    document["retry_after_s"] = std::chrono::duration<double>(*refusal.retry_after).count();
   }
   if (!refusal.detail.empty()) {
     document["detail"] = refusal.detail;
--- a/src/gateway/internal/sse_scanner.cc
+++ b/src/gateway/internal/sse_scanner.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gateway/internal/event_text.h"
+
 namespace burdocklock::gateway {
 
 namespace {
@@ -14,20 +16,6 @@
 constexpr std::string_view kDone = "[DONE]";
 constexpr std::string_view kLeadingId = "{\"id\":\"";
 
-// End of the first event in `text`, past its blank line; npos if incomplete.
-std::size_t EventEnd(std::string_view text, std::size_t from) {
-  for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
-       at = text.find('\n', at + 1)) {
-    if (at + 1 < text.size() && text[at + 1] == '\n') {
-      return at + 2;
-    }
-    if (at + 2 < text.size() && text[at + 1] == '\r' && text[at + 2] == '\n') {
-      return at + 3;
-    }
-  }
-  return std::string_view::npos;
-}
-
 std::string_view Trim(std::string_view text) {
   while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) {
     text.remove_suffix(1);
--- a/src/gateway/internal/target_links.cc
+++ b/src/gateway/internal/target_links.cc
@@ -1,8 +1,18 @@
 // See the header.
 #include "gateway/target_links.h"
 
+#include <algorithm>
+
 namespace burdocklock::gateway {
 
+namespace {
+
+// An idle connection is given up this long before its peer closes it, so that
+// a request does not cross with the close.
+constexpr std::chrono::milliseconds kIdleMargin{800};
+
+}  // namespace
+
 target_links::target_links(boost::asio::io_context& context, duration max_idle)
     : context_(context), max_idle_(max_idle), sweep_timer_(context) {}
 
@@ -12,12 +22,12 @@
   if (found == idle_.end()) {
     return nullptr;
   }
-  const time_point oldest = std::chrono::steady_clock::now() - max_idle_;
+  const time_point now = std::chrono::steady_clock::now();
   std::vector<idle_link>& links = found->second;
   while (!links.empty()) {
     idle_link candidate = std::move(links.back());
     links.pop_back();
-    if (candidate.since > oldest && candidate.link->IsQuiet()) {
+    if (candidate.until > now && candidate.link->IsQuiet()) {
       return std::move(candidate.link);
     }
   }
@@ -28,9 +38,16 @@
 void target_links::Put(incarnation life,
                        std::unique_ptr<net::http_client> link) {
   link->ExpiresNever();
+  duration limit = max_idle_;
+  if (const auto stated = link->idle_limit()) {
+    limit = std::min<duration>(limit, *stated - kIdleMargin);
+  }
+  if (limit <= duration::zero()) {
+    return;
+  }
   const key key{link->peer(), life};
-  idle_[key].push_back(
-      {.link = std::move(link), .since = std::chrono::steady_clock::now()});
+  idle_[key].push_back({.link = std::move(link),
+                        .until = std::chrono::steady_clock::now() + limit});
   ScheduleSweep();
 }
 
@@ -40,10 +57,10 @@
 }
 
 void target_links::CloseExpired() {
-  const time_point oldest = std::chrono::steady_clock::now() - max_idle_;
+  const time_point now = std::chrono::steady_clock::now();
   for (auto it = idle_.begin(); it != idle_.end();) {
-    std::erase_if(it->second, [oldest](const idle_link& link) {
-      return link.since <= oldest;
+    std::erase_if(it->second, [now](const idle_link& link) {
+      return link.until <= now;
     });
     it = it->second.empty() ? idle_.erase(it) : std::next(it);
   }
--- /dev/null
+++ b/src/gateway/internal/traffic_service.cc
@@ -0,0 +1,107 @@
+// See the header.
+#include "gateway/traffic_service.h"
+
+#include <utility>
+
+#include "gateway/caller_handler.h"
+#include "gateway/internal/openai_dialect.h"
+#include "gateway/routed_handler.h"
+
+namespace burdocklock::gateway {
+
+namespace {
+
+net::http_limits DefaultLimits(const gateway_options& options) {
+  return {.max_header_bytes = options.max_header_bytes,
+          .max_body_bytes = options.max_body_bytes,
+          .idle_timeout = options.caller_idle,
+          .read_timeout = options.caller_read};
+}
+
+// The limits of the configuration in force, if there is one.
+net::http_limits CurrentLimits(const gateway_options& options,
+                               const i_control& control) {
+  const auto routes = control.Routes();
+  if (!routes) {
+    return DefaultLimits(options);
+  }
+  const routes::caller_limits& limits = routes->contents().limits;
+  return {.max_header_bytes = limits.max_header_bytes,
+          .max_body_bytes = limits.max_body_bytes,
+          .idle_timeout = limits.idle_timeout,
+          .read_timeout = limits.read_timeout};
+}
+
+}  // namespace
+
+struct traffic_service::state {
+  state(boost::asio::io_context& io,
+        gateway_options opts,
+        i_control& control,
+        const i_call_dialect* call_dialect,
+        std::atomic<std::uint32_t>& connections)
+      : options(std::move(opts)),
+        links(io, options.target_idle),
+        progress(io, control),
+        context{.io = io,
+                .control = control,
+                .dialect = call_dialect != nullptr
+                               ? static_cast<const i_target_dialect&>(
+                                     *call_dialect)
+                               : openai,
+                .links = links,
+                .progress = progress,
+                .max_answer_bytes = options.max_answer_bytes},
+        handler(MakeHandler(call_dialect)),
+        server(io,
+               {.listen = options.listen,
+                .share_port = options.share_port,
+                .limits = DefaultLimits(options),
+                .current_limits =
+                    [this, &control] {
+                      return CurrentLimits(options, control);
+                    },
+                .write_timeout = options.caller_write,
+                .max_connections = options.max_connections,
+                .connection_count = &connections},
+               *handler) {}
+
+  std::unique_ptr<net::i_http_handler> MakeHandler(
+      const i_call_dialect* call_dialect) {
+    if (call_dialect != nullptr) {
+      return std::make_unique<routed_handler>(context, *call_dialect);
+    }
+    return std::make_unique<caller_handler>(context, options);
+  }
+
+  gateway_options options;
+  openai_dialect openai;
+  target_links links;
+  progress_reporter progress;
+  traffic_context context;
+  std::unique_ptr<net::i_http_handler> handler;
+  net::http_server server;
+};
+
+traffic_service::traffic_service(boost::asio::io_context& io,
+                                 gateway_options options,
+                                 i_control& control,
+                                 const i_call_dialect* dialect,
+                                 std::atomic<std::uint32_t>& connections)
+    : state_(std::make_unique<state>(io,
+                                     std::move(options),
+                                     control,
+                                     dialect,
+                                     connections)) {}
+
+traffic_service::~traffic_service() = default;
+
+result<endpoint> traffic_service::Start() {
+  return state_->server.Start();
+}
+
+void traffic_service::Stop() {
+  state_->server.Stop();
+}
+
+}  // namespace burdocklock::gateway
--- a/src/gateway/internal/traffic_thread.cc
+++ b/src/gateway/internal/traffic_thread.cc
@@ -9,22 +9,25 @@
 
 #include "framework/fiber/fiber_thread.h"
 #include "framework/fiber/use_fiber.h"
-#include "gateway/caller_handler.h"
+#include "gateway/traffic_service.h"
 
 namespace burdocklock::gateway {
 
 struct traffic_thread::state {
   state(gateway_options options,
         i_control& control,
+        const i_call_dialect* dialect,
         std::atomic<std::uint32_t>& connections)
       : options(std::move(options)),
         control(control),
+        dialect(dialect),
         connections(connections) {}
 
   void Run(std::promise<result<endpoint>>& started);
 
   gateway_options options;
   i_control& control;
+  const i_call_dialect* dialect;
   std::atomic<std::uint32_t>& connections;
   boost::asio::io_context io{1};
   fiber_event stop;
@@ -33,9 +36,12 @@
 
 traffic_thread::traffic_thread(gateway_options options,
                                i_control& control,
+                               const i_call_dialect* dialect,
                                std::atomic<std::uint32_t>& connections)
-    : state_(
-          std::make_unique<state>(std::move(options), control, connections)) {}
+    : state_(std::make_unique<state>(std::move(options),
+                                     control,
+                                     dialect,
+                                     connections)) {}
 
 traffic_thread::~traffic_thread() {
   Join();
@@ -59,34 +65,16 @@
 }
 
 void traffic_thread::state::Run(std::promise<result<endpoint>>& started) {
-  target_links links(io, options.target_idle);
-  progress_reporter progress(io, control);
-  traffic_context context{.io = io,
-                          .control = control,
-                          .links = links,
-                          .progress = progress,
-                          .max_answer_bytes = options.max_answer_bytes};
-  caller_handler handler(context, options);
-  net::http_server server(io,
-                          {.listen = options.listen,
-                           .share_port = true,
-                           .max_header_bytes = options.max_header_bytes,
-                           .max_body_bytes = options.max_body_bytes,
-                           .idle_timeout = options.caller_idle,
-                           .read_timeout = options.caller_read,
-                           .write_timeout = options.caller_write,
-                           .max_connections = options.max_connections,
-                           .connection_count = &connections},
-                          handler);
+  traffic_service service(io, options, control, dialect, connections);
   RunFiberThread(io, [&] {
-    result<endpoint> bound = server.Start();
+    result<endpoint> bound = service.Start();
     const bool listening = bound.has_value();
     started.set_value(std::move(bound));
     if (!listening) {
       return;
     }
     stop.Wait();
-    server.Stop();
+    service.Stop();
   });
 }
 
--- /dev/null
+++ b/src/gateway/numbered_event_scanner.h
@@ -0,0 +1,51 @@
+// Checks a stream of server-sent events by their numbers.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gateway/i_stream_scanner.h"
+
+namespace burdocklock::gateway {
+
+/// Releases whole events whose ids rise by one. The stream is whole if its body
+/// ends properly after a whole event.
+class numbered_event_scanner : public i_stream_scanner {
+ public:
+  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
+  /// `after` is the id of the last event passed on by an earlier attempt.
+  explicit numbered_event_scanner(std::optional<std::uint64_t> after)
+      : last_id_(after) {}
+
+  std::string_view Feed(std::string_view bytes) override;
+  [[nodiscard]] bool IsWholeAtEnd() const override {
+    return state_ == stream_state::kOpen && pending_.size() == released_ &&
+           last_id_.has_value();
+  }
+
+  [[nodiscard]] stream_state state() const override { return state_; }
+  [[nodiscard]] std::uint32_t new_tokens() const override {
+    return new_events_;
+  }
+  [[nodiscard]] const std::optional<routing::usage>& reported_usage()
+      const override {
+    return usage_;
+  }
+  [[nodiscard]] std::string last_event_id() const override;
+
+ private:
+  void CheckEvent(std::string_view event);
+
+  std::string pending_;
+  std::size_t released_ = 0;
+  stream_state state_ = stream_state::kOpen;
+  std::uint32_t new_events_ = 0;
+  std::optional<std::uint64_t> last_id_;
+  std::optional<routing::usage> usage_;
+};
+
+}  // namespace burdocklock::gateway
--- /dev/null
+++ b/src/gateway/routed_handler.h
@@ -0,0 +1,37 @@
+// Serves callers by the routes of the routing configuration.
+#pragma once
+
+#include "framework/net/http_server.h"
+#include "gateway/i_call_dialect.h"
+#include "gateway/internal/call_service.h"
+#include "routes/route_table.h"
+
+namespace burdocklock::gateway {
+
+class routed_handler : public net::i_http_handler {
+ public:
+  routed_handler(traffic_context& context, const i_call_dialect& dialect)
+      : context_(context), calls_(context), dialect_(dialect) {}
+
+  net::keep_alive Handle(net::http_connection& connection,
+                         net::http_request& request) override;
+  void OnBadRequest(net::http_connection& connection, error_code code) override;
+
+ private:
+  net::keep_alive Refuse(net::http_connection& connection,
+                         const net::http_request& request,
+                         const std::string& name,
+                         refusals::refusal_reason reason,
+                         std::string detail);
+
+  traffic_context& context_;
+  call_service calls_;
+  const i_call_dialect& dialect_;
+};
+
+/// The specification of a call on a route, but for its id.
+routing::request_spec SpecifyCall(const routes::route& route,
+                                  const customer_id& customer,
+                                  const call_facts& facts);
+
+}  // namespace burdocklock::gateway
--- a/src/gateway/sse_scanner.h
+++ b/src/gateway/sse_scanner.h
@@ -1,4 +1,4 @@
-// Checks a stream of server-sent events before it is passed on.
+// Checks a stream of server-sent events whose data name the request.
 #pragma once
 
 #include <cstdint>
@@ -6,38 +6,35 @@
 #include <string>
 #include <string_view>
 
+#include "gateway/i_stream_scanner.h"
+#include "gateway/i_target_dialect.h"
 #include "routing/types/attempt.h"
 
 namespace burdocklock::gateway {
 
-enum class stream_state {
-  kOpen,
-  /// The closing event has been seen; what follows is discarded.
-  kDone,
-  /// An event named another request, or could not be attributed to one.
-  kWrongAnswer,
-  /// The engine reported a failure within the stream.
-  kTargetError,
-};
-
 /// Splits a stream into events and approves those that name the expected
 /// request. Bytes are released only as whole, approved events.
-class sse_scanner {
+class sse_scanner : public i_stream_scanner {
  public:
   static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
   explicit sse_scanner(std::string request_name);
 
-  /// Adds received bytes and returns those that may be passed on; the view is
-  /// valid until the next call.
-  std::string_view Feed(std::string_view bytes);
+  std::string_view Feed(std::string_view bytes) override;
+  /// A whole stream ends with its closing event.
+  [[nodiscard]] bool IsWholeAtEnd() const override {
+    return state_ == stream_state::kDone;
+  }
 
-  [[nodiscard]] stream_state state() const { return state_; }
-  /// Events with output that were approved in the last call.
-  [[nodiscard]] std::uint32_t new_tokens() const { return new_tokens_; }
-  [[nodiscard]] const std::optional<routing::usage>& reported_usage() const {
+  [[nodiscard]] stream_state state() const override { return state_; }
+  [[nodiscard]] std::uint32_t new_tokens() const override {
+    return new_tokens_;
+  }
+  [[nodiscard]] const std::optional<routing::usage>& reported_usage()
+      const override {
     return usage_;
   }
+  [[nodiscard]] std::string last_event_id() const override { return {}; }
 
  private:
   void CheckEvent(std::string_view event);
@@ -54,11 +51,6 @@
 /// True if `answer_id`, such as "chatcmpl-NAME", names the request.
 bool NamesRequest(std::string_view answer_id, std::string_view request_name);
 
-/// What a whole answer of an engine says about itself.
-struct answer_summary {
-  bool names_request = false;
-  std::optional<routing::usage> reported_usage;
-};
 answer_summary SummariseAnswer(std::string_view body,
                                std::string_view request_name);
 
--- a/src/gateway/target_links.h
+++ b/src/gateway/target_links.h
@@ -34,7 +34,7 @@
  private:
   struct idle_link {
     std::unique_ptr<net::http_client> link;
-    time_point since;
+    time_point until;
   };
   using key = std::pair<endpoint, incarnation>;
 
--- a/src/gateway/traffic_thread.h
+++ b/src/gateway/traffic_thread.h
@@ -1,5 +1,4 @@
-// A thread that serves callers: its own io_context, listener, idle target
-// connections and progress reports.
+// A thread that serves callers, with an io_context of its own.
 #pragma once
 
 #include <atomic>
@@ -8,6 +7,7 @@
 
 #include "framework/types/endpoint.h"
 #include "framework/types/error.h"
+#include "gateway/i_call_dialect.h"
 #include "gateway/i_control.h"
 #include "gateway/types/gateway_options.h"
 
@@ -18,6 +18,7 @@
   /// `connections` counts open caller connections over all threads.
   traffic_thread(gateway_options options,
                  i_control& control,
+                 const i_call_dialect* dialect,
                  std::atomic<std::uint32_t>& connections);
   ~traffic_thread();
 
--- a/src/gateway/types/gateway_options.h
+++ b/src/gateway/types/gateway_options.h
@@ -12,6 +12,8 @@
 
 struct gateway_options {
   endpoint listen;
+  /// Lets several services listen on one port.
+  bool share_port = false;
   std::uint32_t max_connections = 4096;
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint32_t max_body_bytes = 4 * 1024 * 1024;
--- a/src/peer/internal/message_codec.cc
+++ b/src/peer/internal/message_codec.cc
@@ -6,28 +6,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/codec/cbor_types.h"
+#include "targets/announcement_codec.h"
+
 namespace burdocklock {
 
 using nlohmann::json;
 
 // Conversions found by nlohmann::json through the types' own namespaces.
 
-template <typename Tag, typename Rep>
-void to_json(json& j, const strong_type<Tag, Rep>& id) {
-  j = id.value();
-}
-template <typename Tag, typename Rep>
-void from_json(const json& j, strong_type<Tag, Rep>& id) {
-  id = strong_type<Tag, Rep>(j.get<Rep>());
-}
-
-void to_json(json& j, const endpoint& value) {
-  j = ToString(value);
-}
-void from_json(const json& j, endpoint& value) {
-  value = ParseEndpoint(j.get_ref<const std::string&>()).value();
-}
-
 namespace membership {
 
 void to_json(json& j, const member& m) {
@@ -56,52 +43,6 @@
 
 namespace targets {
 
-template <typename Enum>
-Enum ToEnum(const json& j, Enum last) {
-  const auto value = j.get<unsigned>();
-  if (value > static_cast<unsigned>(last)) {
-    throw std::out_of_range("enumerator");
-  }
-  return static_cast<Enum>(value);
-}
-
-void to_json(json& j, const load_report& l) {
-  j = json::array({l.running, l.waiting, l.kv_used, l.at_ms});
-}
-void from_json(const json& j, load_report& l) {
-  j.at(0).get_to(l.running);
-  j.at(1).get_to(l.waiting);
-  j.at(2).get_to(l.kv_used);
-  j.at(3).get_to(l.at_ms);
-}
-
-void to_json(json& j, const announcement& a) {
-  j = json::array({a.target, a.life, a.data_centre,
-                   static_cast<unsigned>(a.kind), a.address, a.pools,
-                   static_cast<unsigned>(a.state), a.slots, a.cold_slots,
-                   static_cast<unsigned>(a.fencing),
-                   a.load ? json(*a.load) : json()});
-}
-void from_json(const json& j, announcement& a) {
-  j.at(0).get_to(a.target);
-  j.at(1).get_to(a.life);
-  j.at(2).get_to(a.data_centre);
-  a.kind = ToEnum(j.at(3), target_kind::kService);
-  j.at(4).get_to(a.address);
-  j.at(5).get_to(a.pools);
-  a.state = ToEnum(j.at(6), target_state::kLeaving);
-  j.at(7).get_to(a.slots);
-  j.at(8).get_to(a.cold_slots);
-  a.fencing = ToEnum(j.at(9), fencing_support::kIgnores);
-  if (!j.at(10).is_null()) {
-    a.load = j.at(10).get<load_report>();
-  }
-  if (a.pools.empty() || a.slots == 0 || a.cold_slots == 0 ||
-      a.cold_slots > a.slots) {
-    throw std::out_of_range("announcement");
-  }
-}
-
 void to_json(json& j, const lease_evidence& e) {
   j = json::array(
       {e.target, e.life, e.epoch, e.good, e.bad, e.first_output_jumped});
--- a/src/peer/internal/peer_network.cc
+++ b/src/peer/internal/peer_network.cc
@@ -31,6 +31,7 @@
       : io(io), options(std::move(opts)), handlers(std::move(hands)) {}
 
   struct outbound {
+    std::string uri;
     connection_hdl handle;
     bool open = false;
     // Events of earlier connections of this link are ignored.
@@ -43,6 +44,12 @@
   void OnClientDown(std::uint64_t link,
                     std::uint64_t generation,
                     const std::string& detail);
+  [[nodiscard]] bool IsCurrent(std::uint64_t link,
+                               std::uint64_t generation) const {
+    const auto found = out.find(link);
+    return !stopped && found != out.end() &&
+           found->second.generation == generation;
+  }
   void Receive(std::uint64_t link, const std::string& payload);
   void Close(std::uint64_t link);
 
@@ -56,6 +63,7 @@
   std::map<connection_hdl, std::uint64_t, std::owner_less<connection_hdl>>
       in_by_handle;
   std::uint64_t next_inbound = kFirstInbound;
+  std::uint64_t last_outbound = 0;
   peer_traffic traffic;
   bool stopped = false;
 };
@@ -125,24 +133,25 @@
   const std::uint64_t generation = ++entry.generation;
   entry.open = false;
   const client::connection_ptr connection =
-      connector.get_connection(options.peers[link - 1], ec);
+      connector.get_connection(entry.uri, ec);
   if (ec) {
     ConnectLater(link);
     return;
   }
   entry.handle = connection->get_handle();
   connection->set_open_handler([this, link, generation](const connection_hdl&) {
-    outbound& current = out[link];
-    if (stopped || current.generation != generation) {
+    const auto found = out.find(link);
+    if (stopped || found == out.end() ||
+        found->second.generation != generation) {
       return;
     }
-    current.open = true;
+    found->second.open = true;
     handlers.on_up(link);
   });
   connection->set_message_handler(
       [this, link, generation](const connection_hdl&,
                                const client::message_ptr& message) {
-        if (!stopped && out[link].generation == generation) {
+        if (IsCurrent(link, generation)) {
           Receive(link, message->get_payload());
         }
       });
@@ -160,10 +169,10 @@
 void peer_network::state::OnClientDown(std::uint64_t link,
                                        std::uint64_t generation,
                                        const std::string& detail) {
-  outbound& entry = out[link];
-  if (stopped || entry.generation != generation) {
+  if (!IsCurrent(link, generation)) {
     return;
   }
+  outbound& entry = out[link];
   const bool was_open = entry.open;
   entry.open = false;
   if (was_open) {
@@ -178,7 +187,7 @@
   const std::uint64_t generation = out[link].generation;
   timer->async_wait([self = shared_from_this(), timer, link,
                      generation](const boost::system::error_code& ec) {
-    if (!ec && !self->stopped && self->out[link].generation == generation) {
+    if (!ec && self->IsCurrent(link, generation)) {
       self->Connect(link);
     }
   });
@@ -220,9 +229,12 @@
 }
 
 std::uint16_t peer_network::Start(std::string& problem) {
-  const std::uint16_t port = state_->Listen(problem);
-  if (port == 0) {
-    return 0;
+  std::uint16_t port = 0;
+  if (state_->options.listen) {
+    port = state_->Listen(problem);
+    if (port == 0) {
+      return 0;
+    }
   }
   websocketpp::lib::error_code ec;
   state_->connector.clear_access_channels(websocketpp::log::alevel::all);
@@ -240,12 +252,33 @@
               boost::asio::ip::tcp::no_delay(true), ignored);
         }
       });
-  for (std::uint64_t link = 1; link <= state_->options.peers.size(); ++link) {
-    state_->Connect(link);
+  for (const std::string& uri : state_->options.peers) {
+    Open(uri);
   }
   return port;
 }
 
+std::uint64_t peer_network::Open(const std::string& uri) {
+  const std::uint64_t link = ++state_->last_outbound;
+  state_->out[link].uri = uri;
+  state_->Connect(link);
+  return link;
+}
+
+void peer_network::Drop(std::uint64_t link) {
+  const auto found = state_->out.find(link);
+  if (found == state_->out.end()) {
+    return;
+  }
+  if (found->second.open) {
+    websocketpp::lib::error_code ignored;
+    state_->connector.close(found->second.handle,
+                            websocketpp::close::status::going_away, "",
+                            ignored);
+  }
+  state_->out.erase(found);
+}
+
 void peer_network::Send(std::uint64_t link, const std::string& bytes) {
   websocketpp::lib::error_code ec;
   const auto outbound_link = state_->out.find(link);
@@ -292,7 +325,9 @@
     return;
   }
   websocketpp::lib::error_code ignored;
-  state_->acceptor.stop_listening(ignored);
+  if (state_->options.listen) {
+    state_->acceptor.stop_listening(ignored);
+  }
   for (const auto& [link, entry] : state_->out) {
     if (entry.open) {
       state_->connector.close(
--- a/src/peer/peer_network.h
+++ b/src/peer/peer_network.h
@@ -22,6 +22,8 @@
   std::vector<std::string> peers;
   std::size_t max_message_bytes = 1024 * 1024;
   std::uint32_t reconnect_ms = 500;
+  /// False for daemons that only open links.
+  bool listen = true;
 };
 
 struct peer_handlers {
@@ -49,8 +51,13 @@
                peer_handlers handlers);
   ~peer_network();
 
-  /// Listens and begins to connect; returns the port, or 0 with `problem` set.
+  /// Listens and begins to connect. Returns the port, or 0 if it does not
+  /// listen; `problem` is set on failure.
   std::uint16_t Start(std::string& problem);
+  /// Begins to keep one more link, to `uri`; returns its number.
+  std::uint64_t Open(const std::string& uri);
+  /// Closes an outbound link for good.
+  void Drop(std::uint64_t link);
   void Send(std::uint64_t link, const std::string& bytes);
   /// Closes an outbound link and connects anew.
   void Reopen(std::uint64_t link);
--- /dev/null
+++ b/src/quorum/internal/raft_node.cc
@@ -0,0 +1,186 @@
+// Input, output and storage of a member. See the header; elections,
+// replication and membership have files of their own.
+#include "quorum/raft_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdocklock::quorum {
+
+raft_node::raft_node(raft_options options,
+                     durable_state recovered,
+                     i_random& random,
+                     time_point now)
+    : options_(options),
+      random_(random),
+      self_(recovered.self),
+      term_(recovered.term),
+      vote_(recovered.vote),
+      log_(recovered.base, recovered.entries),
+      commit_(recovered.base.last_index),
+      durable_(log_.last_index()),
+      leader_heard_(now) {
+  if (!log_.base().state.empty()) {
+    output_.applied.emplace_back(log_.base());
+  }
+  ArmElection(now);
+}
+
+void raft_node::OnTick(time_point now) {
+  if (role_ == raft_role::kLeader) {
+    if (!HasQuorum(now)) {
+      BecomeFollower(term_, now);
+      return;
+    }
+    if (now >= heartbeat_at_) {
+      ImproveMembership(now);
+      Broadcast(now);
+    }
+    return;
+  }
+  if (now >= election_at_) {
+    leader_ = member_id();
+    StartTrial(now);
+  }
+}
+
+time_point raft_node::NextDeadline() const {
+  return role_ == raft_role::kLeader ? heartbeat_at_ : election_at_;
+}
+
+void raft_node::OnMessage(const member_id& from,
+                          const quorum_message& message,
+                          time_point now) {
+  std::visit([&](const auto& value) { Handle(from, value, now); }, message);
+}
+
+void raft_node::OnDurable(batch_number batch, time_point now) {
+  while (!pending_.empty() && pending_.front().number <= batch) {
+    pending_batch done = std::move(pending_.front());
+    pending_.pop_front();
+    durable_ = std::max(durable_, done.last_index);
+    if (done.term != term_) {
+      // What it was to say belongs to an earlier term.
+      continue;
+    }
+    for (outgoing_message& message : done.messages) {
+      output_.messages.push_back(std::move(message));
+    }
+    if (done.own_vote && role_ == raft_role::kCandidate && !in_trial_) {
+      votes_.insert(self_);
+      CountVotes(now);
+    }
+  }
+  if (role_ == raft_role::kLeader) {
+    AdvanceCommit();
+  }
+}
+
+raft_output raft_node::TakeOutput() {
+  if (!output_.records.empty()) {
+    last_batch_ = batch_number(last_batch_.value() + 1);
+    output_.batch = last_batch_;
+    pending_.push_back({.number = last_batch_,
+                        .last_index = log_.last_index(),
+                        .term = term_,
+                        .messages = std::exchange(held_back_, {}),
+                        .own_vote = std::exchange(own_vote_recorded_, false)});
+  } else if (!held_back_.empty()) {
+    std::vector<outgoing_message>& target =
+        pending_.empty() ? output_.messages : pending_.back().messages;
+    std::move(held_back_.begin(), held_back_.end(),
+              std::back_inserter(target));
+    held_back_.clear();
+  }
+  return std::exchange(output_, {});
+}
+
+void raft_node::Compact(log_index applied, std::string state) {
+  if (applied <= log_.base().last_index || applied > commit_) {
+    return;
+  }
+  // The list of members as of that position, not a later one.
+  membership members = log_.base().members;
+  for (const log_entry& entry : log_.entries()) {
+    if (entry.index <= applied && entry.kind == entry_kind::kMembership) {
+      members = entry.members;
+    }
+  }
+  log_.Compact({.last_index = applied,
+                .last_term = *log_.TermAt(applied),
+                .members = std::move(members),
+                .state = std::move(state)});
+  Record(rewrite_record{
+      .state = {.self = self_,
+                .term = term_,
+                .vote = vote_,
+                .base = log_.base(),
+                .entries = {log_.entries().begin(), log_.entries().end()}}});
+}
+
+const member* raft_node::FindMember(const member_id& id) const {
+  const membership& members = log_.members();
+  const auto found =
+      std::find_if(members.begin(), members.end(),
+                   [&](const member& member) { return member.id == id; });
+  return found == members.end() ? nullptr : &*found;
+}
+
+bool raft_node::WantsToJoin(time_point now) const {
+  return role_ != raft_role::kLeader &&
+         (FindMember(self_) == nullptr || !HeardLeaderLately(now));
+}
+
+bool raft_node::IsCurrent(time_point now) const {
+  if (role_ == raft_role::kLeader) {
+    return commit_ >= term_start_ && HasQuorum(now);
+  }
+  return HeardLeaderLately(now) && commit_ >= leader_commit_;
+}
+
+member raft_node::Description() const {
+  return {.id = self_,
+          .links = options_.links,
+          .commands = options_.commands,
+          .voter = IsVoter(self_)};
+}
+
+void raft_node::Record(storage_record record) {
+  output_.records.push_back(std::move(record));
+}
+
+void raft_node::RecordVote() {
+  Record(vote_record{.term = term_, .vote = vote_});
+}
+
+void raft_node::TruncateFrom(log_index first) {
+  log_.Truncate(first);
+  Record(truncate_record{.first = first});
+  // What is on disk beyond this does not count any more.
+  durable_ = std::min(durable_, Before(first));
+  for (pending_batch& batch : pending_) {
+    batch.last_index = std::min(batch.last_index, Before(first));
+  }
+}
+
+void raft_node::Send(const member_id& to, quorum_message message) {
+  output_.messages.push_back({.to = to, .message = std::move(message)});
+}
+
+void raft_node::SendOnceDurable(const member_id& to, quorum_message message) {
+  held_back_.push_back({.to = to, .message = std::move(message)});
+}
+
+bool raft_node::IsVoter(const member_id& id) const {
+  const member* found = FindMember(id);
+  return found != nullptr && found->voter;
+}
+
+std::size_t raft_node::VoterCount() const {
+  const membership& members = log_.members();
+  return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(),
+                    [](const member& member) { return member.voter; }));
+}
+
+}  // namespace burdocklock::quorum
--- /dev/null
+++ b/src/quorum/types/storage_record.h
@@ -0,0 +1,49 @@
+// What a member must have on disk.
+#pragma once
+
+#include <variant>
+#include <vector>
+
+#include "quorum/types/log_entry.h"
+
+namespace burdocklock::quorum {
+
+/// Everything that survives a restart.
+struct durable_state {
+  member_id self;
+  term_number term;
+  /// Empty if no vote was given in `term`.
+  member_id vote;
+  snapshot base;
+  /// Entries after `base`, without gaps.
+  std::vector<log_entry> entries;
+
+  friend bool operator==(const durable_state&, const durable_state&) = default;
+};
+
+struct vote_record {
+  term_number term;
+  member_id vote;
+};
+
+struct append_record {
+  log_entry entry;
+};
+
+/// Entries from `first` on are void.
+struct truncate_record {
+  log_index first;
+};
+
+/// Replaces all earlier records.
+struct rewrite_record {
+  durable_state state;
+};
+
+using storage_record = std::
+    variant<vote_record, append_record, truncate_record, rewrite_record>;
+
+/// Applies one record to the state that the earlier ones have built.
+void Apply(const storage_record& record, durable_state& state);
+
+}  // namespace burdocklock::quorum
--- a/src/refusals/internal/refusal.cc
+++ b/src/refusals/internal/refusal.cc
@@ -23,6 +23,8 @@
         {"pool_not_allowed", 403,
          "The customer may not use this model or service."},
         {"unknown_pool", 404, "There is no such model or service."},
+        {"unknown_route", 404, "There is no route for this call."},
+        {"no_configuration", 503, "This entry host has no configuration yet."},
         {"queue_full", 429, "Too many requests of this customer wait already."},
         {"queue_timeout", 503, "The request waited too long."},
         {"no_target", 503, "No target of this model or service is in service."},
@@ -46,6 +48,21 @@
   return EntryOf(reason).status;
 }
 
+unsigned HttpStatus(refusal_reason reason, run_state run) {
+  constexpr unsigned kTooManyRequests = 429;
+  constexpr unsigned kBadGateway = 502;
+  constexpr unsigned kUnavailable = 503;
+  constexpr unsigned kGatewayTimeout = 504;
+  const unsigned status = HttpStatus(reason);
+  const bool promises = status == kTooManyRequests || status == kUnavailable;
+  const bool promises_nothing =
+      status == kBadGateway || status == kGatewayTimeout;
+  if (run == run_state::kUnknown && promises) {
+    return kBadGateway;
+  }
+  return run == run_state::kNotRun && promises_nothing ? kUnavailable : status;
+}
+
 const char* Describe(refusal_reason reason) {
   return EntryOf(reason).description;
 }
--- a/src/refusals/types/refusal.h
+++ b/src/refusals/types/refusal.h
@@ -16,6 +16,8 @@
   kUnknownKey,
   kPoolNotAllowed,
   kUnknownPool,
+  kUnknownRoute,
+  kNoConfiguration,
   kQueueFull,
   kQueueTimeout,
   kNoTarget,
@@ -42,6 +44,9 @@
 const char* ToString(refusal_reason reason);
 /// HTTP status with which a reason is answered.
 unsigned HttpStatus(refusal_reason reason);
+/// As above, but 429 and 503 only if the work certainly has not run, and 503
+/// whenever that is certain.
+unsigned HttpStatus(refusal_reason reason, run_state run);
 /// One sentence for people.
 const char* Describe(refusal_reason reason);
 
@@ -53,7 +58,7 @@
   refusal_reason reason = refusal_reason::kMalformedRequest;
   run_state run = run_state::kNotRun;
   /// Advice to the caller; absent where a repeat cannot help.
-  std::optional<std::chrono::seconds> retry_after;
+  std::optional<std::chrono::milliseconds> retry_after;
   std::string detail;
 };
 
--- /dev/null
+++ b/src/routes/internal/route_table.cc
@@ -0,0 +1,91 @@
+// See the header.
+#include "routes/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace burdocklock::routes {
+
+namespace {
+
+std::string_view WithoutPort(std::string_view host_name) {
+  return host_name.substr(0, host_name.rfind(':'));
+}
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+}  // namespace
+
+route_table::route_table(configuration configuration)
+    : contents_(std::move(configuration)) {
+  for (const route& route : contents_.routes) {
+    routes_[LowerCase(route.host_name)][route.path_prefix] = &route;
+  }
+  for (const route_customer& customer : contents_.customers) {
+    for (const std::string& key : customer.api_keys) {
+      keys_[key] = &customer;
+    }
+  }
+  for (const service_terms& terms : contents_.services) {
+    services_[terms.service] = &terms;
+  }
+}
+
+const route* route_table::Match(std::string_view host_name,
+                                std::string_view path) const {
+  const auto host = routes_.find(LowerCase(WithoutPort(host_name)));
+  if (host == routes_.end()) {
+    return nullptr;
+  }
+  std::string_view prefix = path.substr(0, path.find('?'));
+  // Each prefix ends with a slash, so only those places can match.
+  while (true) {
+    const std::size_t slash = prefix.rfind('/');
+    if (slash == std::string_view::npos) {
+      return nullptr;
+    }
+    prefix = prefix.substr(0, slash + 1);
+    const auto found = host->second.find(prefix);
+    if (found != host->second.end()) {
+      return found->second;
+    }
+    prefix.remove_suffix(1);
+  }
+}
+
+const route_customer* route_table::FindByKey(std::string_view api_key) const {
+  const auto found = keys_.find(api_key);
+  return found == keys_.end() ? nullptr : found->second;
+}
+
+bool route_table::NeedsKey(const route& route) const {
+  return !route.anonymous && !contents_.customers.empty();
+}
+
+const service_terms* route_table::FindService(const pool_id& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : found->second;
+}
+
+const pool_id& PickService(const route& route, std::uint64_t hash) {
+  std::uint64_t total = 0;
+  for (const weighted_service& entry : route.services) {
+    total += entry.weight;
+  }
+  std::uint64_t place = total == 0 ? 0 : hash % total;
+  for (const weighted_service& entry : route.services) {
+    if (place < entry.weight) {
+      return entry.service;
+    }
+    place -= entry.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace burdocklock::routes
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -13,7 +13,8 @@
   switch (failure.kind) {
     case failure_kind::kCallerLost:
     case failure_kind::kAnswerTooLarge:
-      return true;
+    case failure_kind::kTargetError:
+      return failure.kind != failure_kind::kTargetError || failure.has_answer;
     case failure_kind::kCancelled:
       return cancel_reason != refusals::refusal_reason::kTargetTimeout;
     default:
@@ -89,6 +90,9 @@
         .queue.Refund(record.spec.customer, record.charged_prompt);
   }
   --totals_.in_flight;
+  if (failure.kind == failure_kind::kOtherTarget) {
+    directory_.NoteGone(*record.grant);
+  }
   if (IsNeutral(failure, record.life.cancel_reason())) {
     directory_.ReleaseNeutral(*record.grant);
   } else {
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -70,7 +70,10 @@
                                  effects& out) {
   record& record = *Find(request);
   std::optional<targets::choice> choice =
-      directory_.Choose(record.spec.pool, record.tried, now);
+      record.spec.prompt
+          ? directory_.ChooseForPrompt(record.spec.pool, record.tried,
+                                       *record.spec.prompt, now)
+          : directory_.Choose(record.spec.pool, record.tried, now);
   if (!choice) {
     return false;
   }
@@ -107,9 +110,11 @@
                     .target = choice->grant.target,
                     .life = choice->grant.life,
                     .address = choice->grant.address,
-                    .connection = is_retry || !record.spec.repeatable
+                    .connection = is_retry || (!record.spec.repeatable &&
+                                               !options_.reuse_for_all)
                                       ? connection_choice::kNewOnly
-                                      : connection_choice::kReuseAllowed});
+                                      : connection_choice::kReuseAllowed,
+                    .resumes = record.life.resuming()});
   return true;
 }
 
--- a/src/routing/internal/request_lifecycle.cc
+++ b/src/routing/internal/request_lifecycle.cc
@@ -17,16 +17,45 @@
 }
 
 bool MayHaveRun(const attempt_failed& failure) {
-  return failure.sent && failure.kind != failure_kind::kNotAdmitted;
+  return failure.sent && failure.kind != failure_kind::kNotAdmitted &&
+         failure.kind != failure_kind::kOtherTarget;
 }
 
+// A repeatable request is sent to another target when the first is silent for
+// this part of the time it has.
+constexpr int kRetryPart = 2;
+
 }  // namespace
 
+lifecycle_options OptionsFor(const request_spec& spec,
+                             lifecycle_options defaults) {
+  if (spec.max_attempts) {
+    defaults.max_attempts = *spec.max_attempts;
+  }
+  if (!spec.time_limit) {
+    return defaults;
+  }
+  const duration limit = *spec.time_limit;
+  const bool may_repeat = spec.repeatable && defaults.max_attempts > 1;
+  const duration silence = may_repeat ? limit / kRetryPart : limit;
+  defaults.total_timeout = limit;
+  defaults.queue_timeout = limit;
+  defaults.first_token_timeout = silence;
+  defaults.whole_answer_timeout = silence;
+  defaults.service_answer_timeout = silence;
+  // Nobody else can go on with a stream that may run once.
+  if (!spec.resumable) {
+    defaults.between_tokens_timeout = limit;
+  }
+  return defaults;
+}
+
 request_lifecycle::request_lifecycle(const request_spec& spec,
                                      const lifecycle_options& options,
                                      time_point arrived)
     : kind_(spec.kind),
       repeatable_(spec.repeatable),
+      resumable_(spec.resumable),
       options_(options),
       arrived_(arrived),
       queued_at_(arrived) {}
@@ -71,6 +100,8 @@
   const bool retry = retry_allowed && WouldRetry(failure) && !IsOverTotal(now);
   const refusal_reason reason = ReasonOf(failure);
   may_have_run_ |= MayHaveRun(failure);
+  runs_ += MayHaveRun(failure) ? 1 : 0;
+  delivered_ |= failure.delivered;
   cancel_reason_.reset();
   if (retry) {
     phase_ = phase::kQueued;
@@ -81,18 +112,23 @@
   if (failure.kind == failure_kind::kCallerLost) {
     return End(outcome_caller_left{});
   }
-  if (failure.delivered) {
+  if (delivered_) {
     return End(outcome_cut{.reason = reason});
   }
+  if (failure.has_answer) {
+    return End(outcome_target_failure{});
+  }
   return End(outcome_refused{.reason = reason, .run = Run()});
 }
 
 bool request_lifecycle::WouldRetry(const attempt_failed& failure) const {
-  if (ended_ || failure.delivered || cancel_is_final_) {
+  const bool delivered = delivered_ || failure.delivered;
+  if (ended_ || cancel_is_final_ || (delivered && !resumable_)) {
     return false;
   }
-  if (IsPointlessToRetry(failure.kind) ||
-      attempt_.value() >= options_.max_attempts) {
+  const std::uint32_t runs = runs_ + (MayHaveRun(failure) ? 1 : 0);
+  if (IsPointlessToRetry(failure.kind) || runs >= options_.max_attempts ||
+      attempt_.value() >= options_.max_tries) {
     return false;
   }
   return repeatable_ || !(may_have_run_ || MayHaveRun(failure));
@@ -126,6 +162,9 @@
     return step_none{};
   }
   phase_ = phase::kDone;
+  if (delivered_) {
+    return End(outcome_cut{.reason = reason});
+  }
   return End(outcome_refused{.reason = reason, .run = Run()});
 }
 
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -20,12 +20,10 @@
 
 request_router::request_router(router_options options,
                                i_random& random,
-                               i_routing_observer& observer,
-                               time_point now)
+                               i_routing_observer& observer)
     : options_(std::move(options)),
       observer_(observer),
-      directory_(options_.directory, random),
-      retries_(options_.retries, now) {}
+      directory_(options_.directory, random) {}
 
 void request_router::SetCustomer(const customer_id& customer,
                                  const customer_terms& terms) {
@@ -36,7 +34,7 @@
                                       bool out,
                                       time_point now,
                                       effects& out_effects) {
-  directory_.SetDataCentreOut(data_centre, out);
+  directory_.SetDataCentreOut(data_centre, out, now);
   DispatchAll(now, out_effects);
 }
 
@@ -53,11 +51,12 @@
 void request_router::OnRequest(const request_spec& spec,
                                time_point now,
                                effects& out) {
-  retries_.OnRequest(now);
+  RetriesOf(spec.pool, now).OnRequest(now);
   auto [added, inserted] = records_.emplace(
       spec.id,
       record{.spec = spec,
-             .life = request_lifecycle(spec, options_.lifecycle, now)});
+             .life = request_lifecycle(
+                 spec, OptionsFor(spec, options_.lifecycle), now)});
   record& record = added->second;
   if (const auto limit = QueueLimitReached(spec)) {
     Apply(record.life.Refuse(*limit), record, now, out);
@@ -103,7 +102,7 @@
   if (failure == nullptr || !record.life.WouldRetry(*failure)) {
     return false;
   }
-  const bool allowed = retries_.TryTake(now);
+  const bool allowed = RetriesOf(record.spec.pool, now).TryTake(now);
   ++(allowed ? totals_.retries : totals_.retries_denied);
   return allowed;
 }
@@ -240,6 +239,17 @@
       .first->second;
 }
 
+retry_budget& request_router::RetriesOf(const pool_id& pool, time_point now) {
+  return retries_.try_emplace(pool, options_.retries, now).first->second;
+}
+
+void request_router::SetRetryOptions(const retry_budget_options& retries) {
+  options_.retries = retries;
+  for (auto& [pool, budget] : retries_) {
+    budget.SetOptions(retries);
+  }
+}
+
 request_router::record* request_router::Find(request_seq request) {
   const auto found = records_.find(request);
   return found == records_.end() ? nullptr : &found->second;
@@ -293,6 +303,9 @@
     out.emplace_back(refuse_request{
         .refusal = MakeRefusal(record, refused->reason, refused->run)});
   }
+  if (std::holds_alternative<outcome_target_failure>(result)) {
+    out.emplace_back(pass_on_failure{.request = id});
+  }
   if (const auto* cut = std::get_if<outcome_cut>(&result)) {
     out.emplace_back(cut_answer{
         .refusal = MakeRefusal(record, cut->reason, run_state::kUnknown)});
@@ -307,7 +320,8 @@
 }
 
 void request_router::CountOutcome(const outcome& result) {
-  if (std::holds_alternative<outcome_completed>(result)) {
+  if (std::holds_alternative<outcome_completed>(result) ||
+      std::holds_alternative<outcome_target_failure>(result)) {
     ++totals_.completed;
   } else if (std::holds_alternative<outcome_cut>(result)) {
     ++totals_.cut;
--- a/src/routing/internal/retry_budget.cc
+++ b/src/routing/internal/retry_budget.cc
@@ -22,6 +22,11 @@
   return true;
 }
 
+void retry_budget::SetOptions(const retry_budget_options& options) {
+  options_ = options;
+  tokens_ = std::min(tokens_, options_.burst);
+}
+
 void retry_budget::Refill(time_point now) {
   Add(ToSeconds(now - refilled_at_) * options_.per_second);
   refilled_at_ = now;
--- a/src/routing/request_lifecycle.h
+++ b/src/routing/request_lifecycle.h
@@ -20,9 +20,16 @@
   duration service_answer_timeout = std::chrono::seconds(30);
   duration between_tokens_timeout = std::chrono::seconds(5);
   duration total_timeout = std::chrono::minutes(10);
+  /// Attempts that may have run.
   std::uint32_t max_attempts = 3;
+  /// Attempts in all, with those that certainly did not run.
+  std::uint32_t max_tries = 3;
 };
 
+/// The daemon's options with what the request itself asks for.
+lifecycle_options OptionsFor(const request_spec& spec,
+                             lifecycle_options defaults);
+
 /// Put the request back into the queue for another attempt.
 struct step_retry {
   failure_kind cause = failure_kind::kBroken;
@@ -44,8 +51,9 @@
 ///
 /// Invariants: `step_end` is returned at most once; its outcome is `refused`
 /// with `not_run` only if no attempt may have reached a target, by the
-/// attempts' own reports; after `attempt_failed` with `delivered` no step is
-/// a retry; work that is not repeatable is never retried once it may have run.
+/// attempts' own reports; after `attempt_failed` with `delivered` a step is a
+/// retry only if the request is resumable; work that is not repeatable is never
+/// retried once it may have run.
 class request_lifecycle {
  public:
   request_lifecycle(const request_spec& spec,
@@ -76,6 +84,8 @@
            phase_ == phase::kStreaming || phase_ == phase::kCancelling;
   }
   [[nodiscard]] bool streaming() const { return phase_ == phase::kStreaming; }
+  /// Part of the answer has been passed on, so that an attempt must resume it.
+  [[nodiscard]] bool resuming() const { return delivered_; }
   /// Why the router cancelled the running attempt; nullopt if it did not.
   [[nodiscard]] std::optional<refusals::refusal_reason> cancel_reason() const {
     return cancel_reason_;
@@ -109,6 +119,7 @@
 
   call_kind kind_;
   bool repeatable_;
+  bool resumable_;
   lifecycle_options options_;
   time_point arrived_;
   time_point queued_at_;
@@ -118,6 +129,9 @@
   attempt_number attempt_{0};
   /// Some attempt that has ended may have reached a target.
   bool may_have_run_ = false;
+  /// Attempts that have ended and may have run.
+  std::uint32_t runs_ = 0;
+  bool delivered_ = false;
   bool ended_ = false;
   /// Why the running attempt is being cancelled by us.
   std::optional<refusals::refusal_reason> cancel_reason_;
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -37,6 +37,8 @@
   duration no_target_wait = std::chrono::seconds(6);
   /// A customer not served for this time goes first once.
   duration age_limit = std::chrono::seconds(10);
+  /// Idle connections are used for work that may run once, too.
+  bool reuse_for_all = false;
 };
 
 /// What the router needs to know about a customer.
@@ -62,12 +64,13 @@
  public:
   request_router(router_options options,
                  i_random& random,
-                 i_routing_observer& observer,
-                 time_point now);
+                 i_routing_observer& observer);
 
   /// Sets a customer's terms; requests of customers without terms have
   /// share 1.
   void SetCustomer(const customer_id& customer, const customer_terms& terms);
+  /// Sets what may be spent on repeats in each pool.
+  void SetRetryOptions(const retry_budget_options& retries);
   void SetDataCentreOut(const data_centre_id& data_centre,
                         bool out,
                         time_point now,
@@ -151,6 +154,7 @@
   };
 
   pool_state& PoolOf(const pool_id& pool);
+  retry_budget& RetriesOf(const pool_id& pool, time_point now);
   record* Find(request_seq request);
   void Arm(request_seq request, record& record);
   void Apply(const lifecycle_step& step,
@@ -209,7 +213,8 @@
   router_options options_;
   i_routing_observer& observer_;
   targets::target_directory directory_;
-  retry_budget retries_;
+  /// One for each pool.
+  std::unordered_map<pool_id, retry_budget> retries_;
   std::unordered_map<pool_id, pool_state> pools_;
   std::unordered_map<customer_id, customer_terms> customers_;
   std::unordered_map<request_seq, record> records_;
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -23,6 +23,7 @@
 
   void OnRequest(time_point now);
   [[nodiscard]] bool TryTake(time_point now);
+  void SetOptions(const retry_budget_options& options);
 
  private:
   void Refill(time_point now);
--- a/src/routing/tests/request_router_unittest.cc
+++ b/src/routing/tests/request_router_unittest.cc
@@ -35,7 +35,7 @@
   seeded_random random{7};
   silent_observer observer;
   time_point now{seconds(1000)};
-  request_router router{Options(), random, observer, now};
+  request_router router{Options(), random, observer};
   std::map<request_seq, running_attempt> running;
   std::map<request_seq, int> ends;
   std::map<request_seq, int> runs;
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -18,6 +18,8 @@
   kNotAdmitted,
   /// The target answered with a failure of its own (5xx).
   kTargetError,
+  /// Another target, or another life of this one, has the address.
+  kOtherTarget,
   /// The answer named another request or could not be understood.
   kWrongAnswer,
   kAnswerTooLarge,
@@ -37,6 +39,8 @@
       return "not_admitted";
     case failure_kind::kTargetError:
       return "target_error";
+    case failure_kind::kOtherTarget:
+      return "other_target";
     case failure_kind::kWrongAnswer:
       return "wrong_answer";
     case failure_kind::kAnswerTooLarge:
@@ -81,6 +85,8 @@
   /// Where it failed, such as "read answer".
   std::string step;
   std::string detail;
+  /// The target's failure is at hand and can be passed on.
+  bool has_answer = false;
 };
 
 using attempt_event = std::variant<attempt_sending,
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -32,6 +32,8 @@
   incarnation life;
   endpoint address;
   connection_choice connection = connection_choice::kReuseAllowed;
+  /// The attempt goes on with a stream that broke at another target.
+  bool resumes = false;
 };
 
 /// End a running attempt and report `attempt_failed`.
@@ -45,6 +47,11 @@
   refusals::refusal refusal;
 };
 
+/// Pass the target's own failure on to the caller.
+struct pass_on_failure {
+  request_seq request;
+};
+
 /// Tell the caller, within its stream, that the answer is incomplete. The
 /// refusal record accounts for it.
 struct cut_answer {
@@ -111,6 +118,7 @@
 using effect = std::variant<start_attempt,
                             cancel_attempt,
                             refuse_request,
+                            pass_on_failure,
                             cut_answer,
                             routing_decision,
                             attempt_failure_report,
--- a/src/routing/types/outcome.h
+++ b/src/routing/types/outcome.h
@@ -17,6 +17,9 @@
   refusals::run_state run = refusals::run_state::kUnknown;
 };
 
+/// The caller got the target's own failure.
+struct outcome_target_failure {};
+
 /// The answer ended before it was whole; the caller was told so in the stream.
 struct outcome_cut {
   refusals::refusal_reason reason = refusals::refusal_reason::kTargetFailed;
@@ -26,6 +29,7 @@
 struct outcome_caller_left {};
 
 using outcome = std::variant<outcome_completed,
+                             outcome_target_failure,
                              outcome_refused,
                              outcome_cut,
                              outcome_caller_left>;
@@ -34,6 +38,9 @@
 inline const char* OutcomeName(const outcome& outcome) {
   struct namer {
     const char* operator()(const outcome_completed&) { return "completed"; }
+    const char* operator()(const outcome_target_failure&) {
+      return "target_failure";
+    }
     const char* operator()(const outcome_refused&) { return "refused"; }
     const char* operator()(const outcome_cut&) { return "cut"; }
     const char* operator()(const outcome_caller_left&) { return "caller_left"; }
--- a/src/routing/types/request.h
+++ b/src/routing/types/request.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string>
 
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "targets/types/prompt.h"
 
 namespace burdocklock::routing {
 
@@ -18,6 +21,8 @@
 
 struct request_spec {
   request_seq id;
+  /// The caller's own name of the request; empty if it gave none.
+  std::string caller_name;
   customer_id customer;
   pool_id pool;
   call_kind kind = call_kind::kStreamedGeneration;
@@ -25,6 +30,15 @@
   bool repeatable = true;
   /// Rough size of the prompt; corrected when the target reports usage.
   std::uint32_t prompt_tokens = 0;
+  /// From arrival to the final answer; the daemon's limit if absent.
+  std::optional<duration> time_limit;
+  /// Within this time the answer, or the first event of a stream, is on time.
+  std::optional<duration> latency_objective;
+  /// Targets on which it may run; the daemon's limit if absent.
+  std::optional<std::uint32_t> max_attempts;
+  /// A broken stream may go on at another target.
+  bool resumable = false;
+  std::optional<targets::prompt> prompt;
 };
 
 }  // namespace burdocklock::routing
--- /dev/null
+++ b/src/storage/internal/log_frames.cc
@@ -0,0 +1,116 @@
+// See the header. A frame is: magic, payload length, checksum, synced length,
+// payload; numbers in little-endian order.
+#include "storage/log_frames.h"
+
+#include <optional>
+
+#include <boost/crc.hpp>
+
+namespace burdocklock::storage {
+
+namespace {
+
+constexpr std::string_view kMagic = "blq1";
+constexpr std::size_t kLengthAt = 4;
+constexpr std::size_t kChecksumAt = 8;
+constexpr std::size_t kSyncedAt = 12;
+constexpr std::size_t kHeaderBytes = 20;
+
+template <typename T>
+void AppendNumber(T value, std::string& out) {
+  for (std::size_t i = 0; i < sizeof(T); ++i) {
+    out.push_back(static_cast<char>(value >> (8 * i)));
+  }
+}
+
+template <typename T>
+T ReadNumber(std::string_view bytes) {
+  T value = 0;
+  for (std::size_t i = 0; i < sizeof(T); ++i) {
+    value |= static_cast<T>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+  }
+  return value;
+}
+
+std::uint32_t Checksum(std::string_view synced, std::string_view payload) {
+  boost::crc_32_type crc;
+  crc.process_bytes(synced.data(), synced.size());
+  crc.process_bytes(payload.data(), payload.size());
+  return crc.checksum();
+}
+
+struct frame {
+  std::string_view payload;
+  std::uint64_t synced = 0;
+  std::size_t size = 0;
+};
+
+std::optional<frame> ReadFrame(std::string_view bytes) {
+  if (bytes.size() < kHeaderBytes || !bytes.starts_with(kMagic)) {
+    return std::nullopt;
+  }
+  const auto length = ReadNumber<std::uint32_t>(bytes.substr(kLengthAt));
+  if (bytes.size() - kHeaderBytes < length) {
+    return std::nullopt;
+  }
+  const std::string_view payload = bytes.substr(kHeaderBytes, length);
+  const std::string_view synced =
+      bytes.substr(kSyncedAt, kHeaderBytes - kSyncedAt);
+  if (ReadNumber<std::uint32_t>(bytes.substr(kChecksumAt)) !=
+      Checksum(synced, payload)) {
+    return std::nullopt;
+  }
+  return frame{.payload = payload,
+               .synced = ReadNumber<std::uint64_t>(synced),
+               .size = kHeaderBytes + length};
+}
+
+// True if a frame after `damaged` shows that this place had been synced.
+bool WasSynced(std::string_view bytes, std::size_t damaged) {
+  std::size_t at = bytes.find(kMagic, damaged + 1);
+  while (at != std::string_view::npos) {
+    const auto later = ReadFrame(bytes.substr(at));
+    if (later && later->synced > damaged) {
+      return true;
+    }
+    at = bytes.find(kMagic, at + 1);
+  }
+  return false;
+}
+
+}  // namespace
+
+void AppendFrame(std::string_view payload,
+                 std::uint64_t synced,
+                 std::string& out) {
+  std::string synced_bytes;
+  AppendNumber(synced, synced_bytes);
+  out += kMagic;
+  AppendNumber(static_cast<std::uint32_t>(payload.size()), out);
+  AppendNumber(Checksum(synced_bytes, payload), out);
+  out += synced_bytes;
+  out += payload;
+}
+
+result<scanned_frames> ScanFrames(std::string_view bytes) {
+  scanned_frames scanned;
+  while (scanned.sound_bytes < bytes.size()) {
+    const auto next = ReadFrame(bytes.substr(scanned.sound_bytes));
+    if (!next) {
+      if (WasSynced(bytes, scanned.sound_bytes)) {
+        return error{.code = error_code::kMalformed,
+                     .step = "read log",
+                     .peer = {},
+                     .detail = "damaged at byte " +
+                               std::to_string(scanned.sound_bytes) +
+                               ", which had been synced"};
+      }
+      break;
+    }
+    scanned.payloads.push_back(next->payload);
+    scanned.sound_bytes += next->size;
+  }
+  return scanned;
+}
+
+}  // namespace burdocklock::storage
--- /dev/null
+++ b/src/storage/log_frames.h
@@ -0,0 +1,30 @@
+// Frames of the log file: a record with a checksum.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "framework/types/error.h"
+
+namespace burdocklock::storage {
+
+/// Appends a frame to `out`. `synced` is the length of the file that was on
+/// disk when the frame was written.
+void AppendFrame(std::string_view payload,
+                 std::uint64_t synced,
+                 std::string& out);
+
+struct scanned_frames {
+  std::vector<std::string_view> payloads;
+  /// Length of the sound part; what follows was torn by a loss of power.
+  std::size_t sound_bytes = 0;
+};
+
+/// Reads all frames of a file. A tail that was never synced may be damaged and
+/// is left out; fails if damage lies in a part that had been synced.
+result<scanned_frames> ScanFrames(std::string_view bytes);
+
+}  // namespace burdocklock::storage
--- /dev/null
+++ b/src/targets/internal/cold_admission.cc
@@ -0,0 +1,48 @@
+// See the header.
+#include "targets/cold_admission.h"
+
+#include <algorithm>
+#include <functional>
+#include <string>
+
+#include "targets/rendezvous.h"
+
+namespace burdocklock::targets {
+
+double ColdShare(const target_id& target,
+                 const daemon_id& self,
+                 const std::vector<daemon_id>& routers) {
+  const std::uint64_t own = RendezvousWeight(target.value(), self.value());
+  std::size_t before = 0;
+  std::size_t known = 0;
+  for (const daemon_id& router : routers) {
+    if (router == self) {
+      continue;
+    }
+    ++known;
+    before += RendezvousWeight(target.value(), router.value()) > own ? 1 : 0;
+  }
+  if (before >= kRoutersPerColdTarget) {
+    return 0;
+  }
+  return 1.0 /
+         static_cast<double>(std::min(known + 1, kRoutersPerColdTarget));
+}
+
+double cold_bucket::Level(double rate, time_point now) const {
+  if (filled_at_ == time_point{}) {
+    return 1;
+  }
+  return std::min(1.0, level_ + rate * ToSeconds(now - filled_at_));
+}
+
+bool cold_bucket::HasToken(double rate, time_point now) const {
+  return rate > 0 && Level(rate, now) >= 1;
+}
+
+void cold_bucket::Take(double rate, time_point now) {
+  level_ = Level(rate, now) - 1;
+  filled_at_ = now;
+}
+
+}  // namespace burdocklock::targets
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -20,6 +20,7 @@
     const auto [added, inserted] =
         entries_.emplace(announcement.target, std::move(fresh));
     IndexPools(added->second);
+    NoteColdness(added->second, now);
     next_deadline_ = std::min(next_deadline_, now + options_.silence);
     return announce_result::kNew;
   }
@@ -33,6 +34,7 @@
   } else {
     Refresh(known, announcement);
   }
+  NoteColdness(known, now);
   if (now - known.last_heard > options_.silence / 2) {
     known.heard_since = now;
   }
@@ -48,6 +50,9 @@
   if (announcement.life != known.announced.life) {
     return announcement.life < known.announced.life;
   }
+  if (announcement.sequence > 0 && known.announced.sequence > 0) {
+    return announcement.sequence <= known.announced.sequence;
+  }
   if (announcement.load && known.announced.load) {
     return announcement.load->at_ms <= known.announced.load->at_ms;
   }
@@ -63,15 +68,24 @@
                               options_.ramp);
   // Grants of the earlier incarnation died with it.
   known.in_flight = 0;
+  known.unread.clear();
+  known.unread_tokens = 0;
+  known.prefixes.Clear();
+  known.cold_until = {};
+  known.gone = false;
   IndexPools(known);
 }
 
 void target_directory::Refresh(entry& known, const announcement& announcement) {
   const bool started = known.announced.state != target_state::kReady &&
                        announcement.state == target_state::kReady;
+  const bool was_warm = known.ramp.phase() == ramp_phase::kWarm;
   UnindexPools(known);
   known.announced = announcement;
   known.ramp.Resize(announcement.slots, announcement.cold_slots);
+  if (was_warm) {
+    known.ramp.RaiseTo(announcement.slots);
+  }
   if (started) {
     known.ramp.Reset();
   }
@@ -79,7 +93,8 @@
 }
 
 void target_directory::SetDataCentreOut(const data_centre_id& data_centre,
-                                        bool out) {
+                                        bool out,
+                                        time_point now) {
   bool& current = out_[data_centre];
   if (current == out) {
     return;
@@ -89,8 +104,17 @@
     return;
   }
   for (auto& [id, entry] : entries_) {
-    if (entry.announced.data_centre == data_centre) {
-      entry.ramp.Reset();
+    if (entry.announced.data_centre != data_centre) {
+      continue;
+    }
+    entry.ramp.Reset();
+    for (const pool_id& pool : entry.announced.pools) {
+      const auto terms = cold_terms_.find(pool);
+      if (terms != cold_terms_.end()) {
+        entry.cold_until =
+            std::max(entry.cold_until, now + terms->second.time);
+        entry.ramp.RaiseTo(entry.announced.slots);
+      }
     }
   }
 }
@@ -101,6 +125,17 @@
   return found != out_.end() && found->second;
 }
 
+std::vector<data_centre_id> target_directory::OutOfService() const {
+  std::vector<data_centre_id> found;
+  for (const auto& [data_centre, out] : out_) {
+    if (out) {
+      found.push_back(data_centre);
+    }
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
 std::vector<target_id> target_directory::CollectSilent(time_point now) {
   std::vector<target_id> silent;
   next_deadline_ = kNever;
@@ -136,100 +171,14 @@
   return resume > now ? std::min(next, resume) : next;
 }
 
-std::optional<choice> target_directory::Choose(
-    const pool_id& pool,
-    const std::vector<target_id>& excluded,
-    time_point now) {
-  const auto found = by_pool_.find(pool);
-  if (found == by_pool_.end()) {
-    return std::nullopt;
-  }
-  std::vector<entry*> local;
-  std::vector<entry*> remote;
-  std::vector<entry*> last_resort;
-  bool other_usable = false;
-  for (entry* candidate : found->second) {
-    if (!IsUsable(*candidate, now)) {
-      continue;
-    }
-    const bool is_excluded =
-        std::find(excluded.begin(), excluded.end(),
-                  candidate->announced.target) != excluded.end();
-    other_usable |= !is_excluded;
-    if (!HasRoom(*candidate)) {
-      continue;
-    }
-    if (is_excluded) {
-      last_resort.push_back(candidate);
-    } else if (candidate->announced.data_centre == options_.local_data_centre) {
-      local.push_back(candidate);
-    } else {
-      remote.push_back(candidate);
-    }
-  }
-  std::vector<target_id> considered;
-  entry* picked = PickAmong(local, considered);
-  if (picked == nullptr) {
-    picked = PickAmong(remote, considered);
-  }
-  if (picked == nullptr && !other_usable) {
-    picked = PickAmong(last_resort, considered);
-  }
-  if (picked == nullptr) {
-    return std::nullopt;
-  }
-  ++picked->in_flight;
-  return choice{.grant = {.target = picked->announced.target,
-                          .life = picked->announced.life,
-                          .address = picked->announced.address,
-                          .epoch = picked->ramp.epoch(),
-                          .data_centre = picked->announced.data_centre,
-                          .lease_epoch = picked->lease_epoch},
-                .considered = std::move(considered)};
-}
-
-target_directory::entry* target_directory::PickAmong(
-    const std::vector<entry*>& candidates,
-    std::vector<target_id>& considered) {
-  if (candidates.empty()) {
-    return nullptr;
-  }
-  const auto count = static_cast<std::uint32_t>(candidates.size());
-  const std::uint32_t first = random_.Below(count);
-  entry* best = candidates[first];
-  if (count == 1) {
-    considered.push_back(best->announced.target);
-    return best;
-  }
-  const std::uint32_t second = (first + 1 + random_.Below(count - 1)) % count;
-  entry* other = candidates[second];
-  if (IsBetter(*other, *best)) {
-    std::swap(best, other);
-  }
-  considered.push_back(best->announced.target);
-  considered.push_back(other->announced.target);
-  return best;
-}
-
-bool target_directory::IsBetter(const entry& a, const entry& b) const {
-  // Compares a.in_flight / a.limit with b.in_flight / b.limit.
-  const auto load_a = static_cast<std::uint64_t>(a.in_flight) * LimitOf(b);
-  const auto load_b = static_cast<std::uint64_t>(b.in_flight) * LimitOf(a);
-  if (load_a != load_b) {
-    return load_a < load_b;
-  }
-  const auto reported = [](const entry& entry) {
-    return entry.announced.load
-               ? entry.announced.load->running + entry.announced.load->waiting
-               : 0U;
-  };
-  return reported(a) < reported(b);
-}
-
 bool target_directory::ReportFirstOutput(const slot_grant& grant,
                                          duration latency) {
   entry* known = Find(grant.target, grant.life);
-  if (known == nullptr || !known->ramp.OnFirstOutput(grant.epoch, latency)) {
+  if (known == nullptr) {
+    return false;
+  }
+  ForgetUnread(*known, grant.number);
+  if (!known->ramp.OnFirstOutput(grant.epoch, latency)) {
     return false;
   }
   if (options_.leased) {
@@ -246,6 +195,7 @@
     return false;
   }
   --known->in_flight;
+  ForgetUnread(*known, grant.number);
   if (options_.leased) {
     ++EvidenceOf(grant).good;
     returned_revoked_ |= known->in_flight >= known->lease_limit;
@@ -259,6 +209,7 @@
     return;
   }
   --known->in_flight;
+  ForgetUnread(*known, grant.number);
   if (options_.leased) {
     ++EvidenceOf(grant).bad;
     // Nothing new until the lessor has judged the failure.
@@ -273,6 +224,7 @@
 void target_directory::ReleaseNeutral(const slot_grant& grant) {
   if (entry* known = Find(grant.target, grant.life)) {
     --known->in_flight;
+    ForgetUnread(*known, grant.number);
     returned_revoked_ |=
         options_.leased && known->in_flight >= known->lease_limit;
   }
@@ -422,7 +374,7 @@
                             ? entry.lease_limit > 0 && now < entry.lease_until
                             : now - entry.last_heard < options_.silence &&
                                   entry.ramp.paused_until() <= now;
-  return in_force && entry.announced.state == target_state::kReady &&
+  return in_force && !entry.gone && entry.announced.state == target_state::kReady &&
          !IsDataCentreOut(entry.announced.data_centre);
 }
 
@@ -430,8 +382,11 @@
   return options_.leased ? entry.lease_limit : entry.ramp.limit();
 }
 
-bool target_directory::HasRoom(const entry& entry) const {
-  return entry.in_flight < LimitOf(entry);
+bool target_directory::HasRoom(const entry& entry, time_point now) const {
+  if (entry.in_flight >= LimitOf(entry)) {
+    return false;
+  }
+  return now >= entry.cold_until || entry.cold.HasToken(ColdRate(entry), now);
 }
 
 target_directory::entry* target_directory::Find(const target_id& target,
--- a/src/targets/internal/target_leases.cc
+++ b/src/targets/internal/target_leases.cc
@@ -61,7 +61,7 @@
     return free;
   }
   for (const entry* entry : found->second) {
-    if (IsUsable(*entry, now) && HasRoom(*entry)) {
+    if (IsUsable(*entry, now) && HasRoom(*entry, now)) {
       free += entry->lease_limit - entry->in_flight;
     }
   }
--- /dev/null
+++ b/src/targets/prefix_memory.h
@@ -0,0 +1,42 @@
+// Which parts of prompts a target probably keeps, from what was sent there.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <utility>
+
+#include "targets/types/prompt.h"
+
+namespace burdocklock::targets {
+
+/// Least recently used parts yield, as they do at the target.
+///
+/// Invariant: the tokens of all parts held are at most the capacity, unless
+/// there is one part only.
+class prefix_memory {
+ public:
+  explicit prefix_memory(std::uint64_t capacity_tokens)
+      : capacity_(capacity_tokens) {}
+
+  /// Tokens of the leading parts that are held without a gap.
+  [[nodiscard]] std::uint32_t Held(const prompt& prompt) const;
+  /// The target has been sent this prompt.
+  void Note(const prompt& prompt);
+  void Clear();
+  [[nodiscard]] std::uint64_t capacity() const { return capacity_; }
+
+ private:
+  using order = std::list<prompt_part>;
+
+  void Touch(const prompt_part& part);
+
+  std::uint64_t capacity_;
+  std::uint64_t held_tokens_ = 0;
+  /// Most recently used first.
+  order parts_;
+  std::unordered_map<std::uint64_t, order::iterator> places_;
+};
+
+}  // namespace burdocklock::targets
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -12,7 +12,10 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "targets/admission_ramp.h"
+#include "targets/cold_admission.h"
+#include "targets/prefix_memory.h"
 #include "targets/types/announcement.h"
+#include "targets/types/prompt.h"
 
 namespace burdocklock::targets {
 
@@ -26,6 +29,8 @@
   /// ramps.
   bool leased = false;
   ramp_options ramp;
+  /// Name of this router, for its share of cold targets.
+  daemon_id self;
 };
 
 enum class announce_result { kNew, kNewIncarnation, kUpdated, kStale };
@@ -53,6 +58,8 @@
   data_centre_id data_centre;
   /// Epoch of the lessor's ramp; evidence is reported under it.
   ramp_epoch lease_epoch;
+  /// Names the grant among those of its target.
+  std::uint64_t number = 0;
 };
 
 /// Slots of one target that may be used.
@@ -103,8 +110,11 @@
   announce_result Announce(const announcement& announcement, time_point now);
   /// Takes a data centre out of service for new work, or back in. On return
   /// its targets count as cold.
-  void SetDataCentreOut(const data_centre_id& data_centre, bool out);
+  void SetDataCentreOut(const data_centre_id& data_centre,
+                        bool out,
+                        time_point now);
   [[nodiscard]] bool IsDataCentreOut(const data_centre_id& data_centre) const;
+  [[nodiscard]] std::vector<data_centre_id> OutOfService() const;
 
   /// Targets that fell silent since the last call. Forgets those that have
   /// been silent for the retention period.
@@ -118,6 +128,22 @@
   std::optional<choice> Choose(const pool_id& pool,
                                const std::vector<target_id>& excluded,
                                time_point now);
+  /// As above for a generation: the target that will probably begin to answer
+  /// first, from the prompts that it has yet to read and those that it keeps.
+  std::optional<choice> ChooseForPrompt(const pool_id& pool,
+                                        const std::vector<target_id>& excluded,
+                                        const prompt& prompt,
+                                        time_point now);
+  /// What targets of the pool bear while cold.
+  void SetColdTerms(const pool_id& pool, const cold_terms& terms);
+  /// Tokens that a target of the pool keeps.
+  void SetMemory(const pool_id& pool, std::uint64_t tokens);
+  /// The routers that share the targets, this one included.
+  void SetRouters(std::vector<daemon_id> routers);
+  /// Another process answers at the target's address.
+  void NoteGone(const slot_grant& grant);
+  /// Nothing can be heard of any target at present: silence means nothing.
+  void ExcuseSilence(time_point now);
 
   /// Evidence on a granted slot; `Release*` also gives it back.
   /// Returns true if the target was found to have turned cold.
@@ -207,11 +233,36 @@
     std::uint32_t lease_ramp_limit = 0;
     ramp_epoch lease_epoch;
     time_point lease_until{};
+    /// The target is cold until then.
+    time_point cold_until{};
+    cold_bucket cold;
+    prefix_memory prefixes{0};
+    /// Tokens still to be read of each grant whose output has not begun.
+    std::unordered_map<std::uint64_t, std::uint32_t> unread;
+    std::uint64_t unread_tokens = 0;
+    bool gone = false;
   };
+  struct candidates {
+    std::vector<entry*> local;
+    std::vector<entry*> remote;
+    /// Usable only because nobody else is.
+    std::vector<entry*> last_resort;
+  };
+
+  [[nodiscard]] candidates Candidates(const pool_id& pool,
+                                      const std::vector<target_id>& excluded,
+                                      time_point now);
+  choice Grant(entry& picked,
+               std::vector<target_id> considered,
+               time_point now);
+  [[nodiscard]] double CostOf(const entry& entry, const prompt& prompt) const;
+  [[nodiscard]] double ColdRate(const entry& entry) const;
+  void NoteColdness(entry& entry, time_point now);
+  void ForgetUnread(entry& entry, std::uint64_t grant);
 
   [[nodiscard]] bool IsUsable(const entry& entry, time_point now) const;
   [[nodiscard]] std::uint32_t LimitOf(const entry& entry) const;
-  [[nodiscard]] bool HasRoom(const entry& entry) const;
+  [[nodiscard]] bool HasRoom(const entry& entry, time_point now) const;
   [[nodiscard]] bool IsBetter(const entry& a, const entry& b) const;
   lease_evidence& EvidenceOf(const slot_grant& grant);
   entry* PickAmong(const std::vector<entry*>& candidates,
@@ -233,6 +284,10 @@
   std::unordered_map<data_centre_id, bool> out_;
   time_point next_deadline_ = kNever;
   std::unordered_map<pool_id, std::uint32_t> capacity_;
+  std::unordered_map<pool_id, cold_terms> cold_terms_;
+  std::unordered_map<pool_id, std::uint64_t> memory_;
+  std::vector<daemon_id> routers_;
+  std::uint64_t last_grant_ = 0;
   std::vector<std::pair<data_centre_id, lease_evidence>> evidence_;
   /// A slot that was to be given back has become free since the last report.
   bool returned_revoked_ = false;
--- a/src/targets/types/announcement.h
+++ b/src/targets/types/announcement.h
@@ -1,7 +1,9 @@
 // What a target says about itself.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -55,6 +57,14 @@
   std::uint32_t cold_slots = 1;
   fencing_support fencing = fencing_support::kIgnores;
   std::optional<load_report> load;
+  /// Orders the announcements of one incarnation; 0 if they are not numbered.
+  std::uint64_t sequence = 0;
+  /// How long the target remains cold, by its own word.
+  std::optional<std::chrono::milliseconds> cold_for;
 };
 
+/// Sequence of a target that has gone: nothing of that incarnation follows.
+inline constexpr std::uint64_t kLastSequence =
+    std::numeric_limits<std::uint64_t>::max();
+
 }  // namespace burdocklock::targets
