Share engines by max-min over customers; place prompts by what engines keep and have to read

Change: routers tell one another, through the leading control host, what they sent and what they are asked for; a customer over its max-min share gets room to spare only; prompts go where the shared parts are kept, in time that engines need to read.

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -56,15 +56,21 @@
 void control_loop::Perform(const routing::routing_decision& effect,
                            time_point) {
   const bool is_retry = effect.reason == routing::routing_reason::kRetry;
-  logger_.Log(log_record("route")
-                  .Add("request", LogName(effect.request))
-                  .Add("customer", effect.customer.value())
-                  .Add("pool", effect.pool.value())
-                  .Add("attempt", effect.attempt.value())
-                  .Add("target", effect.target.value())
-                  .Add("considered", Names(effect.considered))
-                  .Add("reason", is_retry ? "retry" : "least_loaded")
-                  .Add("waited_ms", ToMilliseconds(effect.waited)));
+  log_record record("route");
+  record.Add("request", LogName(effect.request))
+      .Add("customer", effect.customer.value())
+      .Add("pool", effect.pool.value())
+      .Add("attempt", effect.attempt.value())
+      .Add("target", effect.target.value())
+      .Add("considered", Names(effect.considered))
+      .Add("reason", is_retry ? "retry" : "least_loaded")
+      .Add("waited_ms", ToMilliseconds(effect.waited));
+  if (effect.unread_tokens > 0) {
+    record.Add("unread_tokens", effect.unread_tokens)
+        .Add("tokens_before", effect.tokens_before)
+        .Add("over_share", effect.over_share);
+  }
+  logger_.Log(record);
 }
 
 void control_loop::Perform(const routing::attempt_failure_report& effect,
@@ -87,13 +93,18 @@
   ++metrics_.Counter("burdocklock_requests_total",
                      {{"outcome", OutcomeName(effect.result)},
                       {"customer", effect.customer.value()}});
-  logger_.Log(log_record("request_ended")
-                  .Add("request", LogName(effect.request))
-                  .Add("customer", effect.customer.value())
-                  .Add("pool", effect.pool.value())
-                  .Add("outcome", OutcomeName(effect.result))
-                  .Add("attempts", effect.attempts.value())
-                  .Add("total_ms", ToMilliseconds(effect.total)));
+  log_record record("request_ended");
+  record.Add("request", LogName(effect.request))
+      .Add("customer", effect.customer.value())
+      .Add("pool", effect.pool.value())
+      .Add("outcome", OutcomeName(effect.result))
+      .Add("attempts", effect.attempts.value())
+      .Add("target", effect.target.value())
+      .Add("total_ms", ToMilliseconds(effect.total));
+  if (effect.first_output) {
+    record.Add("first_output_ms", ToMilliseconds(*effect.first_output));
+  }
+  logger_.Log(record);
   exchanges_.erase(effect.request);
 }
 
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -127,6 +127,8 @@
   handle(now, effects);
   if (node_) {
     node_->AfterRouterEvent(now, effects);
+  } else {
+    feed_->AfterRouterEvent(now);
   }
   Perform(effects, now);
   ArmTimer();
--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -24,6 +24,12 @@
 // Part of the fleet's retries that is handed out; the rest covers routers that
 // have restarted and believe to have spent nothing.
 constexpr double kRetryShare = 0.5;
+constexpr std::chrono::milliseconds kLoadPeriod{200};
+// A prompt of this size makes those behind it late unless others know of it.
+constexpr std::uint64_t kTokensWorthReporting = 2000;
+constexpr std::chrono::milliseconds kLeastLoadSpacing{25};
+// The other routers' load counts for this time after it was heard.
+constexpr std::chrono::milliseconds kLoadAge{1500};
 
 control::router_client_options ClientOptions(const config::settings& settings) {
   return {.daemon = settings.daemon, .seeds = settings.control.hosts};
@@ -92,6 +98,16 @@
   out_ = &out;
   now_ = now;
   client_->OnTick(now);
+  if (now >= load_at_) {
+    ReportLoad(now);
+  }
+  if (now - others_heard_ >= kLoadAge && others_heard_ != time_point{}) {
+    // What others do is not known any more.
+    others_heard_ = {};
+    router_.SetOthersLoad({}, now, out);
+    router_.mutable_directory().SetOwnPart(
+        1.0 / static_cast<double>(routers_ == 0 ? kAssumedRouters : routers_));
+  }
   if (!in_contact_) {
     // Nothing can be heard of targets either.
     router_.mutable_directory().ExcuseSilence(now);
@@ -99,8 +115,26 @@
   out_ = nullptr;
 }
 
+void operator_feed::ReportLoad(time_point now) {
+  load_at_ = now + kLoadPeriod;
+  load_reported_ = now;
+  reported_tokens_ = router_.directory().granted_tokens();
+  client_->ReportLoad(router_.OwnLoad(now));
+}
+
+void operator_feed::AfterRouterEvent(time_point now) {
+  const std::uint64_t news =
+      router_.directory().granted_tokens() - reported_tokens_;
+  if (client_ && news >= kTokensWorthReporting) {
+    load_at_ = std::min(load_at_, load_reported_ + kLeastLoadSpacing);
+    if (now >= load_at_) {
+      ReportLoad(now);
+    }
+  }
+}
+
 time_point operator_feed::NextDeadline() const {
-  return client_ ? client_->NextDeadline() : kNever;
+  return client_ ? std::min(client_->NextDeadline(), load_at_) : kNever;
 }
 
 void operator_feed::SetControlHosts(std::vector<endpoint> hosts) {
@@ -143,7 +177,17 @@
     directory.SetColdTerms(
         terms.service, {.rate = terms.cold_rate, .time = terms.cold_time});
     directory.SetMemory(terms.service, terms.memory_tokens);
+    if (terms.memory_tokens > 0) {
+      router_.SetPoolThroughput(terms.service,
+                                table->contents().engine_throughput);
+    }
   }
+  logger_.Log(log_record("configuration")
+                  .Add("version", version_)
+                  .Add("routes", table->contents().routes.size())
+                  .Add("customers", table->contents().customers.size())
+                  .Add("engine_throughput",
+                       table->contents().engine_throughput));
   const std::lock_guard lock(mutex_);
   routes_ = std::move(table);
 }
@@ -166,7 +210,10 @@
                              time_point heard) {
   targets::announcement scaled = announcement;
   const std::size_t routers = routers_ == 0 ? kAssumedRouters : routers_;
-  scaled.slots = ShareOfSlots(announcement.slots, routers);
+  // While the others' work is known, targets are shared by that.
+  if (others_heard_ == time_point{}) {
+    scaled.slots = ShareOfSlots(announcement.slots, routers);
+  }
   scaled.cold_slots = std::min(announcement.cold_slots, scaled.slots);
   const targets::announce_result result =
       router_.OnAnnouncement(scaled, now_, *out_);
@@ -203,6 +250,11 @@
   }
 }
 
+void operator_feed::OnOthersLoad(const admission::fleet_load& others) {
+  others_heard_ = now_;
+  router_.SetOthersLoad(others, now_, *out_);
+}
+
 void operator_feed::OnContact(bool in_contact) {
   in_contact_ = in_contact;
   logger_.Log(log_record(in_contact ? "control_regained" : "control_lost",
--- a/src/app/internal/operator_feed.h
+++ b/src/app/internal/operator_feed.h
@@ -41,6 +41,9 @@
   result<void> Start();
   void Stop();
   void OnTick(time_point now, routing::effects& out);
+  /// Call after every event of the router: tells the other routers at once when
+  /// much has been sent.
+  void AfterRouterEvent(time_point now);
   [[nodiscard]] time_point NextDeadline() const;
   void SetControlHosts(std::vector<endpoint> hosts);
 
@@ -59,6 +62,7 @@
                 time_point heard) override;
   void OnRouters(const std::vector<daemon_id>& routers) override;
   void OnContact(bool in_contact) override;
+  void OnOthersLoad(const admission::fleet_load& others) override;
 
  private:
   // Runs `handle` as an event, with `out_` and `now_` set.
@@ -66,6 +70,7 @@
   void TakeConfiguration(const std::string& document);
   void TakeOutages(const std::set<data_centre_id>& out);
   void SetShares();
+  void ReportLoad(time_point now);
 
   const config::settings& settings_;
   const routes::i_configuration_reader& reader_;
@@ -77,6 +82,12 @@
   std::unique_ptr<control::router_client> client_;
   std::set<data_centre_id> out_of_service_;
   std::size_t routers_ = 0;
+  time_point load_at_{};
+  time_point load_reported_{};
+  /// The directory's count of granted tokens at the last report.
+  std::uint64_t reported_tokens_ = 0;
+  /// When the other routers' load was last heard.
+  time_point others_heard_{};
   std::uint64_t version_ = 0;
   bool in_contact_ = false;
   // Of the event that is being handled.
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -14,6 +14,7 @@
 #include "control/i_control_port.h"
 #include "control/i_link_port.h"
 #include "control/link_set.h"
+#include "control/load_collector.h"
 #include "control/operator_state.h"
 #include "control/target_registry.h"
 #include "control/types/message.h"
@@ -36,6 +37,10 @@
   duration target_batch = std::chrono::milliseconds(500);
   /// A command that is not committed in this time has no clear outcome.
   duration command_timeout = std::chrono::seconds(2);
+  /// Least time between two messages about the others' load to a router; more
+  /// if there are many routers.
+  duration load_spacing = std::chrono::milliseconds(30);
+  std::size_t routers_per_load_spacing = 8;
   /// A follower leaves it to the leader for this long to tell routers.
   duration follower_delay = std::chrono::milliseconds(250);
   /// The log is cut short after so many entries, or so many bytes of commands.
@@ -89,6 +94,8 @@
     introduction described;
     time_point last_heard;
     bool is_router = false;
+    /// It reports its load here.
+    bool reports_load = false;
     /// Contents of this revision are on their way.
     state_revision sent;
     /// Contents may be sent from this time on.
@@ -108,6 +115,8 @@
   void Handle(link_id link, const state_update& m);
   void Handle(link_id link, const target_news& m);
   void Handle(link_id link, const quorum_envelope& m);
+  void Handle(link_id link, const load_report& m);
+  void Handle(link_id link, const load_view& m);
 
   // Commands and reads (control_commands.cc).
   void Propose(const operator_command& command, command_done done);
@@ -132,6 +141,7 @@
   void TellTargets(const std::vector<targets::announcement>& changed);
   void SendTargetBatch();
   [[nodiscard]] std::vector<heard_target> AllTargets() const;
+  void SendLoad();
   void ForgetSilentPeers();
 
   control_options options_;
@@ -141,6 +151,9 @@
   link_set links_;
   operator_state state_;
   target_registry registry_;
+  load_collector load_;
+  time_point load_at_ = kNever;
+  time_point load_sent_{};
   time_point now_;
 
   std::map<link_id, inbound_peer> inbound_;
--- a/src/control/i_router_view.h
+++ b/src/control/i_router_view.h
@@ -25,6 +25,8 @@
                         time_point heard) = 0;
   /// The routers that share the targets.
   virtual void OnRouters(const std::vector<daemon_id>& routers) = 0;
+  /// The load of all other routers, as of their last reports.
+  virtual void OnOthersLoad(const admission::fleet_load& others) = 0;
   /// The first control host was heard, or the last one was lost.
   virtual void OnContact(bool in_contact) = 0;
 };
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -76,12 +76,15 @@
   if (now >= contents_at_) {
     TellRoutersDue();
   }
+  if (now >= load_at_) {
+    SendLoad();
+  }
   Drain();
 }
 
 time_point control_node::NextDeadline() const {
   return std::min({raft_.NextDeadline(), heartbeat_at_, join_at_, targets_at_,
-                   contents_at_});
+                   contents_at_, load_at_});
 }
 
 void control_node::OnLinkUp(link_id link, time_point now) {
@@ -176,6 +179,32 @@
   }
 }
 
+void control_node::Handle(link_id link, const load_report& m) {
+  load_.OnReport(m.daemon, m.load, now_);
+  const auto peer = inbound_.find(link);
+  if (peer != inbound_.end()) {
+    peer->second.reports_load = true;
+  }
+  const auto times = static_cast<std::int64_t>(
+      1 + routers_.size() / options_.routers_per_load_spacing);
+  load_at_ = std::min(load_at_, load_sent_ + options_.load_spacing * times);
+}
+
+void control_node::SendLoad() {
+  load_at_ = kNever;
+  load_sent_ = now_;
+  for (const auto& [link, peer] : inbound_) {
+    if (peer.reports_load) {
+      link_port_.Send(link, load_view{.others = load_.Others(
+                                          peer.described.daemon, now_)});
+    }
+  }
+}
+
+void control_node::Handle(link_id, const load_view&) {
+  // For routers only.
+}
+
 void control_node::Drain() {
   quorum::raft_output output = raft_.TakeOutput();
   while (true) {
@@ -326,7 +355,8 @@
 
 void control_node::TellRouter(link_id link, inbound_peer& router) {
   state_update update{.revision = state_.revision(),
-                      .current = raft_.IsCurrent(now_)};
+                      .current = raft_.IsCurrent(now_),
+                      .leads = raft_.role() == raft_role::kLeader};
   for (const quorum::member& member : raft_.members()) {
     update.control_hosts.push_back(member.links);
   }
--- /dev/null
+++ b/src/control/internal/load_collector.cc
@@ -0,0 +1,57 @@
+// See the header.
+#include "control/load_collector.h"
+
+#include <chrono>
+#include <utility>
+
+namespace burdocklock::control {
+
+namespace {
+
+// A router that has not reported for this time has no load that is known.
+constexpr std::chrono::milliseconds kReportAge{1500};
+
+}  // namespace
+
+void load_collector::OnReport(const daemon_id& router,
+                              admission::fleet_load load,
+                              time_point now) {
+  std::erase_if(routers_, [now](const auto& entry) {
+    return now - entry.second.reported >= kReportAge;
+  });
+  routers_[router] = {.load = std::move(load), .reported = now};
+}
+
+admission::fleet_load load_collector::Others(const daemon_id& router,
+                                             time_point now) const {
+  std::map<target_id, admission::target_load> targets;
+  std::map<std::pair<pool_id, customer_id>, admission::customer_flow> customers;
+  for (const auto& [daemon, entry] : routers_) {
+    if (daemon == router || now - entry.reported >= kReportAge) {
+      continue;
+    }
+    for (const admission::target_load& load : entry.load.targets) {
+      admission::target_load& sum = targets[load.target];
+      sum.target = load.target;
+      sum.in_flight += load.in_flight;
+      sum.unread_tokens += load.unread_tokens;
+    }
+    for (const admission::customer_flow& flow : entry.load.customers) {
+      admission::customer_flow& sum = customers[{flow.pool, flow.customer}];
+      sum.pool = flow.pool;
+      sum.customer = flow.customer;
+      sum.asked += flow.asked;
+      sum.begun += flow.begun;
+    }
+  }
+  admission::fleet_load others;
+  for (const auto& [target, sum] : targets) {
+    others.targets.push_back(sum);
+  }
+  for (const auto& [key, sum] : customers) {
+    others.customers.push_back(sum);
+  }
+  return others;
+}
+
+}  // namespace burdocklock::control
--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -1,6 +1,7 @@
 // See the header.
 #include "control/message_codec.h"
 
+#include <cmath>
 #include <exception>
 #include <utility>
 
@@ -10,6 +11,41 @@
 #include "quorum/quorum_codec.h"
 #include "targets/announcement_codec.h"
 
+namespace burdocklock::admission {
+
+using nlohmann::json;
+
+void to_json(json& j, const target_load& l) {
+  j = json::array({l.target, l.in_flight, l.unread_tokens});
+}
+void from_json(const json& j, target_load& l) {
+  j.at(0).get_to(l.target);
+  j.at(1).get_to(l.in_flight);
+  j.at(2).get_to(l.unread_tokens);
+}
+
+// Whole tokens are exact enough and shorter.
+void to_json(json& j, const customer_flow& f) {
+  j = json::array({f.pool, f.customer, std::llround(f.asked),
+                   std::llround(f.begun)});
+}
+void from_json(const json& j, customer_flow& f) {
+  j.at(0).get_to(f.pool);
+  j.at(1).get_to(f.customer);
+  j.at(2).get_to(f.asked);
+  j.at(3).get_to(f.begun);
+}
+
+void to_json(json& j, const fleet_load& l) {
+  j = json::array({l.targets, l.customers});
+}
+void from_json(const json& j, fleet_load& l) {
+  j.at(0).get_to(l.targets);
+  j.at(1).get_to(l.customers);
+}
+
+}  // namespace burdocklock::admission
+
 namespace burdocklock::control {
 
 using nlohmann::json;
@@ -37,6 +73,8 @@
 constexpr char kStateUpdate[] = "s";
 constexpr char kTargetNews[] = "t";
 constexpr char kQuorum[] = "q";
+constexpr char kLoadReport[] = "l";
+constexpr char kLoadView[] = "v";
 
 template <typename T>
 json OrNull(const std::optional<T>& value) {
@@ -56,7 +94,8 @@
   }
   json operator()(const state_update& m) const {
     return json::array({kStateUpdate, m.revision, m.current,
-                        OrNull(m.contents), m.control_hosts, m.routers});
+                        OrNull(m.contents), m.control_hosts, m.routers,
+                        m.leads});
   }
   json operator()(const target_news& m) const {
     return json::array({kTargetNews, m.targets});
@@ -64,6 +103,12 @@
   json operator()(const quorum_envelope& m) const {
     return json::array({kQuorum, m.from, m.to, m.contents});
   }
+  json operator()(const load_report& m) const {
+    return json::array({kLoadReport, m.daemon, m.load});
+  }
+  json operator()(const load_view& m) const {
+    return json::array({kLoadView, m.others});
+  }
 };
 
 message Read(const json& j) {
@@ -82,6 +127,7 @@
     ReadOptional(j.at(3), m.contents);
     j.at(4).get_to(m.control_hosts);
     j.at(5).get_to(m.routers);
+    j.at(6).get_to(m.leads);
     return m;
   }
   if (kind == kTargetNews) {
@@ -96,6 +142,17 @@
     j.at(3).get_to(m.contents);
     return m;
   }
+  if (kind == kLoadReport) {
+    load_report m;
+    j.at(1).get_to(m.daemon);
+    j.at(2).get_to(m.load);
+    return m;
+  }
+  if (kind == kLoadView) {
+    load_view m;
+    j.at(1).get_to(m.others);
+    return m;
+  }
   throw std::out_of_range("kind of message");
 }
 
--- a/src/control/internal/router_client.cc
+++ b/src/control/internal/router_client.cc
@@ -48,6 +48,13 @@
                               time_point now) {
   links_.OnHeard(link, now);
   NoteContact(now);
+  if (const auto* update = std::get_if<state_update>(&message)) {
+    if (update->leads && update->current) {
+      collector_ = link;
+    } else if (collector_ == link) {
+      collector_.reset();
+    }
+  }
   std::visit([&](const auto& value) { Handle(value, now); }, message);
 }
 
@@ -64,6 +71,21 @@
   // Routers have no part in the log.
 }
 
+void router_client::Handle(const load_report&, time_point) {
+  // For control hosts only.
+}
+
+void router_client::Handle(const load_view& m, time_point) {
+  view_.OnOthersLoad(m.others);
+}
+
+void router_client::ReportLoad(const admission::fleet_load& load) {
+  if (collector_ && links_.IsUp(*collector_)) {
+    port_.Send(*collector_,
+               load_report{.daemon = options_.daemon, .load = load});
+  }
+}
+
 void router_client::Handle(const state_update& m, time_point now) {
   if (m.current) {
     std::set<endpoint> hosts(m.control_hosts.begin(), m.control_hosts.end());
--- /dev/null
+++ b/src/control/load_collector.h
@@ -0,0 +1,30 @@
+// Sums the load of all routers for each of them.
+#pragma once
+
+#include <map>
+
+#include "admission/types/fleet_load.h"
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+
+namespace burdocklock::control {
+
+class load_collector {
+ public:
+  void OnReport(const daemon_id& router,
+                admission::fleet_load load,
+                time_point now);
+  /// The sum over all routers but this one that have reported lately.
+  [[nodiscard]] admission::fleet_load Others(const daemon_id& router,
+                                             time_point now) const;
+
+ private:
+  struct entry {
+    admission::fleet_load load;
+    time_point reported;
+  };
+
+  std::map<daemon_id, entry> routers_;
+};
+
+}  // namespace burdocklock::control
--- a/src/control/router_client.h
+++ b/src/control/router_client.h
@@ -41,6 +41,8 @@
   void OnMessage(link_id link, const message& message, time_point now);
   void SetSeeds(std::vector<endpoint> seeds, time_point now);
 
+  /// Tells the other routers about this one's load; `OnOthersLoad` follows.
+  void ReportLoad(const admission::fleet_load& load);
   [[nodiscard]] state_revision held() const { return held_; }
   [[nodiscard]] bool InContact(time_point now) const {
     return links_.AnyHeard(now);
@@ -57,6 +59,8 @@
   void Handle(const state_update& m, time_point now);
   void Handle(const target_news& m, time_point now);
   void Handle(const quorum_envelope& m, time_point now);
+  void Handle(const load_report& m, time_point now);
+  void Handle(const load_view& m, time_point now);
   void Take(state_revision revision,
             const state_contents& contents,
             bool current);
@@ -71,6 +75,8 @@
   time_point started_;
   time_point heartbeat_at_;
   state_revision held_;
+  /// Link to the host that collects the routers' load.
+  std::optional<link_id> collector_;
   /// The newest state that was told by a host not certain of it.
   std::optional<candidate> candidate_;
   std::set<endpoint> control_hosts_;
--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -125,11 +125,15 @@
     routers = names;
   }
   void OnContact(bool in_contact) override { contact = in_contact; }
+  void OnOthersLoad(const admission::fleet_load& load) override {
+    others = load;
+  }
 
   state_revision held;
   state_contents state;
   std::map<target_id, targets::announcement> targets;
   std::vector<daemon_id> routers;
+  admission::fleet_load others;
   bool contact = false;
   bool went_back = false;
 };
@@ -442,6 +446,28 @@
   CHECK(views[0]->targets[target_id("t")].life == incarnation(2));
 }
 
+TEST_CASE_METHOD(control_fixture,
+                 "load: reported by two routers: each learns the other's") {
+  const auto load = [](std::uint32_t in_flight, double asked) {
+    return admission::fleet_load{
+        .targets = {{.target = target_id("t"), .in_flight = in_flight}},
+        .customers = {{.pool = pool_id("p"),
+                       .customer = customer_id("c"),
+                       .asked = asked}}};
+  };
+  routers[0]->ReportLoad(load(3, 100));
+  RunFor(milliseconds(20));
+  routers[1]->ReportLoad(load(5, 200));
+  RunFor(milliseconds(20));
+  RunFor(milliseconds(20));
+  CHECK(views[1]->others == load(3, 100));
+  CHECK(views[0]->others == load(5, 200));
+  RunFor(seconds(2));
+  routers[0]->ReportLoad(load(3, 100));
+  RunFor(milliseconds(40));
+  CHECK(views[0]->others.targets.empty());
+}
+
 TEST_CASE_METHOD(control_fixture, "routers: told of one another") {
   RunFor(seconds(1));
   CHECK(views[0]->routers.size() == 2);
--- a/src/control/types/message.h
+++ b/src/control/types/message.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/types/fleet_load.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "quorum/types/quorum_message.h"
@@ -44,6 +45,8 @@
   state_revision revision;
   /// The sender is certain that it has missed nothing.
   bool current = false;
+  /// The sender collects the routers' load.
+  bool leads = false;
   /// Absent if the router holds this revision.
   std::optional<state_contents> contents;
   std::vector<endpoint> control_hosts;
@@ -67,7 +70,22 @@
   quorum::quorum_message contents;
 };
 
-using message =
-    std::variant<introduction, state_update, target_news, quorum_envelope>;
+/// What a router has sent to targets and is asked for.
+struct load_report {
+  daemon_id daemon;
+  admission::fleet_load load;
+};
+
+/// Answers a report: the sum over all other routers.
+struct load_view {
+  admission::fleet_load others;
+};
+
+using message = std::variant<introduction,
+                             state_update,
+                             target_news,
+                             quorum_envelope,
+                             load_report,
+                             load_view>;
 
 }  // namespace burdocklock::control
--- a/src/refusals/types/refusal.h
+++ b/src/refusals/types/refusal.h
@@ -18,6 +18,7 @@
   kUnknownPool,
   kUnknownRoute,
   kNoConfiguration,
+  kOverShare,
   kQueueFull,
   kQueueTimeout,
   kNoTarget,
--- a/src/routes/types/configuration.h
+++ b/src/routes/types/configuration.h
@@ -111,6 +111,9 @@
   /// If empty, callers need no key.
   std::vector<route_customer> customers;
   caller_limits limits;
+  /// Tokens a second that all model engines produce together, where a token
+  /// generated counts as two; zero if not stated.
+  double engine_throughput = 0;
 
   friend bool operator==(const configuration&, const configuration&) = default;
 };
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -51,12 +51,19 @@
                                    effects& out) {
   const duration latency = now - record.life.dispatched();
   observer_.OnFirstOutput(latency, now);
+  if (!record.first_output) {
+    record.first_output = now - record.life.arrived();
+  }
   if (record.spec.kind != call_kind::kStreamedGeneration) {
     return;
   }
   if (directory_.ReportFirstOutput(*record.grant, latency)) {
     ReportRamp(record.grant->target, "first_output_late", out);
   }
+  // The target has room for another prompt.
+  if (record.spec.prompt) {
+    DispatchPool(PoolOf(record.spec.pool), record.spec.pool, now, out);
+  }
 }
 
 void request_router::OnAttemptGood(record& record,
@@ -89,6 +96,10 @@
     PoolOf(record.spec.pool)
         .queue.Refund(record.spec.customer, record.charged_prompt);
   }
+  if (failure.kind == failure_kind::kNotAdmitted && record.share_tokens > 0) {
+    PoolOf(record.spec.pool)
+        .shares.OnReturned(record.spec.customer, record.share_tokens, now);
+  }
   --totals_.in_flight;
   if (failure.kind == failure_kind::kOtherTarget) {
     directory_.NoteGone(*record.grant);
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -11,6 +11,16 @@
 
 // Weight of the newest sample in the smoothed waiting time.
 constexpr double kWaitSmoothing = 0.1;
+// A generation waits for a target that keeps its shared parts for this part of
+// its latency objective.
+constexpr int kPatiencePart = 4;
+// A request of a customer that has had its share waits for room to spare for
+// this part of its latency objective.
+constexpr int kOverSharePart = 8;
+// Before that, for a target that keeps its shared parts.
+constexpr int kOverSharePatiencePart = 16;
+// How soon a waiting generation is tried again although nothing has happened.
+constexpr std::chrono::milliseconds kLookAgainPeriod{40};
 
 }  // namespace
 
@@ -52,9 +62,11 @@
                                   const pool_id& pool,
                                   time_point now,
                                   effects& out) {
+  state.look_again_at = kNever;
   if (state.queue.size() == 0) {
     return;
   }
+  state.shares.SetPressure(directory_.ReadPressure(pool, now), now);
   bool dispatched = true;
   while (dispatched && state.queue.size() > 0) {
     dispatched = state.queue.TakeNext(now, [&](request_seq request) {
@@ -69,12 +81,13 @@
                                  time_point now,
                                  effects& out) {
   record& record = *Find(request);
+  const bool over_share =
+      record.spec.prompt && state.shares.IsOver(record.spec.customer, now);
   std::optional<targets::choice> choice =
-      record.spec.prompt
-          ? directory_.ChooseForPrompt(record.spec.pool, record.tried,
-                                       *record.spec.prompt, now)
-          : directory_.Choose(record.spec.pool, record.tried, now);
+      ChooseTarget(record, over_share, now);
   if (!choice) {
+    // Rooms that others free are not announced here.
+    state.look_again_at = now + kLookAgainPeriod;
     return false;
   }
   const bool is_retry = !record.tried.empty();
@@ -87,6 +100,9 @@
           ? fairness::kUnitsPerServiceCall
           : record.spec.prompt_tokens * fairness::kUnitsPerPromptToken;
   state.queue.Charge(record.spec.customer, record.charged_prompt);
+  if (record.share_tokens > 0 && !is_retry) {
+    state.shares.OnBegun(record.spec.customer, record.share_tokens, now);
+  }
   --totals_.waiting;
   ++totals_.in_flight;
   const duration waited = now - record.life.arrived();
@@ -103,7 +119,10 @@
                        .considered = std::move(choice->considered),
                        .reason = is_retry ? routing_reason::kRetry
                                           : routing_reason::kFirstChoice,
-                       .waited = waited});
+                       .waited = waited,
+                       .unread_tokens = choice->unread_tokens,
+                       .tokens_before = choice->tokens_before,
+                       .over_share = over_share});
   out.emplace_back(
       start_attempt{.request = request,
                     .attempt = record.life.attempt(),
@@ -118,6 +137,49 @@
   return true;
 }
 
+std::optional<targets::choice> request_router::ChooseTarget(
+    const record& record,
+    bool over_share,
+    time_point now) {
+  if (!record.spec.prompt) {
+    return directory_.Choose(record.spec.pool, record.tried, now);
+  }
+  const duration patience =
+      record.spec.latency_objective.value_or(duration::zero()) /
+      (over_share ? kOverSharePatiencePart : kPatiencePart);
+  const targets::prompt_urgency urgency{
+      .agreed_only = now - record.life.arrived() < patience,
+      .spare_only = over_share};
+  return directory_.ChooseForPrompt(record.spec.pool, record.tried,
+                                    *record.spec.prompt, urgency, now);
+}
+
+void request_router::RefuseOverShare(pool_state& state,
+                                     time_point now,
+                                     effects& out) {
+  std::vector<request_seq> refused;
+  std::erase_if(state.over_share, [&](request_seq request) {
+    const record* record = Find(request);
+    if (record == nullptr || !record->life.waiting() ||
+        !state.shares.IsOver(record->spec.customer, now)) {
+      return true;
+    }
+    const duration patience =
+        record->spec.latency_objective.value_or(duration::zero()) /
+        kOverSharePart;
+    if (now - record->life.arrived() < patience) {
+      return false;
+    }
+    refused.push_back(request);
+    return true;
+  });
+  for (const request_seq request : refused) {
+    record& record = *Find(request);
+    Apply(record.life.Refuse(refusal_reason::kOverShare), record, now, out);
+    EraseIfDone(request);
+  }
+}
+
 void request_router::NoteUsability(pool_state& state,
                                    const pool_id& pool,
                                    time_point now) {
--- a/src/routing/internal/request_lifecycle.cc
+++ b/src/routing/internal/request_lifecycle.cc
@@ -24,6 +24,9 @@
 // A repeatable request is sent to another target when the first is silent for
 // this part of the time it has.
 constexpr int kRetryPart = 2;
+// A generation waits for room for this part of the time it has, or for its
+// objective if that is longer.
+constexpr int kWaitPart = 8;
 
 }  // namespace
 
@@ -39,7 +42,12 @@
   const bool may_repeat = spec.repeatable && defaults.max_attempts > 1;
   const duration silence = may_repeat ? limit / kRetryPart : limit;
   defaults.total_timeout = limit;
-  defaults.queue_timeout = limit;
+  // A generation that waits past its objective makes others late, too.
+  defaults.queue_timeout =
+      spec.prompt && spec.latency_objective
+          ? std::clamp<duration>(limit / kWaitPart, *spec.latency_objective,
+                                 limit)
+          : limit;
   defaults.first_token_timeout = silence;
   defaults.whole_answer_timeout = silence;
   defaults.service_answer_timeout = silence;
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -15,6 +15,18 @@
 
 constexpr std::chrono::seconds kMinRetryAfter{1};
 constexpr std::chrono::seconds kMaxRetryAfter{60};
+// Advice to callers whose request waited in vain or came beyond its customer's
+// share: callers that return are spread over this much time.
+constexpr std::chrono::milliseconds kLeastOverloadWait{300};
+constexpr std::uint32_t kOverloadWaitSpreadMs = 900;
+// Part of the most output that a request asks for which it usually gets.
+constexpr double kUsualOutputPart = 0.5;
+
+double ShareTokens(const targets::prompt& prompt) {
+  return prompt.input_tokens * fairness::kUnitsPerPromptToken +
+         prompt.max_output_tokens * kUsualOutputPart *
+             fairness::kUnitsPerOutputToken;
+}
 
 }  // namespace
 
@@ -22,6 +34,7 @@
                                i_random& random,
                                i_routing_observer& observer)
     : options_(std::move(options)),
+      random_(random),
       observer_(observer),
       directory_(options_.directory, random) {}
 
@@ -58,11 +71,18 @@
              .life = request_lifecycle(
                  spec, OptionsFor(spec, options_.lifecycle), now)});
   record& record = added->second;
+  if (spec.prompt) {
+    record.share_tokens = ShareTokens(*spec.prompt);
+    PoolOf(spec.pool).shares.OnAsked(spec.customer, record.share_tokens, now);
+  }
   if (const auto limit = QueueLimitReached(spec)) {
     Apply(record.life.Refuse(*limit), record, now, out);
     EraseIfDone(spec.id);
     return;
   }
+  if (spec.prompt && PoolOf(spec.pool).shares.IsOver(spec.customer, now)) {
+    PoolOf(spec.pool).over_share.push_back(spec.id);
+  }
   Enqueue(record, now, out);
 }
 
@@ -144,6 +164,9 @@
     Arm(id, record);
     EraseIfDone(id);
   }
+  for (auto& [pool, state] : pools_) {
+    RefuseOverShare(state, now, out);
+  }
   if (directory_.next_deadline() <= now) {
     for (const target_id& target : directory_.CollectSilent(now)) {
       ReportRamp(target, "silent", out);
@@ -159,6 +182,9 @@
     next = std::min(next, deadlines_.begin()->first);
   }
   for (const auto& [pool, state] : pools_) {
+    if (!options_.directory.leased) {
+      next = std::min(next, state.look_again_at);
+    }
     if (state.without_target_since && state.queue.size() > 0) {
       next =
           std::min(next, *state.without_target_since + options_.no_target_wait);
@@ -222,6 +248,34 @@
   DispatchAll(now, out);
 }
 
+admission::fleet_load request_router::OwnLoad(time_point now) const {
+  admission::fleet_load load{.targets = directory_.OwnLoad()};
+  for (const auto& [pool, state] : pools_) {
+    for (admission::customer_flow& flow : state.shares.Flows(now)) {
+      load.customers.push_back(std::move(flow));
+    }
+  }
+  return load;
+}
+
+void request_router::SetOthersLoad(const admission::fleet_load& others,
+                                   time_point now,
+                                   effects& out) {
+  directory_.SetOthersLoad(others.targets);
+  double least_part = 1;
+  for (auto& [pool, state] : pools_) {
+    state.shares.SetOthers(others.customers, now);
+    least_part = std::min(least_part, state.shares.OwnPart(now));
+  }
+  directory_.SetOwnPart(least_part);
+  DispatchAll(now, out);
+}
+
+void request_router::SetPoolThroughput(const pool_id& pool,
+                                       double tokens_per_second) {
+  PoolOf(pool).shares.SetKnownCapacity(tokens_per_second);
+}
+
 void request_router::SetVirtualService(const pool_id& pool,
                                        const customer_id& customer,
                                        double value) {
@@ -233,10 +287,7 @@
   if (found != pools_.end()) {
     return found->second;
   }
-  return pools_
-      .emplace(pool,
-               pool_state{.queue = fairness::fair_queue(options_.age_limit)})
-      .first->second;
+  return pools_.try_emplace(pool, pool, options_.age_limit).first->second;
 }
 
 retry_budget& request_router::RetriesOf(const pool_id& pool, time_point now) {
@@ -316,7 +367,11 @@
                                  .pool = record.spec.pool,
                                  .result = result,
                                  .attempts = record.life.attempt(),
-                                 .total = now - record.life.arrived()});
+                                 .total = now - record.life.arrived(),
+                                 .first_output = record.first_output,
+                                 .target = record.tried.empty()
+                                               ? target_id()
+                                               : record.tried.back()});
 }
 
 void request_router::CountOutcome(const outcome& result) {
@@ -351,14 +406,19 @@
                         .detail = refusals::Describe(reason)});
 }
 
-std::optional<std::chrono::seconds> request_router::RetryAfter(
+std::optional<std::chrono::milliseconds> request_router::RetryAfter(
     const record& record,
     refusal_reason reason,
     run_state run) {
   if (run == run_state::kUnknown && !record.spec.repeatable) {
     return std::nullopt;
   }
+  if (record.spec.prompt && run == run_state::kNotRun) {
+    return kLeastOverloadWait +
+           std::chrono::milliseconds(random_.Below(kOverloadWaitSpreadMs));
+  }
   switch (reason) {
+    case refusal_reason::kOverShare:
     case refusal_reason::kQueueFull:
     case refusal_reason::kQueueTimeout:
     case refusal_reason::kNoTarget: {
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "admission/share_limiter.h"
+#include "admission/types/fleet_load.h"
 #include "fairness/fair_queue.h"
 #include "framework/i_random.h"
 #include "framework/types/ids.h"
@@ -69,6 +71,14 @@
   /// Sets a customer's terms; requests of customers without terms have
   /// share 1.
   void SetCustomer(const customer_id& customer, const customer_terms& terms);
+  /// This router's load, for the others.
+  [[nodiscard]] admission::fleet_load OwnLoad(time_point now) const;
+  /// The load of all other routers.
+  void SetOthersLoad(const admission::fleet_load& others,
+                     time_point now,
+                     effects& out);
+  /// Tokens a second that the pool is known to bear.
+  void SetPoolThroughput(const pool_id& pool, double tokens_per_second);
   /// Sets what may be spent on repeats in each pool.
   void SetRetryOptions(const retry_budget_options& retries);
   void SetDataCentreOut(const data_centre_id& data_centre,
@@ -142,15 +152,26 @@
     std::vector<target_id> tried;
     /// Prompt cost charged for the running attempt.
     fairness::service_units charged_prompt = 0;
+    /// Tokens by which customers' shares are reckoned; zero for plain calls.
+    double share_tokens = 0;
     std::uint32_t output_tokens = 0;
+    std::optional<duration> first_output;
     time_point armed_deadline = kNever;
   };
   struct pool_state {
+    explicit pool_state(const pool_id& pool, duration age_limit)
+        : queue(age_limit), shares(pool) {}
+
     fairness::fair_queue queue;
+    admission::share_limiter shares;
     /// Smoothed waiting time, for Retry-After.
     double usual_wait_s = 0;
     /// Since when requests wait while no target is usable.
     std::optional<time_point> without_target_since;
+    /// When waiting requests are to be tried again.
+    time_point look_again_at = kNever;
+    /// Requests that came when their customer had had its share.
+    std::vector<request_seq> over_share;
   };
 
   pool_state& PoolOf(const pool_id& pool);
@@ -182,6 +203,12 @@
                    request_seq request,
                    time_point now,
                    effects& out);
+  std::optional<targets::choice> ChooseTarget(const record& record,
+                                              bool over_share,
+                                              time_point now);
+  /// Refuses requests of customers that have had their share, if there was no
+  /// room to spare for a short time.
+  void RefuseOverShare(pool_state& state, time_point now, effects& out);
   void NoteUsability(pool_state& state, const pool_id& pool, time_point now);
   void RefuseWithoutTarget(time_point now, effects& out);
   std::optional<refusals::refusal_reason> QueueLimitReached(
@@ -205,12 +232,13 @@
   refusals::refusal MakeRefusal(const record& record,
                                 refusals::refusal_reason reason,
                                 refusals::run_state run);
-  std::optional<std::chrono::seconds> RetryAfter(
+  std::optional<std::chrono::milliseconds> RetryAfter(
       const record& record,
       refusals::refusal_reason reason,
       refusals::run_state run);
 
   router_options options_;
+  i_random& random_;
   i_routing_observer& observer_;
   targets::target_directory directory_;
   /// One for each pool.
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -70,6 +70,12 @@
   std::vector<target_id> considered;
   routing_reason reason = routing_reason::kFirstChoice;
   duration waited{};
+  /// Of a generation: prompt tokens that the target probably has to read for
+  /// it, and those of others before it.
+  std::uint32_t unread_tokens = 0;
+  std::uint64_t tokens_before = 0;
+  /// The customer has had its share; there was room to spare.
+  bool over_share = false;
 };
 
 /// An attempt that ended badly, for the log.
@@ -91,6 +97,10 @@
   outcome result;
   attempt_number attempts;
   duration total{};
+  /// From arrival to the first output, if there was any.
+  std::optional<duration> first_output;
+  /// Of the last attempt; empty if there was none.
+  target_id target;
 };
 
 /// A target's admission limit has changed.
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -1,5 +1,8 @@
 // The choice among targets. See target_directory.h.
 #include <algorithm>
+#include <array>
+#include <functional>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -15,9 +18,42 @@
 constexpr double kTokensPerRunning = 120;
 // What the way to another data centre costs, in prompt tokens to be read.
 constexpr double kTokensPerDistance = 400;
-// Part of a shared prefix's cost that is saved by sending it where everybody
-// sends it, as far as this router does not know better.
-constexpr double kAgreedShare = 0.8;
+// Targets that all routers prefer for prompts of one kind.
+constexpr std::size_t kAgreedTargets = 2;
+// Part of a shared prefix that these probably keep, although this router may
+// not have sent it there.
+constexpr std::array<double, kAgreedTargets> kAgreedHeld = {0.95, 0.4};
+// Shared parts of this size are worth some waiting for a target that keeps
+// them.
+constexpr std::uint32_t kTokensWorthWaiting = 1000;
+// What targets may have waiting to be read, as time that they take for it.
+constexpr double kReadAheadMs = 250;
+// Part of that up to which a target has room to spare.
+constexpr double kSparePart = 0.3;
+// Weight of the newest observation of a target's speed.
+constexpr double kRateSmoothing = 0.05;
+// Shorter prompts say little about the speed.
+constexpr std::uint64_t kLeastObservedTokens = 4000;
+constexpr double kLeastTokensPerMs = 5;
+constexpr double kMostTokensPerMs = 400;
+
+// Id of the last part that other prompts share; the one after it belongs to
+// the request itself.
+std::uint64_t SharedKey(const prompt& prompt) {
+  const std::size_t parts = prompt.parts.size();
+  if (parts == 0) {
+    return 0;
+  }
+  return parts == 1 ? prompt.parts[0].id : prompt.parts[parts - 2].id;
+}
+
+std::uint32_t SharedTokens(const prompt& prompt) {
+  std::uint32_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    tokens += prompt.parts[i].tokens;
+  }
+  return tokens;
+}
 
 }  // namespace
 
@@ -74,6 +110,7 @@
     const pool_id& pool,
     const std::vector<target_id>& excluded,
     const prompt& prompt,
+    prompt_urgency urgency,
     time_point now) {
   candidates found = Candidates(pool, excluded, now);
   std::vector<entry*>& all = found.local;
@@ -81,12 +118,25 @@
   if (all.empty()) {
     all = std::move(found.last_resort);
   }
+  const std::vector<const entry*> agreed =
+      AgreedTargets(pool, SharedKey(prompt), now);
+  const bool only_agreed =
+      urgency.agreed_only && !agreed.empty() &&
+      SharedTokens(prompt) >= kTokensWorthWaiting;
   entry* best = nullptr;
   entry* second = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   double second_cost = best_cost;
   for (entry* candidate : all) {
-    const double cost = CostOf(*candidate, prompt);
+    const auto place = std::find(agreed.begin(), agreed.end(), candidate);
+    const std::uint32_t unread = UnreadOf(
+        *candidate, prompt,
+        static_cast<std::size_t>(std::distance(agreed.begin(), place)));
+    if ((only_agreed && place == agreed.end()) ||
+        !MayRead(*candidate, unread, urgency)) {
+      continue;
+    }
+    const double cost = CostOf(*candidate, unread);
     if (cost < best_cost) {
       second = std::exchange(best, candidate);
       second_cost = std::exchange(best_cost, cost);
@@ -103,35 +153,85 @@
     considered.push_back(second->announced.target);
   }
   choice made = Grant(*best, std::move(considered), now);
-  const std::uint32_t held =
-      std::min(best->prefixes.Held(prompt), prompt.input_tokens);
-  const std::uint32_t unread = prompt.input_tokens - held;
+  const auto place = std::find(agreed.begin(), agreed.end(), best);
+  const std::uint32_t unread = UnreadOf(
+      *best, prompt,
+      static_cast<std::size_t>(std::distance(agreed.begin(), place)));
+  made.unread_tokens = unread;
+  made.tokens_before = best->unread_tokens + best->others_unread;
   best->unread[made.grant.number] = unread;
   best->unread_tokens += unread;
+  granted_tokens_ += unread;
+  made.grant.tokens_ahead = best->unread_tokens;
   best->prefixes.Note(prompt);
   return made;
 }
 
-double target_directory::CostOf(const entry& entry,
-                                const prompt& prompt) const {
-  double own = static_cast<double>(prompt.input_tokens) -
-               std::min(entry.prefixes.Held(prompt), prompt.input_tokens);
-  // The last part is the session's; the one before it is shared by many.
-  if (!prompt.parts.empty()) {
-    const prompt_part& shared = prompt.parts.back();
-    const std::uint64_t weight =
-        RendezvousWeight(shared.id, entry.announced.target.value());
-    const double rank = static_cast<double>(weight) /
-                        static_cast<double>(
-                            std::numeric_limits<std::uint64_t>::max());
-    own -= kAgreedShare * rank * shared.tokens;
+std::vector<const target_directory::entry*> target_directory::AgreedTargets(
+    const pool_id& pool,
+    std::uint64_t key,
+    time_point now) const {
+  std::vector<std::pair<std::uint64_t, const entry*>> weighted;
+  const auto entries = by_pool_.find(pool);
+  if (entries == by_pool_.end()) {
+    return {};
   }
+  for (const entry* entry : entries->second) {
+    if (IsUsable(*entry, now)) {
+      weighted.emplace_back(
+          RendezvousWeight(key, entry->announced.target.value()), entry);
+    }
+  }
+  const std::size_t count = std::min(kAgreedTargets, weighted.size());
+  std::partial_sort(weighted.begin(),
+                    weighted.begin() + static_cast<std::ptrdiff_t>(count),
+                    weighted.end(), std::greater<>());
+  std::vector<const entry*> agreed;
+  for (std::size_t i = 0; i < count; ++i) {
+    agreed.push_back(weighted[i].second);
+  }
+  return agreed;
+}
+
+std::uint32_t target_directory::UnreadOf(const entry& entry,
+                                         const prompt& prompt,
+                                         std::size_t rank) {
+  std::uint32_t held = entry.prefixes.Held(prompt);
+  if (rank < kAgreedTargets) {
+    const double agreed = kAgreedHeld[rank] * SharedTokens(prompt);
+    held = std::max(held, static_cast<std::uint32_t>(agreed));
+  }
+  return prompt.input_tokens - std::min(held, prompt.input_tokens);
+}
+
+bool target_directory::MayRead(const entry& entry,
+                               std::uint32_t unread,
+                               prompt_urgency urgency) const {
+  const double limit = entry.tokens_per_ms * kReadAheadMs;
+  const auto own = static_cast<double>(entry.unread_tokens);
+  const auto others = static_cast<double>(entry.others_unread);
+  if (urgency.spare_only) {
+    return own + others + unread <= limit * kSparePart || own + others == 0;
+  }
+  // Within its own part a router need not know what others have just sent.
+  if (own + unread <= limit * own_part_) {
+    return true;
+  }
+  if (own > 0) {
+    return false;
+  }
+  return others + unread <= limit || others == 0;
+}
+
+double target_directory::CostOf(const entry& entry,
+                                std::uint32_t unread) const {
   const double distance =
       entry.announced.data_centre == options_.local_data_centre
           ? 0
           : kTokensPerDistance;
-  return static_cast<double>(entry.unread_tokens) +
-         kTokensPerRunning * entry.in_flight + own + distance;
+  return static_cast<double>(entry.unread_tokens + entry.others_unread) +
+         kTokensPerRunning * (entry.in_flight + entry.others_in_flight) +
+         unread + distance;
 }
 
 choice target_directory::Grant(entry& picked,
@@ -208,6 +308,63 @@
   }
 }
 
+double target_directory::ReadPressure(const pool_id& pool,
+                                      time_point now) const {
+  const auto entries = by_pool_.find(pool);
+  if (entries == by_pool_.end()) {
+    return 0;
+  }
+  double waiting = 0;
+  double limit = 0;
+  for (const entry* entry : entries->second) {
+    if (IsUsable(*entry, now)) {
+      waiting +=
+          static_cast<double>(entry->unread_tokens + entry->others_unread);
+      limit += entry->tokens_per_ms * kReadAheadMs;
+    }
+  }
+  return limit > 0 ? waiting / limit : 0;
+}
+
+void target_directory::SetOthersLoad(
+    const std::vector<admission::target_load>& others) {
+  for (auto& [target, entry] : entries_) {
+    entry.others_in_flight = 0;
+    entry.others_unread = 0;
+  }
+  for (const admission::target_load& load : others) {
+    const auto found = entries_.find(load.target);
+    if (found != entries_.end()) {
+      found->second.others_in_flight = load.in_flight;
+      found->second.others_unread = load.unread_tokens;
+    }
+  }
+}
+
+std::vector<admission::target_load> target_directory::OwnLoad() const {
+  std::vector<admission::target_load> own;
+  for (const auto& [target, entry] : entries_) {
+    if (entry.in_flight > 0) {
+      own.push_back({.target = target,
+                     .in_flight = entry.in_flight,
+                     .unread_tokens = entry.unread_tokens});
+    }
+  }
+  return own;
+}
+
+void target_directory::LearnRate(entry& entry,
+                                 const slot_grant& grant,
+                                 duration latency) {
+  const double ms = ToMilliseconds(latency);
+  if (grant.tokens_ahead < kLeastObservedTokens || ms <= 0) {
+    return;
+  }
+  const double seen = std::clamp(static_cast<double>(grant.tokens_ahead) / ms,
+                                 kLeastTokensPerMs, kMostTokensPerMs);
+  entry.tokens_per_ms += kRateSmoothing * (seen - entry.tokens_per_ms);
+}
+
 void target_directory::SetRouters(std::vector<daemon_id> routers) {
   routers_ = std::move(routers);
 }
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -177,6 +177,7 @@
   if (known == nullptr) {
     return false;
   }
+  LearnRate(*known, grant, latency);
   ForgetUnread(*known, grant.number);
   if (!known->ramp.OnFirstOutput(grant.epoch, latency)) {
     return false;
@@ -383,7 +384,8 @@
 }
 
 bool target_directory::HasRoom(const entry& entry, time_point now) const {
-  if (entry.in_flight >= LimitOf(entry)) {
+  if (entry.in_flight >= LimitOf(entry) ||
+      entry.in_flight + entry.others_in_flight >= entry.announced.slots) {
     return false;
   }
   return now >= entry.cold_until || entry.cold.HasToken(ColdRate(entry), now);
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/types/fleet_load.h"
 #include "framework/i_random.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
@@ -60,6 +61,9 @@
   ramp_epoch lease_epoch;
   /// Names the grant among those of its target.
   std::uint64_t number = 0;
+  /// Prompt tokens that the target had to read before the first output, those
+  /// of earlier requests included.
+  std::uint64_t tokens_ahead = 0;
 };
 
 /// Slots of one target that may be used.
@@ -81,10 +85,22 @@
   bool first_output_jumped = false;
 };
 
+/// Which targets a generation may go to.
+struct prompt_urgency {
+  /// Only those that probably keep its shared parts, if it has many.
+  bool agreed_only = false;
+  /// Only those that have hardly anything else to read.
+  bool spare_only = false;
+};
+
 struct choice {
   slot_grant grant;
   /// Targets compared, the chosen one first.
   std::vector<target_id> considered;
+  /// Of a generation: prompt tokens that the target probably has to read, and
+  /// those of others before it.
+  std::uint32_t unread_tokens = 0;
+  std::uint64_t tokens_before = 0;
 };
 
 /// One target as operators see it.
@@ -133,6 +149,7 @@
   std::optional<choice> ChooseForPrompt(const pool_id& pool,
                                         const std::vector<target_id>& excluded,
                                         const prompt& prompt,
+                                        prompt_urgency urgency,
                                         time_point now);
   /// What targets of the pool bear while cold.
   void SetColdTerms(const pool_id& pool, const cold_terms& terms);
@@ -140,6 +157,19 @@
   void SetMemory(const pool_id& pool, std::uint64_t tokens);
   /// The routers that share the targets, this one included.
   void SetRouters(std::vector<daemon_id> routers);
+  /// Work of the other routers at each target.
+  void SetOthersLoad(const std::vector<admission::target_load>& others);
+  /// This router's part of the prompt tokens that a target may have waiting.
+  void SetOwnPart(double part) { own_part_ = part; }
+  /// Part of the prompt tokens that the pool's usable targets may have waiting
+  /// that they do have waiting; more than 1 if they have more.
+  [[nodiscard]] double ReadPressure(const pool_id& pool, time_point now) const;
+  /// Prompt tokens that targets were sent to read, since the start.
+  [[nodiscard]] std::uint64_t granted_tokens() const {
+    return granted_tokens_;
+  }
+  /// Own work at each target that has any.
+  [[nodiscard]] std::vector<admission::target_load> OwnLoad() const;
   /// Another process answers at the target's address.
   void NoteGone(const slot_grant& grant);
   /// Nothing can be heard of any target at present: silence means nothing.
@@ -240,8 +270,14 @@
     /// Tokens still to be read of each grant whose output has not begun.
     std::unordered_map<std::uint64_t, std::uint32_t> unread;
     std::uint64_t unread_tokens = 0;
+    std::uint32_t others_in_flight = 0;
+    std::uint64_t others_unread = 0;
+    /// Prompt tokens that the target reads in a millisecond, as observed.
+    double tokens_per_ms = kUsualTokensPerMs;
     bool gone = false;
   };
+  /// Of current engines; replaced by what is observed.
+  static constexpr double kUsualTokensPerMs = 55;
   struct candidates {
     std::vector<entry*> local;
     std::vector<entry*> remote;
@@ -255,7 +291,20 @@
   choice Grant(entry& picked,
                std::vector<target_id> considered,
                time_point now);
-  [[nodiscard]] double CostOf(const entry& entry, const prompt& prompt) const;
+  [[nodiscard]] double CostOf(const entry& entry, std::uint32_t unread) const;
+  /// Prompt tokens that the target will probably have to read; `rank` is its
+  /// place among the targets on which routers agree for this prompt.
+  [[nodiscard]] static std::uint32_t UnreadOf(const entry& entry,
+                                              const prompt& prompt,
+                                              std::size_t rank);
+  [[nodiscard]] bool MayRead(const entry& entry,
+                             std::uint32_t unread,
+                             prompt_urgency urgency) const;
+  /// The targets to which all routers send prompts of that key first.
+  [[nodiscard]] std::vector<const entry*> AgreedTargets(const pool_id& pool,
+                                                        std::uint64_t key,
+                                                        time_point now) const;
+  static void LearnRate(entry& entry, const slot_grant& grant, duration latency);
   [[nodiscard]] double ColdRate(const entry& entry) const;
   void NoteColdness(entry& entry, time_point now);
   void ForgetUnread(entry& entry, std::uint64_t grant);
@@ -288,6 +337,9 @@
   std::unordered_map<pool_id, std::uint64_t> memory_;
   std::vector<daemon_id> routers_;
   std::uint64_t last_grant_ = 0;
+  double own_part_ = 1;
+  /// Prompt tokens granted so far.
+  std::uint64_t granted_tokens_ = 0;
   std::vector<std::pair<data_centre_id, lease_evidence>> evidence_;
   /// A slot that was to be given back has become free since the last report.
   bool returned_revoked_ = false;
