--- a/src/admission/internal/share_limiter.cc
+++ b/src/admission/internal/share_limiter.cc
@@ -15,7 +15,7 @@
 // The pool is short if this many times what is begun is asked.
 constexpr double kShortFactor = 1.15;
 // Below this pressure there is room for everybody.
-constexpr double kShortPressure = 0.35;
+constexpr double kShortPressure = 0.1;
 // Time over which pressure is smoothed.
 constexpr double kPressureSeconds = 0.4;
 // How often the share is computed anew.
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -16,9 +16,9 @@
 constexpr int kPatiencePart = 4;
 // A request of a customer that has had its share waits for room to spare for
 // this part of its latency objective.
-constexpr int kOverSharePart = 8;
+constexpr int kOverSharePart = 1000;
 // Before that, for a target that keeps its shared parts.
-constexpr int kOverSharePatiencePart = 16;
+constexpr int kOverSharePatiencePart = 1000;
 // How soon a waiting generation is tried again although nothing has happened.
 constexpr std::chrono::milliseconds kLookAgainPeriod{40};
 
