--- a/src/admission/internal/share_limiter.cc
+++ b/src/admission/internal/share_limiter.cc
@@ -2,8 +2,6 @@
 #include "admission/share_limiter.h"
 
 #include <algorithm>
-#include <cmath>
-
 
 namespace burdocklock::admission {
 
@@ -14,10 +12,6 @@
 constexpr double kBucketSeconds = 1.0;
 // The pool is short if this many times what is begun is asked.
 constexpr double kShortFactor = 1.15;
-// Below this pressure there is room for everybody.
-constexpr double kShortPressure = 0.1;
-// Time over which pressure is smoothed.
-constexpr double kPressureSeconds = 0.4;
 // How often the share is computed anew.
 constexpr std::chrono::milliseconds kUpdatePeriod{100};
 // Flows below this many tokens a second are not worth telling.
@@ -80,21 +74,11 @@
     begun_in_all += line.begun.Rate(now) + line.others_begun;
   }
   const double capacity = std::max(begun_in_all, known_capacity_);
-  const bool is_short = pressure_ >= kShortPressure &&
-                        asked_in_all > kShortFactor * capacity;
-  share_ = is_short
+  share_ = asked_in_all > kShortFactor * capacity
                ? MaxMinShare(std::move(asked), capacity)
                : kNoLimit;
 }
 
-void share_limiter::SetPressure(double pressure, time_point now) {
-  const double passed =
-      pressure_at_ == time_point{} ? 0 : ToSeconds(now - pressure_at_);
-  pressure_at_ = now;
-  const double weight = 1 - std::exp(-passed / kPressureSeconds);
-  pressure_ += weight * (pressure - pressure_);
-}
-
 double share_limiter::LimitOf(const line& line, time_point now) const {
   if (share_ == kNoLimit) {
     return kNoLimit;
--- a/src/admission/share_limiter.h
+++ b/src/admission/share_limiter.h
@@ -15,8 +15,8 @@
 
 namespace burdocklock::admission {
 
-/// While targets have much waiting and all routers together are asked for more
-/// than is begun, each customer has a bucket that fills at its max-min share of what is begun, split over
+/// While all routers together are asked for more than is begun, each customer
+/// has a bucket that fills at its max-min share of what is begun, split over
 /// routers by where the customer asks.
 ///
 /// Invariant: a customer that asks for no more than its share never is over
@@ -38,8 +38,6 @@
     known_capacity_ = tokens_per_second;
   }
 
-  /// How much of what targets may have waiting they do have, 0 to 1 or more.
-  void SetPressure(double pressure, time_point now);
   /// True if the customer has used up its share for now.
   [[nodiscard]] bool IsOver(const customer_id& customer, time_point now);
   /// Part of what all routers are asked that this one is asked, 0 to 1.
@@ -68,9 +66,6 @@
   pool_id pool_;
   std::unordered_map<customer_id, line> lines_;
   double known_capacity_ = 0;
-  /// Smoothed.
-  double pressure_ = 0;
-  time_point pressure_at_{};
   double share_ = kNoLimit;
   time_point updated_at_{};
 };
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -12,10 +12,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "config/sheet_index.h"
-#include "config/types/settings.h"
 #include "app/i_interface_adapter.h"
 #include "app/internal/operator_feed.h"
+#include "config/sheet_index.h"
+#include "config/types/settings.h"
 #include "fleet/fleet_node.h"
 #include "fleet/i_fleet_port.h"
 #include "framework/logging/i_logger.h"
--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -54,11 +54,11 @@
   const endpoint& own = settings.peer_listener;
   const auto& hosts = settings.control.hosts;
   quorum::durable_state fresh;
-  const bool is_first = std::find(hosts.begin(), hosts.end(), own) !=
-                        hosts.end();
+  const bool is_first =
+      std::find(hosts.begin(), hosts.end(), own) != hosts.end();
   if (!settings.control.first_start || !is_first) {
-    fresh.self = quorum::member_id(ToString(own) + "#" +
-                                   std::to_string(random));
+    fresh.self =
+        quorum::member_id(ToString(own) + "#" + std::to_string(random));
     return fresh;
   }
   fresh.self = FirstId(own);
@@ -71,8 +71,7 @@
     fresh.base.members.push_back(
         {.id = FirstId(host),
          .links = host,
-         .commands = {.address = host.address,
-                      .port = settings.commands.port},
+         .commands = {.address = host.address, .port = settings.commands.port},
          .voter = true});
   }
   return fresh;
@@ -224,9 +223,8 @@
 }
 
 void control_host::Stop() {
-  boost::asio::post(state_->io, [state = state_.get()] {
-    state->Drain("stop");
-  });
+  boost::asio::post(state_->io,
+                    [state = state_.get()] { state->Drain("stop"); });
 }
 
 result<void> control_host::state::OpenLog() {
@@ -264,8 +262,7 @@
           .data_centres = settings.control.data_centres,
           .raft = {.links = settings.peer_listener,
                    .commands = settings.commands,
-                   .tolerated_losses =
-                       settings.control.tolerated_disk_losses}};
+                   .tolerated_losses = settings.control.tolerated_disk_losses}};
 }
 
 void control_host::state::RunControl() {
@@ -283,11 +280,10 @@
               },
           .on_disk_state =
               [this](const result<void>& written) {
-                logger.Log(
-                    written
-                        ? log_record("disk_regained")
-                        : log_record("disk_failed", log_level::kError)
-                              .Add("detail", written.error().Message()));
+                logger.Log(written
+                               ? log_record("disk_regained")
+                               : log_record("disk_failed", log_level::kError)
+                                     .Add("detail", written.error().Message()));
               }});
   const result<void> links_started = StartLinks();
   outcome = links_started ? StartListeners() : links_started;
@@ -455,16 +451,15 @@
 
 std::string control_host::state::StatusJson() {
   const quorum::raft_node& raft = node->raft();
-  return ordered_json{
-      {"daemon", settings.daemon.value()},
-      {"data_centre", settings.data_centre.value()},
-      {"role", ToString(raft.role())},
-      {"term", raft.term().value()},
-      {"leader", raft.leader().value()},
-      {"commit", raft.commit().value()},
-      {"version", node->state().contents().version},
-      {"routers", node->router_count()},
-      {"targets", node->registry().size()}}
+  return ordered_json{{"daemon", settings.daemon.value()},
+                      {"data_centre", settings.data_centre.value()},
+                      {"role", ToString(raft.role())},
+                      {"term", raft.term().value()},
+                      {"leader", raft.leader().value()},
+                      {"commit", raft.commit().value()},
+                      {"version", node->state().contents().version},
+                      {"routers", node->router_count()},
+                      {"targets", node->registry().size()}}
       .dump();
 }
 
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -138,9 +138,8 @@
                           std::shared_ptr<gateway::i_exchange> exchange) {
   Post([this, spec, exchange = std::move(exchange)](time_point now,
                                                     routing::effects& out) {
-    exchanges_.emplace(spec.id,
-                       open_exchange{.exchange = exchange,
-                                     .caller_name = spec.caller_name});
+    exchanges_.emplace(spec.id, open_exchange{.exchange = exchange,
+                                              .caller_name = spec.caller_name});
     router_.OnRequest(spec, now, out);
   });
 }
--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -170,24 +170,24 @@
                     .Add("detail", checked.error().Message()));
     return;
   }
-  auto table = std::make_shared<const routes::route_table>(
-      std::move(read.value()));
+  auto table =
+      std::make_shared<const routes::route_table>(std::move(read.value()));
   for (const routes::service_terms& terms : table->contents().services) {
     targets::target_directory& directory = router_.mutable_directory();
-    directory.SetColdTerms(
-        terms.service, {.rate = terms.cold_rate, .time = terms.cold_time});
+    directory.SetColdTerms(terms.service,
+                           {.rate = terms.cold_rate, .time = terms.cold_time});
     directory.SetMemory(terms.service, terms.memory_tokens);
     if (terms.memory_tokens > 0) {
       router_.SetPoolThroughput(terms.service,
                                 table->contents().engine_throughput);
     }
   }
-  logger_.Log(log_record("configuration")
-                  .Add("version", version_)
-                  .Add("routes", table->contents().routes.size())
-                  .Add("customers", table->contents().customers.size())
-                  .Add("engine_throughput",
-                       table->contents().engine_throughput));
+  logger_.Log(
+      log_record("configuration")
+          .Add("version", version_)
+          .Add("routes", table->contents().routes.size())
+          .Add("customers", table->contents().customers.size())
+          .Add("engine_throughput", table->contents().engine_throughput));
   const std::lock_guard lock(mutex_);
   routes_ = std::move(table);
 }
@@ -258,8 +258,7 @@
 void operator_feed::OnContact(bool in_contact) {
   in_contact_ = in_contact;
   logger_.Log(log_record(in_contact ? "control_regained" : "control_lost",
-                         in_contact ? log_level::kInfo
-                                    : log_level::kWarning));
+                         in_contact ? log_level::kInfo : log_level::kWarning));
 }
 
 }  // namespace burdocklock::app
--- a/src/app/internal/router_options.cc
+++ b/src/app/internal/router_options.cc
@@ -37,8 +37,8 @@
                     .self = settings.daemon},
       .max_queued_per_customer = settings.limits.max_queued_per_customer,
       .max_queued_total = settings.limits.max_queued_total,
-      .no_target_wait = routed ? duration(kNoTargetWait)
-                               : duration(timeouts.target_silence),
+      .no_target_wait =
+          routed ? duration(kNoTargetWait) : duration(timeouts.target_silence),
       .reuse_for_all = routed,
   };
 }
--- a/src/app/internal/status_report.cc
+++ b/src/app/internal/status_report.cc
@@ -82,7 +82,9 @@
       {"daemon", settings_.daemon.value()},
       {"data_centre", settings_.data_centre.value()},
       {"region", settings_.region.value()},
-      {"state", IsDraining() ? "draining" : IsReady() ? "ready" : "starting"},
+      {"state", IsDraining() ? "draining"
+                : IsReady()  ? "ready"
+                             : "starting"},
       {"uptime_s", static_cast<std::int64_t>(ToSeconds(now - started_))},
       {"targets", targets.size()},
       {"targets_ready", ready},
--- a/src/control/internal/control_commands.cc
+++ b/src/control/internal/control_commands.cc
@@ -15,8 +15,7 @@
   return outcome;
 }
 
-void control_node::Propose(const operator_command& command,
-                           command_done done) {
+void control_node::Propose(const operator_command& command, command_done done) {
   const auto accepted = raft_.Propose(EncodeCommand(command), now_);
   if (!accepted) {
     done(NotLeader());
@@ -32,9 +31,9 @@
                                         std::string document,
                                         command_done done) {
   if (version > state_.contents().version) {
-    Propose(set_configuration{.version = version,
-                              .document = std::move(document)},
-            std::move(done));
+    Propose(
+        set_configuration{.version = version, .document = std::move(document)},
+        std::move(done));
     return;
   }
   // Overtaken: nothing changes, but this host must be sure of what it holds.
@@ -51,8 +50,7 @@
     done({.status = command_status::kNoSuchPlace});
     return;
   }
-  Propose(set_outage{.data_centre = data_centre, .out = out},
-          std::move(done));
+  Propose(set_outage{.data_centre = data_centre, .out = out}, std::move(done));
 }
 
 void control_node::ReadConfiguration(command_done done) {
@@ -75,8 +73,8 @@
   }
   const auto node = commands_.extract(found);
   const bool own = node.mapped().term == entry.term;
-  node.mapped().done({.status = own ? command_status::kDone
-                                    : command_status::kUnknown});
+  node.mapped().done(
+      {.status = own ? command_status::kDone : command_status::kUnknown});
 }
 
 void control_node::CompleteReads(
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -24,8 +24,8 @@
   return heard >= now
              ? 0
              : static_cast<std::uint64_t>(
-                   std::chrono::duration_cast<std::chrono::milliseconds>(
-                       now - heard)
+                   std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                                         heard)
                        .count());
 }
 
@@ -195,8 +195,8 @@
   load_sent_ = now_;
   for (const auto& [link, peer] : inbound_) {
     if (peer.reports_load) {
-      link_port_.Send(link, load_view{.others = load_.Others(
-                                          peer.described.daemon, now_)});
+      link_port_.Send(
+          link, load_view{.others = load_.Others(peer.described.daemon, now_)});
     }
   }
 }
@@ -241,8 +241,8 @@
     ++entries_since_compaction_;
     bytes_since_compaction_ += entry.command.size();
     if (entry.kind == quorum::entry_kind::kCommand) {
-      applied = state_.Apply(state_revision(entry.index.value()),
-                             entry.command);
+      applied =
+          state_.Apply(state_revision(entry.index.value()), entry.command);
     }
     CompleteCommand(entry);
   }
@@ -295,9 +295,8 @@
 
 void control_node::SendQuorum(const quorum::outgoing_message& message) {
   const quorum::member* to = raft_.FindMember(message.to);
-  const quorum_envelope envelope{.from = raft_.self(),
-                                 .to = message.to,
-                                 .contents = message.message};
+  const quorum_envelope envelope{
+      .from = raft_.self(), .to = message.to, .contents = message.message};
   if (to != nullptr) {
     if (const auto link = links_.To(to->links)) {
       link_port_.Send(*link, envelope);
@@ -319,10 +318,10 @@
   }
   for (const link_id link : links_.Up()) {
     link_port_.Send(
-        link, quorum_envelope{
-                  .from = raft_.self(),
-                  .to = {},
-                  .contents = quorum::join_request{raft_.Description()}});
+        link,
+        quorum_envelope{.from = raft_.self(),
+                        .to = {},
+                        .contents = quorum::join_request{raft_.Description()}});
   }
 }
 
@@ -418,8 +417,8 @@
   std::vector<heard_target> all;
   for (const registry_entry& entry : registry_.All()) {
     if (now_ - entry.heard < kTargetAge) {
-      all.push_back({.announced = entry.announced,
-                     .age_ms = AgeMs(entry.heard, now_)});
+      all.push_back(
+          {.announced = entry.announced, .age_ms = AgeMs(entry.heard, now_)});
     }
   }
   return all;
--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -26,8 +26,8 @@
 
 // Whole tokens are exact enough and shorter.
 void to_json(json& j, const customer_flow& f) {
-  j = json::array({f.pool, f.customer, std::llround(f.asked),
-                   std::llround(f.begun)});
+  j = json::array(
+      {f.pool, f.customer, std::llround(f.asked), std::llround(f.begun)});
 }
 void from_json(const json& j, customer_flow& f) {
   j.at(0).get_to(f.pool);
@@ -93,9 +93,8 @@
     return json::array({kIntroduction, m.daemon, OrNull(m.member), m.held});
   }
   json operator()(const state_update& m) const {
-    return json::array({kStateUpdate, m.revision, m.current,
-                        OrNull(m.contents), m.control_hosts, m.routers,
-                        m.leads});
+    return json::array({kStateUpdate, m.revision, m.current, OrNull(m.contents),
+                        m.control_hosts, m.routers, m.leads});
   }
   json operator()(const target_news& m) const {
     return json::array({kTargetNews, m.targets});
--- a/src/control/internal/router_client.cc
+++ b/src/control/internal/router_client.cc
@@ -102,9 +102,8 @@
     return;
   }
   if (m.contents && (!candidate_ || candidate_->revision < m.revision)) {
-    candidate_ = {.revision = m.revision,
-                  .contents = *m.contents,
-                  .since = now};
+    candidate_ = {
+        .revision = m.revision, .contents = *m.contents, .since = now};
   }
   // A committed state may be told by a host that is not certain that it is the
   // newest; a router that holds an older one is better off with it.
--- a/src/control/target_registry.h
+++ b/src/control/target_registry.h
@@ -48,10 +48,9 @@
                          time_point heard);
   /// The target has said that it goes; `life` if it has said which one. Returns
   /// what others are to be told, or nullopt if it is not known or gone already.
-  std::optional<targets::announcement> Withdraw(
-      const target_id& target,
-      std::optional<incarnation> life,
-      time_point now);
+  std::optional<targets::announcement> Withdraw(const target_id& target,
+                                                std::optional<incarnation> life,
+                                                time_point now);
   /// Forgets targets not heard for the retention period.
   void Expire(time_point now);
 
--- a/src/framework/logging/internal/boost_logger.cc
+++ b/src/framework/logging/internal/boost_logger.cc
@@ -28,9 +28,8 @@
 constexpr std::size_t kMaxQueuedLines = 8192;
 using log_sink = boost::log::sinks::asynchronous_sink<
     log_backend,
-    boost::log::sinks::bounded_fifo_queue<
-        kMaxQueuedLines,
-        boost::log::sinks::drop_on_overflow>>;
+    boost::log::sinks::bounded_fifo_queue<kMaxQueuedLines,
+                                          boost::log::sinks::drop_on_overflow>>;
 
 constexpr std::string_view kStandardOutput = "stdout";
 
--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -173,8 +173,7 @@
     return std::nullopt;
   }
   constexpr std::string_view kTimeout = "timeout=";
-  const std::string_view field =
-      state_->parser->get()[http::field::keep_alive];
+  const std::string_view field = state_->parser->get()[http::field::keep_alive];
   const std::size_t at = field.find(kTimeout);
   if (at == std::string_view::npos) {
     return std::nullopt;
--- a/src/gateway/i_target_dialect.h
+++ b/src/gateway/i_target_dialect.h
@@ -63,9 +63,8 @@
   /// Sets the fields that differ between attempts.
   virtual void Prepare(const attempt_terms& terms,
                        net::http_request& request) const = 0;
-  [[nodiscard]] virtual head_verdict Judge(
-      const net::http_response_head& head,
-      const outgoing_call& call) const = 0;
+  [[nodiscard]] virtual head_verdict Judge(const net::http_response_head& head,
+                                           const outgoing_call& call) const = 0;
   [[nodiscard]] virtual std::unique_ptr<i_stream_scanner> MakeScanner(
       const outgoing_call& call,
       const std::optional<std::string>& resume_after) const = 0;
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -186,8 +186,7 @@
   return attempt_completed{.reported = summary.reported_usage};
 }
 
-attempt_event attempt_runner::KeepFailure(
-    const net::http_response_head& head) {
+attempt_event attempt_runner::KeepFailure(const net::http_response_head& head) {
   std::string body;
   if (auto failure = ReadBody(body)) {
     return *failure;
@@ -200,8 +199,7 @@
   return failure;
 }
 
-attempt_event attempt_runner::RelayStream(
-    const net::http_response_head& head) {
+attempt_event attempt_runner::RelayStream(const net::http_response_head& head) {
   std::optional<std::string> resume_after;
   if (order_.resumes) {
     resume_after = writer_.last_event_id();
--- a/src/gateway/internal/forwarded_fields.cc
+++ b/src/gateway/internal/forwarded_fields.cc
@@ -34,8 +34,7 @@
 
 void CopyForwardedFields(const net::http_request& received,
                          net::http_request& request) {
-  http::token_list connection_fields(
-      received[http::field::connection]);
+  http::token_list connection_fields(received[http::field::connection]);
   for (const auto& field : received) {
     if (IsForwarded(field, connection_fields)) {
       request.insert(field.name_string(), field.value());
--- a/src/gateway/internal/problem_document.cc
+++ b/src/gateway/internal/problem_document.cc
@@ -18,7 +18,8 @@
   document["reason"] = ToString(refusal.reason);
   document["run"] = ToString(refusal.run);
   if (refusal.retry_after) {
-    document["retry_after_s"] = std::chrono::duration<double>(*refusal.retry_after).count();
+    document["retry_after_s"] =
+        std::chrono::duration<double>(*refusal.retry_after).count();
   }
   if (!refusal.detail.empty()) {
     document["detail"] = refusal.detail;
--- a/src/gateway/internal/routed_handler.cc
+++ b/src/gateway/internal/routed_handler.cc
@@ -69,10 +69,9 @@
     }
     customer = owner->customer;
   }
-  outgoing_call call{
-      .spec = SpecifyCall(*route, customer, facts.value()),
-      .request_name = name,
-      .request = dialect_.BuildTargetRequest(request, customer)};
+  outgoing_call call{.spec = SpecifyCall(*route, customer, facts.value()),
+                     .request_name = name,
+                     .request = dialect_.BuildTargetRequest(request, customer)};
   call.spec.id = context_.control.NextRequest();
   call.deadline = arrived + *call.spec.time_limit;
   return calls_.Serve(connection, request, std::move(call));
--- a/src/gateway/internal/target_links.cc
+++ b/src/gateway/internal/target_links.cc
@@ -59,9 +59,8 @@
 void target_links::CloseExpired() {
   const time_point now = std::chrono::steady_clock::now();
   for (auto it = idle_.begin(); it != idle_.end();) {
-    std::erase_if(it->second, [now](const idle_link& link) {
-      return link.until <= now;
-    });
+    std::erase_if(it->second,
+                  [now](const idle_link& link) { return link.until <= now; });
     it = it->second.empty() ? idle_.erase(it) : std::next(it);
   }
 }
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -43,28 +43,27 @@
       : options(std::move(opts)),
         links(io, options.target_idle),
         progress(io, control),
-        context{.io = io,
-                .control = control,
-                .dialect = call_dialect != nullptr
-                               ? static_cast<const i_target_dialect&>(
-                                     *call_dialect)
-                               : openai,
-                .links = links,
-                .progress = progress,
-                .max_answer_bytes = options.max_answer_bytes},
+        context{
+            .io = io,
+            .control = control,
+            .dialect = call_dialect != nullptr
+                           ? static_cast<const i_target_dialect&>(*call_dialect)
+                           : openai,
+            .links = links,
+            .progress = progress,
+            .max_answer_bytes = options.max_answer_bytes},
         handler(MakeHandler(call_dialect)),
-        server(io,
-               {.listen = options.listen,
-                .share_port = options.share_port,
-                .limits = DefaultLimits(options),
-                .current_limits =
-                    [this, &control] {
-                      return CurrentLimits(options, control);
-                    },
-                .write_timeout = options.caller_write,
-                .max_connections = options.max_connections,
-                .connection_count = &connections},
-               *handler) {}
+        server(
+            io,
+            {.listen = options.listen,
+             .share_port = options.share_port,
+             .limits = DefaultLimits(options),
+             .current_limits =
+                 [this, &control] { return CurrentLimits(options, control); },
+             .write_timeout = options.caller_write,
+             .max_connections = options.max_connections,
+             .connection_count = &connections},
+            *handler) {}
 
   std::unique_ptr<net::i_http_handler> MakeHandler(
       const i_call_dialect* call_dialect) {
--- a/src/quorum/internal/election.cc
+++ b/src/quorum/internal/election.cc
@@ -6,10 +6,9 @@
 namespace burdocklock::quorum {
 
 void raft_node::ArmElection(time_point now) {
-  const auto spread =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          options_.max_election - options_.min_election)
-          .count();
+  const auto spread = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          options_.max_election - options_.min_election)
+                          .count();
   election_at_ = now + options_.min_election +
                  std::chrono::milliseconds(
                      random_.Below(static_cast<std::uint32_t>(spread) + 1));
@@ -85,11 +84,9 @@
                        time_point now) {
   // Whoever hears a leader does not help to replace it.
   const bool leader_in_place =
-      HeardLeaderLately(now) ||
-      (role_ == raft_role::kLeader && HasQuorum(now));
+      HeardLeaderLately(now) || (role_ == raft_role::kLeader && HasQuorum(now));
   if (m.trial) {
-    const bool granted =
-        m.term > term_ && IsUpToDate(m) && !leader_in_place;
+    const bool granted = m.term > term_ && IsUpToDate(m) && !leader_in_place;
     Send(from, vote_response{.term = granted ? m.term : term_,
                              .granted = granted,
                              .trial = true});
@@ -125,8 +122,7 @@
   if (role_ != raft_role::kCandidate || !m.granted || m.trial != in_trial_) {
     return;
   }
-  const term_number asked =
-      in_trial_ ? term_number(term_.value() + 1) : term_;
+  const term_number asked = in_trial_ ? term_number(term_.value() + 1) : term_;
   if (m.term != asked) {
     return;
   }
--- a/src/quorum/internal/membership_changes.cc
+++ b/src/quorum/internal/membership_changes.cc
@@ -51,10 +51,9 @@
   });
   for (const member& member : log_.members()) {
     if (member.id != self_) {
-      peers_.try_emplace(member.id,
-                         peer_progress{.next = log_.last_index() + 1,
-                                       .match = log_index(0),
-                                       .last_ack = now});
+      peers_.try_emplace(member.id, peer_progress{.next = log_.last_index() + 1,
+                                                  .match = log_index(0),
+                                                  .last_ack = now});
     }
   }
 }
@@ -78,14 +77,12 @@
       continue;
     }
     // A host that has come back without its disk uses the same address.
-    const bool replaced = std::any_of(
-        members.begin(), members.end(), [&](const member& other) {
+    const bool replaced =
+        std::any_of(members.begin(), members.end(), [&](const member& other) {
           return other.id != candidate.id && other.links == candidate.links &&
-                 IsHeard(other.id, now) &&
-                 (other.voter || !candidate.voter);
+                 IsHeard(other.id, now) && (other.voter || !candidate.voter);
         });
-    const bool silent =
-        now - peer->second.last_ack >= options_.voter_silence;
+    const bool silent = now - peer->second.last_ack >= options_.voter_silence;
     const bool spare = !candidate.voter || VoterCount() > enough;
     if (replaced || (silent && spare)) {
       return candidate.id;
@@ -101,8 +98,7 @@
   membership members = log_.members();
   for (member& learner : members) {
     const auto peer = peers_.find(learner.id);
-    if (learner.voter || peer == peers_.end() ||
-        !IsHeard(learner.id, now)) {
+    if (learner.voter || peer == peers_.end() || !IsHeard(learner.id, now)) {
       continue;
     }
     const bool caught_up =
--- a/src/quorum/internal/quorum_codec.cc
+++ b/src/quorum/internal/quorum_codec.cc
@@ -24,8 +24,8 @@
 }
 
 void to_json(json& j, const log_entry& e) {
-  j = json::array({e.index, e.term, static_cast<unsigned>(e.kind), e.command,
-                   e.members});
+  j = json::array(
+      {e.index, e.term, static_cast<unsigned>(e.kind), e.command, e.members});
 }
 void from_json(const json& j, log_entry& e) {
   j.at(0).get_to(e.index);
--- a/src/quorum/internal/raft_node.cc
+++ b/src/quorum/internal/raft_node.cc
@@ -88,8 +88,7 @@
   } else if (!held_back_.empty()) {
     std::vector<outgoing_message>& target =
         pending_.empty() ? output_.messages : pending_.back().messages;
-    std::move(held_back_.begin(), held_back_.end(),
-              std::back_inserter(target));
+    std::move(held_back_.begin(), held_back_.end(), std::back_inserter(target));
     held_back_.clear();
   }
   return std::exchange(output_, {});
--- a/src/quorum/internal/replication.cc
+++ b/src/quorum/internal/replication.cc
@@ -52,8 +52,7 @@
   if (log_.TermAt(m.previous_index) != m.previous_term) {
     const log_index hint =
         std::min(log_.last_index(), Before(m.previous_index));
-    Send(from, append_response{
-                   .term = term_, .match = hint, .round = m.round});
+    Send(from, append_response{.term = term_, .match = hint, .round = m.round});
     return;
   }
   AppendNew(m.entries);
@@ -86,10 +85,10 @@
                              .match = std::min(match, durable_),
                              .round = round});
   if (match > durable_) {
-    SendOnceDurable(from, append_response{.term = term_,
-                                          .accepted = true,
-                                          .match = match,
-                                          .round = round});
+    SendOnceDurable(
+        from,
+        append_response{
+            .term = term_, .accepted = true, .match = match, .round = round});
   }
 }
 
@@ -128,8 +127,7 @@
     return;
   }
   const auto found = peers_.find(from);
-  if (role_ != raft_role::kLeader || m.term != term_ ||
-      found == peers_.end()) {
+  if (role_ != raft_role::kLeader || m.term != term_ || found == peers_.end()) {
     return;
   }
   peer_progress& peer = found->second;
@@ -165,8 +163,7 @@
   if (role_ != raft_role::kLeader) {
     return std::nullopt;
   }
-  AppendOwn({.kind = entry_kind::kCommand, .command = std::move(command)},
-            now);
+  AppendOwn({.kind = entry_kind::kCommand, .command = std::move(command)}, now);
   return proposal{.index = log_.last_index(), .term = term_};
 }
 
@@ -249,9 +246,8 @@
   }
   // Answers to this round show that there was no other leader until then.
   Broadcast(now);
-  reads_.push_back({.id = id,
-                    .round = round_,
-                    .index = std::max(commit_, term_start_)});
+  reads_.push_back(
+      {.id = id, .round = round_, .index = std::max(commit_, term_start_)});
   AnswerReads();
   return true;
 }
@@ -262,8 +258,8 @@
     for (const member& member : log_.members()) {
       const auto peer = peers_.find(member.id);
       const bool in_time =
-          member.id == self_ || (peer != peers_.end() &&
-                                 peer->second.acked_round >= read.round);
+          member.id == self_ ||
+          (peer != peers_.end() && peer->second.acked_round >= read.round);
       answered += member.voter && in_time ? 1 : 0;
     }
     if (answered < Majority() || commit_ < read.index) {
--- a/src/quorum/raft_node.h
+++ b/src/quorum/raft_node.h
@@ -172,9 +172,7 @@
   // Replication (replication.cc).
   void Handle(const member_id& from, const append_request& m, time_point now);
   void Handle(const member_id& from, const append_response& m, time_point now);
-  void Handle(const member_id& from,
-              const snapshot_request& m,
-              time_point now);
+  void Handle(const member_id& from, const snapshot_request& m, time_point now);
   void AcceptLeader(const member_id& from, term_number term, time_point now);
   void AppendNew(const std::vector<log_entry>& entries);
   void AnswerAppend(const member_id& from,
--- a/src/quorum/types/storage_record.h
+++ b/src/quorum/types/storage_record.h
@@ -40,8 +40,8 @@
   durable_state state;
 };
 
-using storage_record = std::
-    variant<vote_record, append_record, truncate_record, rewrite_record>;
+using storage_record =
+    std::variant<vote_record, append_record, truncate_record, rewrite_record>;
 
 /// Applies one record to the state that the earlier ones have built.
 void Apply(const storage_record& record, durable_state& state);
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -14,11 +14,6 @@
 // A generation waits for a target that keeps its shared parts for this part of
 // its latency objective.
 constexpr int kPatiencePart = 4;
-// A request of a customer that has had its share waits for room to spare for
-// this part of its latency objective.
-constexpr int kOverSharePart = 1000;
-// Before that, for a target that keeps its shared parts.
-constexpr int kOverSharePatiencePart = 1000;
 // How soon a waiting generation is tried again although nothing has happened.
 constexpr std::chrono::milliseconds kLookAgainPeriod{40};
 
@@ -66,7 +61,6 @@
   if (state.queue.size() == 0) {
     return;
   }
-  state.shares.SetPressure(directory_.ReadPressure(pool, now), now);
   bool dispatched = true;
   while (dispatched && state.queue.size() > 0) {
     dispatched = state.queue.TakeNext(now, [&](request_seq request) {
@@ -83,8 +77,7 @@
   record& record = *Find(request);
   const bool over_share =
       record.spec.prompt && state.shares.IsOver(record.spec.customer, now);
-  std::optional<targets::choice> choice =
-      ChooseTarget(record, over_share, now);
+  std::optional<targets::choice> choice = ChooseTarget(record, over_share, now);
   if (!choice) {
     // Rooms that others free are not announced here.
     state.look_again_at = now + kLookAgainPeriod;
@@ -123,17 +116,17 @@
                        .unread_tokens = choice->unread_tokens,
                        .tokens_before = choice->tokens_before,
                        .over_share = over_share});
-  out.emplace_back(
-      start_attempt{.request = request,
-                    .attempt = record.life.attempt(),
-                    .target = choice->grant.target,
-                    .life = choice->grant.life,
-                    .address = choice->grant.address,
-                    .connection = is_retry || (!record.spec.repeatable &&
-                                               !options_.reuse_for_all)
-                                      ? connection_choice::kNewOnly
-                                      : connection_choice::kReuseAllowed,
-                    .resumes = record.life.resuming()});
+  out.emplace_back(start_attempt{
+      .request = request,
+      .attempt = record.life.attempt(),
+      .target = choice->grant.target,
+      .life = choice->grant.life,
+      .address = choice->grant.address,
+      .connection =
+          is_retry || (!record.spec.repeatable && !options_.reuse_for_all)
+              ? connection_choice::kNewOnly
+              : connection_choice::kReuseAllowed,
+      .resumes = record.life.resuming()});
   return true;
 }
 
@@ -145,39 +138,24 @@
     return directory_.Choose(record.spec.pool, record.tried, now);
   }
   const duration patience =
-      record.spec.latency_objective.value_or(duration::zero()) /
-      (over_share ? kOverSharePatiencePart : kPatiencePart);
+      record.spec.latency_objective.value_or(duration::zero()) / kPatiencePart;
   const targets::prompt_urgency urgency{
-      .agreed_only = now - record.life.arrived() < patience,
+      .agreed_only = !over_share && now - record.life.arrived() < patience,
       .spare_only = over_share};
   return directory_.ChooseForPrompt(record.spec.pool, record.tried,
                                     *record.spec.prompt, urgency, now);
 }
 
-void request_router::RefuseOverShare(pool_state& state,
+void request_router::RefuseOverShare(request_seq request,
                                      time_point now,
                                      effects& out) {
-  std::vector<request_seq> refused;
-  std::erase_if(state.over_share, [&](request_seq request) {
-    const record* record = Find(request);
-    if (record == nullptr || !record->life.waiting() ||
-        !state.shares.IsOver(record->spec.customer, now)) {
-      return true;
-    }
-    const duration patience =
-        record->spec.latency_objective.value_or(duration::zero()) /
-        kOverSharePart;
-    if (now - record->life.arrived() < patience) {
-      return false;
-    }
-    refused.push_back(request);
-    return true;
-  });
-  for (const request_seq request : refused) {
-    record& record = *Find(request);
-    Apply(record.life.Refuse(refusal_reason::kOverShare), record, now, out);
-    EraseIfDone(request);
+  record* record = Find(request);
+  if (record == nullptr || !record->life.waiting() || !record->spec.prompt ||
+      !PoolOf(record->spec.pool).shares.IsOver(record->spec.customer, now)) {
+    return;
   }
+  Apply(record->life.Refuse(refusal_reason::kOverShare), *record, now, out);
+  EraseIfDone(request);
 }
 
 void request_router::NoteUsability(pool_state& state,
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -66,10 +66,9 @@
                                effects& out) {
   RetriesOf(spec.pool, now).OnRequest(now);
   auto [added, inserted] = records_.emplace(
-      spec.id,
-      record{.spec = spec,
-             .life = request_lifecycle(
-                 spec, OptionsFor(spec, options_.lifecycle), now)});
+      spec.id, record{.spec = spec,
+                      .life = request_lifecycle(
+                          spec, OptionsFor(spec, options_.lifecycle), now)});
   record& record = added->second;
   if (spec.prompt) {
     record.share_tokens = ShareTokens(*spec.prompt);
@@ -80,10 +79,8 @@
     EraseIfDone(spec.id);
     return;
   }
-  if (spec.prompt && PoolOf(spec.pool).shares.IsOver(spec.customer, now)) {
-    PoolOf(spec.pool).over_share.push_back(spec.id);
-  }
   Enqueue(record, now, out);
+  RefuseOverShare(spec.id, now, out);
 }
 
 void request_router::OnAttempt(request_seq request,
@@ -164,9 +161,6 @@
     Arm(id, record);
     EraseIfDone(id);
   }
-  for (auto& [pool, state] : pools_) {
-    RefuseOverShare(state, now, out);
-  }
   if (directory_.next_deadline() <= now) {
     for (const target_id& target : directory_.CollectSilent(now)) {
       ReportRamp(target, "silent", out);
@@ -362,16 +356,15 @@
         .refusal = MakeRefusal(record, cut->reason, run_state::kUnknown)});
   }
   CountOutcome(result);
-  out.emplace_back(request_ended{.request = id,
-                                 .customer = record.spec.customer,
-                                 .pool = record.spec.pool,
-                                 .result = result,
-                                 .attempts = record.life.attempt(),
-                                 .total = now - record.life.arrived(),
-                                 .first_output = record.first_output,
-                                 .target = record.tried.empty()
-                                               ? target_id()
-                                               : record.tried.back()});
+  out.emplace_back(request_ended{
+      .request = id,
+      .customer = record.spec.customer,
+      .pool = record.spec.pool,
+      .result = result,
+      .attempts = record.life.attempt(),
+      .total = now - record.life.arrived(),
+      .first_output = record.first_output,
+      .target = record.tried.empty() ? target_id() : record.tried.back()});
 }
 
 void request_router::CountOutcome(const outcome& result) {
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -170,8 +170,6 @@
     std::optional<time_point> without_target_since;
     /// When waiting requests are to be tried again.
     time_point look_again_at = kNever;
-    /// Requests that came when their customer had had its share.
-    std::vector<request_seq> over_share;
   };
 
   pool_state& PoolOf(const pool_id& pool);
@@ -206,9 +204,8 @@
   std::optional<targets::choice> ChooseTarget(const record& record,
                                               bool over_share,
                                               time_point now);
-  /// Refuses requests of customers that have had their share, if there was no
-  /// room to spare for a short time.
-  void RefuseOverShare(pool_state& state, time_point now, effects& out);
+  /// Refuses a waiting request of a customer that has had its share.
+  void RefuseOverShare(request_seq request, time_point now, effects& out);
   void NoteUsability(pool_state& state, const pool_id& pool, time_point now);
   void RefuseWithoutTarget(time_point now, effects& out);
   std::optional<refusals::refusal_reason> QueueLimitReached(
--- a/src/storage/internal/log_file.cc
+++ b/src/storage/internal/log_file.cc
@@ -30,8 +30,8 @@
 
 bool WriteAll(int file, std::string_view bytes, std::uint64_t offset) {
   while (!bytes.empty()) {
-    const ssize_t written = ::pwrite(file, bytes.data(), bytes.size(),
-                                     static_cast<off_t>(offset));
+    const ssize_t written =
+        ::pwrite(file, bytes.data(), bytes.size(), static_cast<off_t>(offset));
     if (written < 0 && errno == EINTR) {
       continue;
     }
--- a/src/targets/internal/cold_admission.cc
+++ b/src/targets/internal/cold_admission.cc
@@ -25,8 +25,7 @@
   if (before >= kRoutersPerColdTarget) {
     return 0;
   }
-  return 1.0 /
-         static_cast<double>(std::min(known + 1, kRoutersPerColdTarget));
+  return 1.0 / static_cast<double>(std::min(known + 1, kRoutersPerColdTarget));
 }
 
 double cold_bucket::Level(double rate, time_point now) const {
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -120,9 +120,8 @@
   }
   const std::vector<const entry*> agreed =
       AgreedTargets(pool, SharedKey(prompt), now);
-  const bool only_agreed =
-      urgency.agreed_only && !agreed.empty() &&
-      SharedTokens(prompt) >= kTokensWorthWaiting;
+  const bool only_agreed = urgency.agreed_only && !agreed.empty() &&
+                           SharedTokens(prompt) >= kTokensWorthWaiting;
   entry* best = nullptr;
   entry* second = nullptr;
   double best_cost = std::numeric_limits<double>::max();
@@ -154,9 +153,9 @@
   }
   choice made = Grant(*best, std::move(considered), now);
   const auto place = std::find(agreed.begin(), agreed.end(), best);
-  const std::uint32_t unread = UnreadOf(
-      *best, prompt,
-      static_cast<std::size_t>(std::distance(agreed.begin(), place)));
+  const std::uint32_t unread =
+      UnreadOf(*best, prompt,
+               static_cast<std::size_t>(std::distance(agreed.begin(), place)));
   made.unread_tokens = unread;
   made.tokens_before = best->unread_tokens + best->others_unread;
   best->unread[made.grant.number] = unread;
@@ -308,24 +307,6 @@
   }
 }
 
-double target_directory::ReadPressure(const pool_id& pool,
-                                      time_point now) const {
-  const auto entries = by_pool_.find(pool);
-  if (entries == by_pool_.end()) {
-    return 0;
-  }
-  double waiting = 0;
-  double limit = 0;
-  for (const entry* entry : entries->second) {
-    if (IsUsable(*entry, now)) {
-      waiting +=
-          static_cast<double>(entry->unread_tokens + entry->others_unread);
-      limit += entry->tokens_per_ms * kReadAheadMs;
-    }
-  }
-  return limit > 0 ? waiting / limit : 0;
-}
-
 void target_directory::SetOthersLoad(
     const std::vector<admission::target_load>& others) {
   for (auto& [target, entry] : entries_) {
@@ -395,8 +376,8 @@
   }
   const time_point until = now + *entry.announced.cold_for;
   const bool is_cold = entry.announced.cold_for->count() > 0;
-  entry.cold_until = is_cold ? std::max(entry.cold_until, until)
-                             : entry.cold_until;
+  entry.cold_until =
+      is_cold ? std::max(entry.cold_until, until) : entry.cold_until;
 }
 
 void target_directory::ForgetUnread(entry& entry, std::uint64_t grant) {
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -111,8 +111,7 @@
     for (const pool_id& pool : entry.announced.pools) {
       const auto terms = cold_terms_.find(pool);
       if (terms != cold_terms_.end()) {
-        entry.cold_until =
-            std::max(entry.cold_until, now + terms->second.time);
+        entry.cold_until = std::max(entry.cold_until, now + terms->second.time);
         entry.ramp.RaiseTo(entry.announced.slots);
       }
     }
@@ -375,7 +374,8 @@
                             ? entry.lease_limit > 0 && now < entry.lease_until
                             : now - entry.last_heard < options_.silence &&
                                   entry.ramp.paused_until() <= now;
-  return in_force && !entry.gone && entry.announced.state == target_state::kReady &&
+  return in_force && !entry.gone &&
+         entry.announced.state == target_state::kReady &&
          !IsDataCentreOut(entry.announced.data_centre);
 }
 
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -161,13 +161,8 @@
   void SetOthersLoad(const std::vector<admission::target_load>& others);
   /// This router's part of the prompt tokens that a target may have waiting.
   void SetOwnPart(double part) { own_part_ = part; }
-  /// Part of the prompt tokens that the pool's usable targets may have waiting
-  /// that they do have waiting; more than 1 if they have more.
-  [[nodiscard]] double ReadPressure(const pool_id& pool, time_point now) const;
   /// Prompt tokens that targets were sent to read, since the start.
-  [[nodiscard]] std::uint64_t granted_tokens() const {
-    return granted_tokens_;
-  }
+  [[nodiscard]] std::uint64_t granted_tokens() const { return granted_tokens_; }
   /// Own work at each target that has any.
   [[nodiscard]] std::vector<admission::target_load> OwnLoad() const;
   /// Another process answers at the target's address.
@@ -304,7 +299,9 @@
   [[nodiscard]] std::vector<const entry*> AgreedTargets(const pool_id& pool,
                                                         std::uint64_t key,
                                                         time_point now) const;
-  static void LearnRate(entry& entry, const slot_grant& grant, duration latency);
+  static void LearnRate(entry& entry,
+                        const slot_grant& grant,
+                        duration latency);
   [[nodiscard]] double ColdRate(const entry& entry) const;
   void NoteColdness(entry& entry, time_point now);
   void ForgetUnread(entry& entry, std::uint64_t grant);
