--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -68,7 +68,7 @@
   [[nodiscard]] std::string RefusalName(refusal_seq refusal) const override;
   [[nodiscard]] std::shared_ptr<const config::sheet_index> Sheet()
       const override;
-  [[nodiscard]] std::shared_ptr<const routes::route_table> Routes()
+  [[nodiscard]] std::shared_ptr<const routes::route_index> Routes()
       const override;
   [[nodiscard]] bool IsDraining() const override;
   void Submit(const routing::request_spec& spec,
--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -161,14 +161,21 @@
 // Gives the node its time with each command.
 class timed_commands : public control::i_control_commands {
  public:
-  timed_commands(control::control_node& node, std::function<void()> after)
-      : node_(node), after_(std::move(after)) {}
+  timed_commands(control::control_node& node,
+                 i_logger& logger,
+                 std::function<void()> after)
+      : node_(node), logger_(logger), after_(std::move(after)) {}
 
   void ReplaceConfiguration(std::uint64_t version,
                             std::string document,
                             control::command_done done) override {
     node_.SetTime(steady_clock::now());
-    node_.ReplaceConfiguration(version, std::move(document), std::move(done));
+    node_.ReplaceConfiguration(
+        version, std::move(document),
+        Logged(log_record("command")
+                   .Add("command", "replace_configuration")
+                   .Add("version", version),
+               std::move(done)));
     after_();
   }
   void ReadConfiguration(control::command_done done) override {
@@ -180,7 +187,11 @@
                  bool out,
                  control::command_done done) override {
     node_.SetTime(steady_clock::now());
-    node_.SetOutage(data_centre, out, std::move(done));
+    node_.SetOutage(data_centre, out,
+                    Logged(log_record("command")
+                               .Add("command", out ? "take_out" : "take_back")
+                               .Add("data_centre", data_centre.value()),
+                           std::move(done)));
     after_();
   }
   void Announce(const targets::announcement& announcement) override {
@@ -196,7 +207,17 @@
   }
 
  private:
+  // Logs the outcome of a command, too.
+  control::command_done Logged(log_record record, control::command_done done) {
+    return [this, record = std::move(record), done = std::move(done)](
+               const control::command_outcome& outcome) mutable {
+      logger_.Log(record.Add("outcome", ToString(outcome.status)));
+      done(outcome);
+    };
+  }
+
   control::control_node& node_;
+  i_logger& logger_;
   std::function<void()> after_;
 };
 
@@ -334,7 +355,8 @@
 }
 
 result<void> control_host::state::StartListeners() {
-  commands = std::make_unique<timed_commands>(*node, [this] { ArmTimer(); });
+  commands =
+      std::make_unique<timed_commands>(*node, logger, [this] { ArmTimer(); });
   command_handler = adapter.MakeCommandHandler(*commands);
   command_server = std::make_unique<net::http_server>(
       io, net::http_server_options{.listen = settings.commands},
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -91,7 +91,7 @@
   return sheet_;
 }
 
-std::shared_ptr<const routes::route_table> control_loop::Routes() const {
+std::shared_ptr<const routes::route_index> control_loop::Routes() const {
   return feed_ ? feed_->Routes() : nullptr;
 }
 
--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -141,7 +141,7 @@
   Run([&](time_point now) { client_->SetSeeds(std::move(hosts), now); });
 }
 
-std::shared_ptr<const routes::route_table> operator_feed::Routes() const {
+std::shared_ptr<const routes::route_index> operator_feed::Routes() const {
   const std::lock_guard lock(mutex_);
   return routes_;
 }
@@ -171,7 +171,7 @@
     return;
   }
   auto table =
-      std::make_shared<const routes::route_table>(std::move(read.value()));
+      std::make_shared<const routes::route_index>(std::move(read.value()));
   for (const routes::service_terms& terms : table->contents().services) {
     targets::target_directory& directory = router_.mutable_directory();
     directory.SetColdTerms(terms.service,
--- a/src/app/internal/operator_feed.h
+++ b/src/app/internal/operator_feed.h
@@ -18,7 +18,7 @@
 #include "framework/types/error.h"
 #include "framework/types/time.h"
 #include "routes/i_configuration_reader.h"
-#include "routes/route_table.h"
+#include "routes/route_index.h"
 #include "routing/request_router.h"
 #include "routing/types/effect.h"
 
@@ -49,7 +49,7 @@
 
   /// The routes in force; nullptr until they are known. Callable from any
   /// thread.
-  [[nodiscard]] std::shared_ptr<const routes::route_table> Routes() const;
+  [[nodiscard]] std::shared_ptr<const routes::route_index> Routes() const;
   [[nodiscard]] const peer::peer_traffic& traffic() const {
     return links_.traffic();
   }
@@ -96,7 +96,7 @@
 
   mutable std::mutex mutex_;
   // Guarded by `mutex_`.
-  std::shared_ptr<const routes::route_table> routes_;
+  std::shared_ptr<const routes::route_index> routes_;
 };
 
 }  // namespace burdocklock::app
--- a/src/gateway/i_control.h
+++ b/src/gateway/i_control.h
@@ -11,7 +11,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "refusals/types/refusal.h"
-#include "routes/route_table.h"
+#include "routes/route_index.h"
 #include "routing/types/attempt.h"
 #include "routing/types/effect.h"
 #include "routing/types/request.h"
@@ -62,7 +62,7 @@
   [[nodiscard]] virtual std::shared_ptr<const config::sheet_index> Sheet()
       const = 0;
   /// The routes in force; nullptr until they are known.
-  [[nodiscard]] virtual std::shared_ptr<const routes::route_table> Routes()
+  [[nodiscard]] virtual std::shared_ptr<const routes::route_index> Routes()
       const = 0;
   [[nodiscard]] virtual bool IsDraining() const = 0;
 
--- a/src/gateway/routed_handler.h
+++ b/src/gateway/routed_handler.h
@@ -4,7 +4,7 @@
 #include "framework/net/http_server.h"
 #include "gateway/i_call_dialect.h"
 #include "gateway/internal/call_service.h"
-#include "routes/route_table.h"
+#include "routes/route_index.h"
 
 namespace burdocklock::gateway {
 
--- a/src/gateway/tests/gateway_unittest.cc
+++ b/src/gateway/tests/gateway_unittest.cc
@@ -8,6 +8,8 @@
 #include "config/config_reader.h"
 #include "config/key_hashing.h"
 #include "gateway/call_parser.h"
+#include "gateway/numbered_event_scanner.h"
+#include "gateway/routed_handler.h"
 #include "gateway/sse_scanner.h"
 
 namespace burdocklock::gateway {
@@ -211,5 +213,80 @@
   CHECK(std::holds_alternative<rejected_call>(result));
 }
 
+struct numbered_fixture {
+  static std::string Numbered(int first, int last) {
+    std::string stream;
+    for (int i = first; i <= last; ++i) {
+      stream += "id: " + std::to_string(i) + "\ndata: x\n\n";
+    }
+    return stream;
+  }
+};
+
+TEST_CASE_METHOD(numbered_fixture,
+                 "numbered events: cut into any pieces: released whole, in "
+                 "order") {
+  const std::string stream = Numbered(0, 12);
+  for (std::size_t size = 1; size < stream.size(); ++size) {
+    numbered_event_scanner scanner(std::nullopt);
+    std::string released;
+    for (std::size_t at = 0; at < stream.size(); at += size) {
+      released += scanner.Feed(std::string_view(stream).substr(at, size));
+      REQUIRE((released.empty() || released.ends_with("\n\n")));
+    }
+    REQUIRE(released == stream);
+    REQUIRE(scanner.IsWholeAtEnd());
+    REQUIRE(scanner.last_event_id() == "12");
+  }
+}
+
+TEST_CASE_METHOD(numbered_fixture,
+                 "numbered events: body ends within an event: not whole") {
+  numbered_event_scanner scanner(std::nullopt);
+  scanner.Feed(Numbered(0, 2) + "id: 3\ndata: x\n");
+  CHECK_FALSE(scanner.IsWholeAtEnd());
+  CHECK(scanner.last_event_id() == "2");
+}
+
+TEST_CASE_METHOD(numbered_fixture,
+                 "numbered events: gap, repeat, no number: stopped there") {
+  for (const std::string& wrong :
+       {Numbered(4, 4), Numbered(2, 2), std::string("data: x\n\n"),
+        std::string("id: 3x\ndata: x\n\n")}) {
+    numbered_event_scanner scanner(std::nullopt);
+    const std::string good = Numbered(1, 2);
+    CHECK(scanner.Feed(good + wrong) == good);
+    CHECK(scanner.state() == stream_state::kWrongAnswer);
+    CHECK(scanner.Feed(Numbered(3, 3)).empty());
+  }
+}
+
+TEST_CASE_METHOD(numbered_fixture,
+                 "numbered events: resumed: must go on after the last one") {
+  numbered_event_scanner scanner(7);
+  CHECK(scanner.Feed(Numbered(8, 9)) == Numbered(8, 9));
+  numbered_event_scanner from_start(7);
+  CHECK(from_start.Feed(Numbered(0, 1)).empty());
+  CHECK(from_start.state() == stream_state::kWrongAnswer);
+}
+
+TEST_CASE("call on a route: terms of route and caller: the stricter hold") {
+  const routes::route route{.name = "r",
+                            .kind = routes::route_kind::kStreaming,
+                            .timeout = std::chrono::milliseconds(3000),
+                            .services = {{.service = pool_id("llm")}},
+                            .max_attempts = 2,
+                            .resumable = true};
+  call_facts facts{.name = "n", .patience = std::chrono::milliseconds(1000)};
+  auto spec = SpecifyCall(route, customer_id("c"), facts);
+  CHECK(spec.time_limit == std::chrono::milliseconds(1000));
+  CHECK(spec.repeatable);
+  CHECK(spec.resumable);
+  CHECK(spec.max_attempts == 2U);
+  facts.patience.reset();
+  spec = SpecifyCall(route, customer_id("c"), facts);
+  CHECK(spec.time_limit == std::chrono::milliseconds(3000));
+}
+
 }  // namespace
 }  // namespace burdocklock::gateway
--- a/src/routes/internal/route_table.cc
+++ b/src/routes/internal/route_index.cc
@@ -1,5 +1,5 @@
 // See the header.
-#include "routes/route_table.h"
+#include "routes/route_index.h"
 
 #include <algorithm>
 #include <cctype>
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-route_table::route_table(configuration configuration)
+route_index::route_index(configuration configuration)
     : contents_(std::move(configuration)) {
   for (const route& route : contents_.routes) {
     routes_[LowerCase(route.host_name)][route.path_prefix] = &route;
@@ -37,7 +37,7 @@
   }
 }
 
-const route* route_table::Match(std::string_view host_name,
+const route* route_index::Match(std::string_view host_name,
                                 std::string_view path) const {
   const auto host = routes_.find(LowerCase(WithoutPort(host_name)));
   if (host == routes_.end()) {
@@ -59,16 +59,16 @@
   }
 }
 
-const route_customer* route_table::FindByKey(std::string_view api_key) const {
+const route_customer* route_index::FindByKey(std::string_view api_key) const {
   const auto found = keys_.find(api_key);
   return found == keys_.end() ? nullptr : found->second;
 }
 
-bool route_table::NeedsKey(const route& route) const {
+bool route_index::NeedsKey(const route& route) const {
   return !route.anonymous && !contents_.customers.empty();
 }
 
-const service_terms* route_table::FindService(const pool_id& service) const {
+const service_terms* route_index::FindService(const pool_id& service) const {
   const auto found = services_.find(service);
   return found == services_.end() ? nullptr : found->second;
 }
--- a/src/routes/route_table.h
+++ b/src/routes/route_index.h
@@ -12,12 +12,12 @@
 
 namespace burdocklock::routes {
 
-class route_table {
+class route_index {
  public:
   /// The configuration must have passed `Check`.
-  explicit route_table(configuration configuration);
-  route_table(const route_table&) = delete;
-  route_table& operator=(const route_table&) = delete;
+  explicit route_index(configuration configuration);
+  route_index(const route_index&) = delete;
+  route_index& operator=(const route_index&) = delete;
 
   /// The route of that host name with the longest prefix that begins the path;
   /// nullptr if there is none. A port after the host name and a query after
--- a/src/routes/tests/routes_unittest.cc
+++ b/src/routes/tests/routes_unittest.cc
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "routes/configuration_checks.h"
-#include "routes/route_table.h"
+#include "routes/route_index.h"
 
 namespace burdocklock::routes {
 namespace {
@@ -35,7 +35,7 @@
   }
   bool Passes() const { return Check(subject).has_value(); }
   std::string Matched(const std::string& host, const std::string& path) const {
-    const route_table table(subject);
+    const route_index table(subject);
     const route* found = table.Match(host, path);
     return found == nullptr ? "none" : found->name;
   }
@@ -87,7 +87,7 @@
 
 TEST_CASE_METHOD(configuration_fixture,
                  "table: key: names the customer that holds it") {
-  const route_table table(subject);
+  const route_index table(subject);
   REQUIRE(table.FindByKey("k2") != nullptr);
   CHECK(table.FindByKey("k2")->customer == customer_id("a"));
   CHECK(table.FindByKey("") == nullptr);
--- a/src/routing/tests/request_lifecycle_unittest.cc
+++ b/src/routing/tests/request_lifecycle_unittest.cc
@@ -259,5 +259,87 @@
   });
 }
 
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: stream breaks midway, resumable: goes on at "
+                 "another target; not resumable: cut") {
+  spec.resumable = GENERATE(true, false);
+  options.max_attempts = 2;
+  auto life = Make();
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  life.OnAttempt(attempt_first_output{}, true, now);
+  const auto step =
+      life.OnAttempt(Failure(failure_kind::kBroken, true, true), true, now);
+  if (spec.resumable) {
+    CHECK(std::holds_alternative<step_retry>(step));
+    CHECK(life.resuming());
+  } else {
+    const auto* end = std::get_if<step_end>(&step);
+    REQUIRE(end != nullptr);
+    CHECK(std::holds_alternative<outcome_cut>(end->result));
+  }
+}
+
+TEST_CASE_METHOD(
+    lifecycle_fixture,
+    "lifecycle: resumed stream finds no target: cut, not refused") {
+  spec.resumable = true;
+  auto life = Make();
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  life.OnAttempt(Failure(failure_kind::kBroken, true, true), true, now);
+  REQUIRE(life.waiting());
+  const auto step = life.Refuse(refusals::refusal_reason::kNoTarget);
+  const auto* end = std::get_if<step_end>(&step);
+  REQUIRE(end != nullptr);
+  CHECK(std::holds_alternative<outcome_cut>(end->result));
+}
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: attempts that did not run: not counted against "
+                 "those that may run") {
+  options.max_attempts = 1;
+  options.max_tries = 3;
+  auto life = Make(/*repeatable=*/false);
+  for (int i = 0; i < 2; ++i) {
+    life.Dispatch(now);
+    life.OnAttempt(attempt_sending{}, true, now);
+    const auto step =
+        life.OnAttempt(Failure(failure_kind::kOtherTarget, true), true, now);
+    REQUIRE(std::holds_alternative<step_retry>(step));
+  }
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  const auto step =
+      life.OnAttempt(Failure(failure_kind::kNotAdmitted, true), true, now);
+  REQUIRE(Refused(step) != nullptr);
+  CHECK(Refused(step)->run == refusals::run_state::kNotRun);
+}
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: target's own failure at hand, no retry left: "
+                 "passed on") {
+  auto life = Make();
+  life.Dispatch(now);
+  life.OnAttempt(attempt_sending{}, true, now);
+  attempt_failed failure = Failure(failure_kind::kTargetError, true);
+  failure.has_answer = true;
+  const auto step = life.OnAttempt(failure, /*retry_allowed=*/false, now);
+  const auto* end = std::get_if<step_end>(&step);
+  REQUIRE(end != nullptr);
+  CHECK(std::holds_alternative<outcome_target_failure>(end->result));
+}
+
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "options: request's own limits: bound the whole and, for "
+                 "repeatable work, one attempt's silence") {
+  spec.time_limit = milliseconds(800);
+  spec.max_attempts = 2;
+  CHECK(OptionsFor(spec, options).total_timeout == milliseconds(800));
+  CHECK(OptionsFor(spec, options).service_answer_timeout == milliseconds(400));
+  spec.repeatable = false;
+  CHECK(OptionsFor(spec, options).service_answer_timeout == milliseconds(800));
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
