--- a/src/peer/internal/message_codec.cc
+++ b/src/peer/internal/message_codec.cc
@@ -209,13 +209,14 @@
 }
 
 result<fleet::message> Decode(std::string_view bytes) {
-  const json document = json::from_cbor(bytes, /*strict=*/true,
-                                        /*allow_exceptions=*/false);
-  if (!document.is_object()) {
-    return Malformed("not a CBOR map");
-  }
-  // nlohmann::json reports missing and wrong members by exception.
+  // nlohmann::json reports missing and wrong members by exception, and sizes
+  // beyond all bounds even where it is told not to throw.
   try {
+    const json document = json::from_cbor(bytes, /*strict=*/true,
+                                          /*allow_exceptions=*/false);
+    if (!document.is_object()) {
+      return Malformed("not a CBOR map");
+    }
     if (document.at(kVersionKey).get<int>() != kProtocolVersion) {
       return Malformed("another protocol version");
     }
--- a/src/peer/tests/peer_unittest.cc
+++ b/src/peer/tests/peer_unittest.cc
@@ -102,5 +102,14 @@
   });
 }
 
+TEST_CASE("codec: map of a size beyond all bounds: refused") {
+  CHECK_FALSE(Decode("\xBB"
+                     "aaaaaaaa")
+                  .has_value());
+  CHECK_FALSE(Decode("\x9B"
+                     "aaaaaaaa")
+                  .has_value());
+}
+
 }  // namespace
 }  // namespace burdocklock::peer
