--- a/src/quorum/internal/raft_node.cc
+++ b/src/quorum/internal/raft_node.cc
@@ -11,13 +11,13 @@
                      durable_state recovered,
                      i_random& random,
                      time_point now)
-    : options_(options),
+    : options_(std::move(options)),
       random_(random),
-      self_(recovered.self),
+      self_(std::move(recovered.self)),
       term_(recovered.term),
-      vote_(recovered.vote),
-      log_(recovered.base, recovered.entries),
-      commit_(recovered.base.last_index),
+      vote_(std::move(recovered.vote)),
+      log_(std::move(recovered.base), std::move(recovered.entries)),
+      commit_(log_.base().last_index),
       durable_(log_.last_index()),
       leader_heard_(now) {
   if (!log_.base().state.empty()) {
