Answer callers who connect to a router while it drains

With restarts 2 s apart no router took connections for a while; 197 of 425 requests failed in 2 s.

Change: the listener stays open while requests still run. A call whose time limit ends before the router's own end is served, any other is refused at once as not run, with a Retry-After. Idle connections are closed after the notice, as before. The two ends of a shutdown are one type, drain_window, used by the traffic side and the daemon alike.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -71,6 +72,8 @@
   [[nodiscard]] std::shared_ptr<const routes::route_index> Routes()
       const override;
   [[nodiscard]] bool IsDraining() const override;
+  [[nodiscard]] std::optional<gateway::drain_window> DrainWindow()
+      const override;
   void Submit(const routing::request_spec& spec,
               std::shared_ptr<gateway::i_exchange> exchange) override;
   void RefuseEarly(refusals::refusal refusal,
@@ -159,6 +162,8 @@
   time_point timer_at_ = kNever;
   std::function<void(const std::string& cause)> on_drain_;
   std::atomic<std::uint64_t> last_request_{0};
+  // Written once, before `draining_` is set.
+  gateway::drain_window drain_window_;
   std::atomic<bool> draining_{false};
 };
 
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -113,7 +113,11 @@
 }
 
 bool control_loop::IsDraining() const {
-  return draining_.load(std::memory_order_relaxed);
+  return draining_.load(std::memory_order_acquire);
+}
+
+std::optional<gateway::drain_window> control_loop::DrainWindow() const {
+  return IsDraining() ? std::optional(drain_window_) : std::nullopt;
 }
 
 void control_loop::Post(handler handle) {
@@ -206,9 +210,11 @@
 }
 
 void control_loop::Drain(const std::string& cause) {
-  if (draining_.exchange(true)) {
+  if (IsDraining()) {
     return;
   }
+  drain_window_ = MakeDrainWindow(settings_.timeouts, steady_clock::now());
+  draining_.store(true, std::memory_order_release);
   logger_.Log(
       log_record("drain").Add("cause", cause).Add("unfinished", Unfinished()));
   if (node_) {
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -33,9 +33,6 @@
 constexpr std::chrono::milliseconds kDrainCheckPeriod{20};
 // Time for the last answers to be written after the deadline has cut them.
 constexpr std::chrono::seconds kCutGrace{2};
-// Of the time for a whole shutdown, what is kept for ending after the last
-// requests were cut.
-constexpr std::chrono::milliseconds kEndReserve{600};
 
 incarnation NewIncarnation() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -75,7 +72,7 @@
   result<endpoint> StartTraffic();
   result<void> StartReadiness();
   void StopAccepting();
-  [[nodiscard]] duration DrainDeadline() const;
+  void CloseIdle();
   void RunControl();
   void WatchSignals(boost::asio::signal_set& signals);
   void FinishRequests();
@@ -233,12 +230,13 @@
 }
 
 void daemon::state::FinishRequests() {
-  const time_point begin = std::chrono::steady_clock::now();
-  SleepFor(control_io, settings.timeouts.drain_notice);
-  StopAccepting();
-  const time_point deadline = begin + DrainDeadline();
+  const gateway::drain_window window = *control.DrainWindow();
+  SleepFor(control_io, window.notice_end - std::chrono::steady_clock::now());
+  // Those who connect from here on are still answered: perhaps no other daemon
+  // takes connections, as when all are restarted one after the other.
+  CloseIdle();
   while (control.Unfinished() > 0 &&
-         std::chrono::steady_clock::now() < deadline) {
+         std::chrono::steady_clock::now() < window.cut) {
     SleepFor(control_io, kDrainCheckPeriod);
   }
   const std::size_t cut = control.CutRunning();
@@ -262,12 +260,13 @@
   }
 }
 
-duration daemon::state::DrainDeadline() const {
-  const config::timeout_settings& timeouts = settings.timeouts;
-  if (timeouts.shutdown.count() > 0) {
-    return timeouts.shutdown - kEndReserve;
+void daemon::state::CloseIdle() {
+  for (const auto& thread : traffic) {
+    thread->CloseIdle();
+  }
+  if (own_traffic) {
+    own_traffic->CloseIdle();
   }
-  return timeouts.drain_notice + timeouts.drain_deadline;
 }
 
 void daemon::state::StopTraffic() {
--- a/src/app/internal/router_options.cc
+++ b/src/app/internal/router_options.cc
@@ -12,6 +12,9 @@
 constexpr std::uint32_t kExtraTries = 2;
 // With routes, how long a call waits for a target of a service that has none.
 constexpr std::chrono::milliseconds kNoTargetWait{300};
+// Of the time for a whole shutdown, what is kept for ending after the last
+// requests were cut.
+constexpr std::chrono::milliseconds kEndReserve{600};
 
 }  // namespace
 
@@ -59,6 +62,17 @@
   };
 }
 
+gateway::drain_window MakeDrainWindow(const config::timeout_settings& timeouts,
+                                      time_point begin) {
+  const time_point notice_end = begin + timeouts.drain_notice;
+  if (timeouts.shutdown.count() == 0) {
+    return {.notice_end = notice_end,
+            .cut = notice_end + timeouts.drain_deadline};
+  }
+  return {.notice_end = notice_end,
+          .cut = std::max(notice_end, begin + timeouts.shutdown - kEndReserve)};
+}
+
 fleet::fleet_options MakeFleetOptions(const config::settings& settings,
                                       incarnation life) {
   const bool control =
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -22,6 +22,8 @@
   duration write_timeout{};
   /// True while no request is being read or handled.
   bool idle = true;
+  /// True once a request was handled.
+  bool used = false;
 
   /// Writes a whole response; false if the peer did not take it in time.
   bool Write(http_response& response);
@@ -72,6 +74,8 @@
 
   /// Binds and starts to accept. The error names the address.
   result<endpoint> Start();
+  /// Closes connections that wait for a further request, and goes on to accept.
+  void CloseIdle();
   /// Stops to accept and closes idle connections; others end after the
   /// request that they are handling.
   void Stop();
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -93,6 +93,14 @@
   return bound;
 }
 
+void http_server::CloseIdle() {
+  for (http_connection* connection : state_->connections) {
+    if (connection->idle && connection->used) {
+      connection->stream.close();
+    }
+  }
+}
+
 void http_server::Stop() {
   state_->stopping = true;
   beast::error_code ignored;
@@ -178,6 +186,7 @@
     }
     const keep_alive keep = handler.Handle(connection, *request);
     connection.idle = true;
+    connection.used = true;
     if (keep == keep_alive::kNo) {
       return;
     }
--- a/src/gateway/i_control.h
+++ b/src/gateway/i_control.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "config/sheet_index.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "gateway/types/drain_window.h"
 #include "refusals/types/refusal.h"
 #include "routes/route_index.h"
 #include "routing/types/attempt.h"
@@ -65,6 +67,8 @@
   [[nodiscard]] virtual std::shared_ptr<const routes::route_index> Routes()
       const = 0;
   [[nodiscard]] virtual bool IsDraining() const = 0;
+  /// Set once the daemon shuts down.
+  [[nodiscard]] virtual std::optional<drain_window> DrainWindow() const = 0;
 
   virtual void Submit(const routing::request_spec& spec,
                       std::shared_ptr<i_exchange> exchange) = 0;
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -1,6 +1,7 @@
 // See the header.
 #include "gateway/internal/call_service.h"
 
+#include <chrono>
 #include <memory>
 #include <utility>
 
@@ -10,10 +11,26 @@
 
 using refusals::refusal_reason;
 
+namespace {
+
+// Time in which a daemon that restarts is usually back.
+constexpr std::chrono::seconds kRestartWait{1};
+
+}  // namespace
+
 net::keep_alive call_service::Serve(net::http_connection& connection,
                                     const net::http_request& request,
                                     outgoing_call call) {
-  const bool keep = request.keep_alive() && !context_.control.IsDraining();
+  const std::optional<drain_window> drain = context_.control.DrainWindow();
+  if (drain &&
+      !drain->Takes(std::chrono::steady_clock::now(), call.spec.time_limit)) {
+    return Refuse(connection, request, call.request_name,
+                  {.customer = call.spec.customer,
+                   .request = call.spec.id,
+                   .reason = refusal_reason::kDraining,
+                   .retry_after = kRestartWait});
+  }
+  const bool keep = request.keep_alive() && !drain;
   answer_writer writer(connection, request, call.request_name, keep,
                        context_.dialect);
   std::make_shared<caller_exchange>(context_, connection, std::move(call),
--- a/src/gateway/internal/call_service.h
+++ b/src/gateway/internal/call_service.h
@@ -15,7 +15,7 @@
   explicit call_service(traffic_context& context) : context_(context) {}
 
   /// Serves the call on the connection's fiber, until the caller has its answer
-  /// or is gone.
+  /// or is gone. Refuses it if the daemon shuts down before the call could end.
   net::keep_alive Serve(net::http_connection& connection,
                         const net::http_request& request,
                         outgoing_call call);
--- a/src/gateway/internal/caller_handler.cc
+++ b/src/gateway/internal/caller_handler.cc
@@ -101,12 +101,6 @@
                    .detail = rejected->detail});
   }
   parsed_call& call = std::get<parsed_call>(parsed);
-  if (context_.control.IsDraining()) {
-    return Refuse(connection, request,
-                  {.customer = call.spec.customer,
-                   .reason = refusal_reason::kDraining,
-                   .retry_after = std::chrono::seconds(1)});
-  }
   call.spec.id = context_.control.NextRequest();
   const std::string name = context_.control.RequestName(call.spec.id);
   return calls_.Serve(connection, request,
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -99,6 +99,10 @@
   return state_->server.Start();
 }
 
+void traffic_service::CloseIdle() {
+  state_->server.CloseIdle();
+}
+
 void traffic_service::Stop() {
   state_->server.Stop();
 }
--- a/src/gateway/internal/traffic_thread.cc
+++ b/src/gateway/internal/traffic_thread.cc
@@ -30,6 +30,8 @@
   const i_call_dialect* dialect;
   std::atomic<std::uint32_t>& connections;
   boost::asio::io_context io{1};
+  // Set while the thread serves; used on it only.
+  traffic_service* service = nullptr;
   fiber_event stop;
   std::thread thread;
 };
@@ -54,6 +56,14 @@
   return bound.get();
 }
 
+void traffic_thread::CloseIdle() {
+  boost::asio::post(state_->io, [state = state_.get()] {
+    if (state->service != nullptr) {
+      state->service->CloseIdle();
+    }
+  });
+}
+
 void traffic_thread::Stop() {
   boost::asio::post(state_->io, [state = state_.get()] { state->stop.Set(); });
 }
@@ -65,17 +75,19 @@
 }
 
 void traffic_thread::state::Run(std::promise<result<endpoint>>& started) {
-  traffic_service service(io, options, control, dialect, connections);
+  traffic_service own_service(io, options, control, dialect, connections);
+  service = &own_service;
   RunFiberThread(io, [&] {
-    result<endpoint> bound = service.Start();
+    result<endpoint> bound = own_service.Start();
     const bool listening = bound.has_value();
     started.set_value(std::move(bound));
     if (!listening) {
       return;
     }
     stop.Wait();
-    service.Stop();
+    own_service.Stop();
   });
+  service = nullptr;
 }
 
 }  // namespace burdocklock::gateway
--- a/src/gateway/tests/gateway_unittest.cc
+++ b/src/gateway/tests/gateway_unittest.cc
@@ -11,6 +11,7 @@
 #include "gateway/numbered_event_scanner.h"
 #include "gateway/routed_handler.h"
 #include "gateway/sse_scanner.h"
+#include "gateway/types/drain_window.h"
 
 namespace burdocklock::gateway {
 namespace {
@@ -288,5 +289,32 @@
   CHECK(spec.time_limit == std::chrono::milliseconds(3000));
 }
 
+TEST_CASE("drain window: during the notice: any call is taken") {
+  const time_point begin;
+  const drain_window window{.notice_end = begin + std::chrono::seconds(2),
+                            .cut = begin + std::chrono::seconds(7)};
+  CHECK(window.Takes(begin + std::chrono::seconds(1), std::nullopt));
+  CHECK(window.Takes(begin + std::chrono::seconds(1), std::chrono::hours(1)));
+}
+
+TEST_CASE(
+    "drain window: after the notice: only calls that end before the cut") {
+  const time_point begin;
+  const drain_window window{.notice_end = begin + std::chrono::seconds(2),
+                            .cut = begin + std::chrono::seconds(7)};
+  rc::prop("a call that is taken ends before the cut", [&] {
+    const auto now =
+        begin + std::chrono::milliseconds(*rc::gen::inRange(2'000, 9'000));
+    const auto longest =
+        std::chrono::milliseconds(*rc::gen::inRange(0, 20'000));
+    if (window.Takes(now, longest)) {
+      RC_ASSERT(now + longest < window.cut);
+    }
+  });
+  CHECK(window.Takes(window.notice_end, std::chrono::seconds(1)));
+  CHECK_FALSE(window.Takes(window.notice_end, std::nullopt));
+  CHECK_FALSE(window.Takes(window.cut, std::chrono::milliseconds(0)));
+}
+
 }  // namespace
 }  // namespace burdocklock::gateway
--- a/src/gateway/traffic_service.h
+++ b/src/gateway/traffic_service.h
@@ -30,6 +30,8 @@
 
   /// Returns the address that it listens on.
   result<endpoint> Start();
+  /// Closes connections that wait for a further request.
+  void CloseIdle();
   /// Stops to accept; requests in progress go on.
   void Stop();
 
--- a/src/gateway/traffic_thread.h
+++ b/src/gateway/traffic_thread.h
@@ -24,6 +24,9 @@
 
   /// Starts the thread; returns the address that it listens on.
   result<endpoint> Start();
+  /// Closes connections that wait for a further request. Callable from any
+  /// thread.
+  void CloseIdle();
   /// Stops to accept; requests in progress go on. Callable from any thread.
   void Stop();
   /// Waits until the last request has ended.
