Latency histograms on the metrics address; split the control host's daemon

Latencies were rolling percentiles only. They are now histograms with fixed buckets over the process's life, with the recent percentiles beside them; control hosts also serve the time of commands and of log writes, and what the log is at.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -141,10 +141,10 @@
   std::string name_prefix_;
   i_logger& logger_;
   metric_registry metrics_;
-  rolling_summary& queue_wait_;
-  rolling_summary& first_output_;
-  rolling_summary& token_gap_;
-  rolling_summary& total_time_;
+  latency_histogram& queue_wait_;
+  latency_histogram& first_output_;
+  latency_histogram& token_gap_;
+  latency_histogram& total_time_;
   seeded_random random_;
   time_point started_;
   routing::request_router router_;
--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -88,7 +88,7 @@
 
 void control_loop::Perform(const routing::request_ended& effect,
                            time_point now) {
-  total_time_.Observe(ToSeconds(effect.total), now);
+  total_time_.Observe(effect.total, now);
   ++metrics_.Counter("burdocklock_requests_total",
                      {{"outcome", OutcomeName(effect.result)},
                       {"customer", effect.customer.value()}});
--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -1,9 +1,9 @@
 // See the header.
 #include "app/control_host.h"
 
-#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <map>
 #include <random>
 #include <utility>
 #include <vector>
@@ -13,10 +13,12 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/outcome/success_failure.hpp>
-#include <nlohmann/json.hpp>
 
 #include "app/internal/control_links.h"
+#include "app/internal/control_log.h"
+#include "app/internal/control_report.h"
 #include "app/internal/settings_watch.h"
+#include "app/internal/timed_commands.h"
 #include "control/control_node.h"
 #include "framework/fiber/fiber_thread.h"
 #include "framework/fiber/use_fiber.h"
@@ -25,58 +27,18 @@
 #include "framework/seeded_random.h"
 #include "gateway/i_operations.h"
 #include "gateway/operator_handler.h"
-#include "storage/log_file.h"
 #include "storage/log_writer.h"
 
 namespace burdocklock::app {
 
-using nlohmann::ordered_json;
 using std::chrono::steady_clock;
 
 namespace {
 
-// Ids of first voters have no random part, so that all hosts build the same
-// list from the same addresses.
-constexpr char kFirstLife[] = "#first";
-
 std::uint32_t RandomSeed() {
   return std::random_device{}();
 }
 
-quorum::member_id FirstId(const endpoint& links) {
-  return quorum::member_id(ToString(links) + kFirstLife);
-}
-
-// The state of a host that has no log: one of the first voters, or a stranger
-// that others must let in.
-quorum::durable_state NewState(const config::settings& settings,
-                               std::uint32_t random) {
-  const endpoint& own = settings.peer_listener;
-  const auto& hosts = settings.control.hosts;
-  quorum::durable_state fresh;
-  const bool is_first =
-      std::find(hosts.begin(), hosts.end(), own) != hosts.end();
-  if (!settings.control.first_start || !is_first) {
-    fresh.self =
-        quorum::member_id(ToString(own) + "#" + std::to_string(random));
-    return fresh;
-  }
-  fresh.self = FirstId(own);
-  fresh.base.last_index = quorum::log_index(1);
-  fresh.base.last_term = quorum::term_number(1);
-  fresh.term = quorum::term_number(1);
-  std::vector<endpoint> sorted = hosts;
-  std::sort(sorted.begin(), sorted.end());
-  for (const endpoint& host : sorted) {
-    fresh.base.members.push_back(
-        {.id = FirstId(host),
-         .links = host,
-         .commands = {.address = host.address, .port = settings.commands.port},
-         .voter = true});
-  }
-  return fresh;
-}
-
 }  // namespace
 
 struct control_host::state : control::i_control_port, gateway::i_operations {
@@ -100,8 +62,9 @@
         operators(*this, settings.operator_tokens),
         operator_server(io, {.listen = settings.operators}, operators) {}
 
-  result<void> OpenLog();
   void RunControl();
+  void OnDurable(quorum::batch_number batch);
+  void RegisterMetrics();
   result<void> StartListeners();
   result<void> StartLinks();
   void WatchSignals(boost::asio::signal_set& signals);
@@ -124,10 +87,14 @@
   // gateway::i_operations
   [[nodiscard]] bool IsReady() const override { return !stopping; }
   std::string Metrics() override;
-  std::string StatusJson() override;
-  std::string TargetsJson() override;
+  std::string StatusJson() override {
+    return DescribeControlStatus(settings, *node);
+  }
+  std::string TargetsJson() override {
+    return DescribeRegisteredTargets(*node);
+  }
   std::string CustomersJson() override { return R"({"customers":[]})"; }
-  std::string MembersJson() override;
+  std::string MembersJson() override { return DescribeLogMembers(*node); }
   bool OrderDataCentre(const std::string&, bool) override { return false; }
   void Drain(const std::string& cause) override;
 
@@ -137,10 +104,13 @@
   boost::asio::io_context io{1};
   seeded_random random;
   metric_registry metrics;
+  latency_histogram& log_write_latency =
+      metrics.Latency("burdocklock_log_write_seconds");
   control_links links;
-  quorum::durable_state recovered;
-  std::unique_ptr<storage::log_file> file;
+  control_log log;
   std::unique_ptr<storage::log_writer> writer;
+  // When each batch that is not durable yet was handed to the disk.
+  std::map<quorum::batch_number, time_point> writing;
   std::unique_ptr<control::control_node> node;
   settings_watch watch;
   boost::asio::steady_timer timer;
@@ -156,73 +126,6 @@
   result<void> outcome = BOOST_OUTCOME_V2_NAMESPACE::success();
 };
 
-namespace {
-
-// Gives the node its time with each command.
-class timed_commands : public control::i_control_commands {
- public:
-  timed_commands(control::control_node& node,
-                 i_logger& logger,
-                 std::function<void()> after)
-      : node_(node), logger_(logger), after_(std::move(after)) {}
-
-  void ReplaceConfiguration(std::uint64_t version,
-                            std::string document,
-                            control::command_done done) override {
-    node_.SetTime(steady_clock::now());
-    node_.ReplaceConfiguration(
-        version, std::move(document),
-        Logged(log_record("command")
-                   .Add("command", "replace_configuration")
-                   .Add("version", version),
-               std::move(done)));
-    after_();
-  }
-  void ReadConfiguration(control::command_done done) override {
-    node_.SetTime(steady_clock::now());
-    node_.ReadConfiguration(std::move(done));
-    after_();
-  }
-  void SetOutage(const data_centre_id& data_centre,
-                 bool out,
-                 control::command_done done) override {
-    node_.SetTime(steady_clock::now());
-    node_.SetOutage(data_centre, out,
-                    Logged(log_record("command")
-                               .Add("command", out ? "take_out" : "take_back")
-                               .Add("data_centre", data_centre.value()),
-                           std::move(done)));
-    after_();
-  }
-  void Announce(const targets::announcement& announcement) override {
-    node_.SetTime(steady_clock::now());
-    node_.Announce(announcement);
-    after_();
-  }
-  void Withdraw(const target_id& target,
-                std::optional<incarnation> life) override {
-    node_.SetTime(steady_clock::now());
-    node_.Withdraw(target, life);
-    after_();
-  }
-
- private:
-  // Logs the outcome of a command, too.
-  control::command_done Logged(log_record record, control::command_done done) {
-    return [this, record = std::move(record), done = std::move(done)](
-               const control::command_outcome& outcome) mutable {
-      logger_.Log(record.Add("outcome", ToString(outcome.status)));
-      done(outcome);
-    };
-  }
-
-  control::control_node& node_;
-  i_logger& logger_;
-  std::function<void()> after_;
-};
-
-}  // namespace
-
 control_host::control_host(config::settings settings,
                            i_logger& logger,
                            const i_interface_adapter& adapter,
@@ -236,9 +139,11 @@
 
 result<void> control_host::Run(const std::function<void()>& on_started) {
   state_->on_started = on_started;
-  if (auto opened = state_->OpenLog(); !opened) {
-    return opened;
+  auto opened = OpenControlLog(state_->settings, RandomSeed(), state_->logger);
+  if (!opened) {
+    return opened.error();
   }
+  state_->log = std::move(opened.value());
   RunFiberThread(state_->io, [this] { state_->RunControl(); });
   return state_->outcome;
 }
@@ -248,35 +153,6 @@
                     [state = state_.get()] { state->Drain("stop"); });
 }
 
-result<void> control_host::state::OpenLog() {
-  file = std::make_unique<storage::log_file>(settings.data_folder);
-  auto opened = file->Open();
-  if (!opened && opened.error().code == error_code::kMalformed) {
-    // What is damaged must not be believed: this host starts as a new one.
-    OnProblem(opened.error());
-    if (auto aside = file->SetAside(); !aside) {
-      return aside;
-    }
-    opened = std::optional<quorum::durable_state>();
-  }
-  if (!opened) {
-    return opened.error();
-  }
-  const bool is_new = !opened.value().has_value();
-  recovered = is_new ? NewState(settings, RandomSeed()) : *opened.value();
-  logger.Log(log_record("log_opened")
-                 .Add("member", recovered.self.value())
-                 .Add("new", is_new)
-                 .Add("term", recovered.term.value())
-                 .Add("base", recovered.base.last_index.value())
-                 .Add("entries", recovered.entries.size()));
-  if (is_new) {
-    // Nothing is said before this host knows on disk who it is.
-    return file->Write({quorum::rewrite_record{recovered}});
-  }
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
 control::control_options control_host::state::Options() const {
   return {.daemon = settings.daemon,
           .seeds = settings.control.hosts,
@@ -290,14 +166,11 @@
   boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   WatchSignals(signals);
   writer = std::make_unique<storage::log_writer>(
-      std::move(file),
+      std::move(log.file),
       storage::log_writer_handlers{
           .on_durable =
               [this](quorum::batch_number batch) {
-                boost::asio::post(io, [this, batch] {
-                  node->OnDurable(batch, steady_clock::now());
-                  ArmTimer();
-                });
+                boost::asio::post(io, [this, batch] { OnDurable(batch); });
               },
           .on_disk_state =
               [this](const result<void>& written) {
@@ -348,15 +221,16 @@
            }});
   if (started) {
     node = std::make_unique<control::control_node>(
-        Options(), std::move(recovered), random, links, *this,
+        Options(), std::move(log.state), random, links, *this,
         steady_clock::now());
+    RegisterMetrics();
   }
   return started;
 }
 
 result<void> control_host::state::StartListeners() {
-  commands =
-      std::make_unique<timed_commands>(*node, logger, [this] { ArmTimer(); });
+  commands = std::make_unique<timed_commands>(*node, logger, metrics,
+                                              [this] { ArmTimer(); });
   command_handler = adapter.MakeCommandHandler(*commands);
   command_server = std::make_unique<net::http_server>(
       io, net::http_server_options{.listen = settings.commands},
@@ -413,9 +287,21 @@
 
 void control_host::state::Store(quorum::batch_number batch,
                                 std::vector<quorum::storage_record> records) {
+  writing.emplace(batch, steady_clock::now());
   writer->Submit(batch, std::move(records));
 }
 
+void control_host::state::OnDurable(quorum::batch_number batch) {
+  const time_point now = steady_clock::now();
+  const auto end = writing.upper_bound(batch);
+  for (auto entry = writing.begin(); entry != end; ++entry) {
+    log_write_latency.Observe(now - entry->second, now);
+  }
+  writing.erase(writing.begin(), end);
+  node->OnDurable(batch, now);
+  ArmTimer();
+}
+
 void control_host::state::OnRole(quorum::raft_role role,
                                  quorum::term_number term,
                                  const quorum::member_id& leader) {
@@ -467,45 +353,23 @@
                  .Add("detail", problem.Message()));
 }
 
-std::string control_host::state::Metrics() {
-  return metrics.Render(steady_clock::now());
-}
-
-std::string control_host::state::StatusJson() {
-  const quorum::raft_node& raft = node->raft();
-  return ordered_json{{"daemon", settings.daemon.value()},
-                      {"data_centre", settings.data_centre.value()},
-                      {"role", ToString(raft.role())},
-                      {"term", raft.term().value()},
-                      {"leader", raft.leader().value()},
-                      {"commit", raft.commit().value()},
-                      {"version", node->state().contents().version},
-                      {"routers", node->router_count()},
-                      {"targets", node->registry().size()}}
-      .dump();
-}
-
-std::string control_host::state::TargetsJson() {
-  ordered_json list = ordered_json::array();
-  for (const control::registry_entry& entry : node->registry().All()) {
-    list.push_back({{"target", entry.announced.target.value()},
-                    {"incarnation", entry.announced.life.value()},
-                    {"data_centre", entry.announced.data_centre.value()},
-                    {"address", ToString(entry.announced.address)},
-                    {"state", ToString(entry.announced.state)},
-                    {"slots", entry.announced.slots}});
-  }
-  return ordered_json{{"targets", list}}.dump();
+void control_host::state::RegisterMetrics() {
+  const auto add = [this](const char* name, auto read) {
+    metrics.Gauge(name, [read] { return static_cast<double>(read()); });
+  };
+  add("burdocklock_leads", [this] {
+    return node->raft().role() == quorum::raft_role::kLeader ? 1 : 0;
+  });
+  add("burdocklock_term", [this] { return node->raft().term().value(); });
+  add("burdocklock_commit", [this] { return node->raft().commit().value(); });
+  add("burdocklock_version",
+      [this] { return node->state().contents().version; });
+  add("burdocklock_routers", [this] { return node->router_count(); });
+  add("burdocklock_targets", [this] { return node->registry().size(); });
 }
 
-std::string control_host::state::MembersJson() {
-  ordered_json list = ordered_json::array();
-  for (const quorum::member& member : node->raft().members()) {
-    list.push_back({{"member", member.id.value()},
-                    {"links", ToString(member.links)},
-                    {"voter", member.voter}});
-  }
-  return ordered_json{{"members", list}}.dump();
+std::string control_host::state::Metrics() {
+  return metrics.Render(steady_clock::now());
 }
 
 }  // namespace burdocklock::app
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -35,10 +35,10 @@
       sheet_(std::move(sheet)),
       name_prefix_(NamePrefix(settings.daemon, life)),
       logger_(logger),
-      queue_wait_(metrics_.Summary("burdocklock_queue_wait_seconds")),
-      first_output_(metrics_.Summary("burdocklock_first_output_seconds")),
-      token_gap_(metrics_.Summary("burdocklock_between_tokens_seconds")),
-      total_time_(metrics_.Summary("burdocklock_request_seconds")),
+      queue_wait_(metrics_.Latency("burdocklock_queue_wait_seconds")),
+      first_output_(metrics_.Latency("burdocklock_first_output_seconds")),
+      token_gap_(metrics_.Latency("burdocklock_between_tokens_seconds")),
+      total_time_(metrics_.Latency("burdocklock_request_seconds")),
       random_(static_cast<std::uint32_t>(life.value())),
       started_(steady_clock::now()),
       router_(MakeRouterOptions(settings), random_, *this),
@@ -175,7 +175,7 @@
                         out);
     }
     for (const duration gap : batch.token_gaps) {
-      token_gap_.Observe(ToSeconds(gap), now);
+      token_gap_.Observe(gap, now);
     }
   });
 }
@@ -230,11 +230,11 @@
 }
 
 void control_loop::OnQueueWait(duration wait, time_point now) {
-  queue_wait_.Observe(ToSeconds(wait), now);
+  queue_wait_.Observe(wait, now);
 }
 
 void control_loop::OnFirstOutput(duration latency, time_point now) {
-  first_output_.Observe(ToSeconds(latency), now);
+  first_output_.Observe(latency, now);
 }
 
 void control_loop::ArmTimer() {
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -135,6 +135,7 @@
   void SetWantedLinks();
   [[nodiscard]] introduction Introduction() const;
 
+  // News for routers and other control hosts (control_news.cc).
   void ExpectState();
   void TellRouter(link_id link, inbound_peer& router);
   void TellRoutersDue();
--- a/src/framework/metrics/internal/metric_registry.cc
+++ b/src/framework/metrics/internal/metric_registry.cc
@@ -38,13 +38,37 @@
   return labels.empty() ? std::string() : "{" + labels + "}";
 }
 
-std::string WithQuantile(const std::string& labels, double quantile) {
+// The labels with one more.
+std::string Extended(const std::string& labels,
+                     const std::string& key,
+                     const std::string& value) {
+  return "{" + labels + (labels.empty() ? "" : ",") + key + "=\"" + value +
+         "\"}";
+}
+
+std::string Shortest(double value) {
   std::ostringstream text;
-  text << '{' << labels << (labels.empty() ? "" : ",") << "quantile=\""
-       << quantile << "\"}";
+  text << value;
   return text.str();
 }
 
+void RenderHistogram(std::ostream& out,
+                     const std::string& name,
+                     const std::string& labels,
+                     const latency_histogram& histogram,
+                     const summary_values& values) {
+  const auto counts = histogram.Cumulative();
+  for (std::size_t i = 0; i < kLatencyBounds.size(); ++i) {
+    out << name << "_bucket"
+        << Extended(labels, "le", Shortest(kLatencyBounds[i])) << ' '
+        << counts[i] << '\n';
+  }
+  out << name << "_bucket" << Extended(labels, "le", "+Inf") << ' '
+      << values.count << '\n'
+      << name << "_sum" << Braced(labels) << ' ' << values.sum << '\n'
+      << name << "_count" << Braced(labels) << ' ' << values.count << '\n';
+}
+
 }  // namespace
 
 std::uint64_t& metric_registry::Counter(std::string_view name,
@@ -52,9 +76,9 @@
   return counters_[std::string(name)][RenderLabels(labels)];
 }
 
-rolling_summary& metric_registry::Summary(std::string_view name,
-                                          const labels& labels) {
-  return summaries_[std::string(name)][RenderLabels(labels)];
+latency_histogram& metric_registry::Latency(std::string_view name,
+                                            const labels& labels) {
+  return latencies_[std::string(name)][RenderLabels(labels)];
 }
 
 void metric_registry::Gauge(std::string_view name,
@@ -73,19 +97,25 @@
   for (const auto& [name, read] : gauges_) {
     out << "# TYPE " << name << " gauge\n" << name << ' ' << read() << '\n';
   }
-  for (auto& [name, by_labels] : summaries_) {
-    out << "# TYPE " << name << " summary\n";
-    for (auto& [labels, summary] : by_labels) {
-      const summary_values values = summary.Values(now);
+  RenderLatencies(out, now);
+  return out.str();
+}
+
+void metric_registry::RenderLatencies(std::ostream& out, time_point now) {
+  for (auto& [name, by_labels] : latencies_) {
+    std::ostringstream recent;
+    out << "# TYPE " << name << " histogram\n";
+    for (auto& [labels, histogram] : by_labels) {
+      const summary_values values = histogram.Values(now);
+      RenderHistogram(out, name, labels, histogram, values);
       for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
-        out << name << WithQuantile(labels, kQuantiles[i]) << ' '
-            << values.quantiles[i] << '\n';
+        recent << name << "_recent"
+               << Extended(labels, "quantile", Shortest(kQuantiles[i])) << ' '
+               << values.quantiles[i] << '\n';
       }
-      out << name << "_sum" << Braced(labels) << ' ' << values.sum << '\n';
-      out << name << "_count" << Braced(labels) << ' ' << values.count << '\n';
     }
+    out << "# TYPE " << name << "_recent gauge\n" << recent.str();
   }
-  return out.str();
 }
 
 }  // namespace burdocklock
--- a/src/framework/metrics/metric_registry.h
+++ b/src/framework/metrics/metric_registry.h
@@ -1,15 +1,16 @@
-// Named counters, gauges and summaries with Prometheus text output.
+// Named counters, gauges and latency histograms with Prometheus text output.
 // Not thread-safe: it belongs to the control thread.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <ostream>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "framework/metrics/rolling_summary.h"
+#include "framework/metrics/latency_histogram.h"
 #include "framework/types/time.h"
 
 namespace burdocklock {
@@ -26,8 +27,9 @@
   /// The counter of that name and labels; created at zero. The reference stays
   /// valid for the registry's life.
   std::uint64_t& Counter(std::string_view name, const labels& labels = {});
-  /// As `Counter`, for percentiles.
-  rolling_summary& Summary(std::string_view name, const labels& labels = {});
+  /// As `Counter`. Rendered as a histogram of that name and, with the suffix
+  /// `_recent`, as a gauge of the recent percentiles; both in seconds.
+  latency_histogram& Latency(std::string_view name, const labels& labels = {});
   /// Registers a value that is read when metrics are rendered.
   void Gauge(std::string_view name, std::function<double()> read);
 
@@ -35,12 +37,14 @@
   std::string Render(time_point now);
 
  private:
+  void RenderLatencies(std::ostream& out, time_point now);
+
   // Keyed by name, then by rendered labels, so that output is sorted.
   template <typename T>
   using series = std::map<std::string, std::map<std::string, T>, std::less<>>;
 
   series<std::uint64_t> counters_;
-  series<rolling_summary> summaries_;
+  series<latency_histogram> latencies_;
   std::map<std::string, std::function<double()>, std::less<>> gauges_;
 };
 
--- a/src/framework/tests/framework_unittest.cc
+++ b/src/framework/tests/framework_unittest.cc
@@ -1,5 +1,8 @@
 // General parts: addresses, metrics and log lines.
+#include <algorithm>
 #include <chrono>
+#include <string>
+#include <vector>
 
 #include <rapidcheck/catch.h>
 #include <catch2/catch.hpp>
@@ -11,6 +14,7 @@
 namespace burdocklock {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 TEST_CASE("endpoint: numeric addresses: parsed and written back") {
@@ -48,7 +52,8 @@
   metric_registry registry;
   registry.Counter("refusals_total", {{"reason", "a\"b\n"}}) = 3;
   registry.Gauge("waiting", [] { return 2.0; });
-  registry.Summary("wait_seconds").Observe(0.5, time_point(seconds(1)));
+  registry.Latency("wait_seconds")
+      .Observe(milliseconds(500), time_point(seconds(1)));
   const std::string text = registry.Render(time_point(seconds(1)));
   CHECK(text.find("refusals_total{reason=\"a\\\"b\\n\"} 3\n") !=
         std::string::npos);
@@ -56,6 +61,50 @@
   CHECK(text.find("wait_seconds_count 1\n") != std::string::npos);
 }
 
+TEST_CASE("latency histogram: rendered: cumulative buckets with their bounds") {
+  metric_registry registry;
+  latency_histogram& waits =
+      registry.Latency("wait_seconds", {{"pool", "lamp"}});
+  const time_point now{seconds(1)};
+  for (const milliseconds wait : {milliseconds(1), milliseconds(3),
+                                  milliseconds(400), milliseconds(200'000)}) {
+    waits.Observe(wait, now);
+  }
+  const std::string text = registry.Render(now);
+  for (const char* line : {
+           "# TYPE wait_seconds histogram\n",
+           "wait_seconds_bucket{pool=\"lamp\",le=\"0.001\"} 1\n",
+           "wait_seconds_bucket{pool=\"lamp\",le=\"0.005\"} 2\n",
+           "wait_seconds_bucket{pool=\"lamp\",le=\"0.5\"} 3\n",
+           "wait_seconds_bucket{pool=\"lamp\",le=\"120\"} 3\n",
+           "wait_seconds_bucket{pool=\"lamp\",le=\"+Inf\"} 4\n",
+           "wait_seconds_count{pool=\"lamp\"} 4\n",
+           "# TYPE wait_seconds_recent gauge\n",
+           "wait_seconds_recent{pool=\"lamp\",quantile=\"0.5\"} ",
+       }) {
+    INFO(line);
+    CHECK(text.find(line) != std::string::npos);
+  }
+}
+
+TEST_CASE("latency histogram: any latencies: buckets add up to the count") {
+  rc::prop("the counts never fall and end at the number within the bounds", [] {
+    latency_histogram histogram;
+    const time_point now{seconds(1)};
+    const auto latencies =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 300'000));
+    std::size_t within = 0;
+    for (const int latency : latencies) {
+      histogram.Observe(milliseconds(latency), now);
+      within += latency <= 120'000 ? 1 : 0;
+    }
+    const auto counts = histogram.Cumulative();
+    RC_ASSERT(std::is_sorted(counts.begin(), counts.end()));
+    RC_ASSERT(counts.back() == within);
+    RC_ASSERT(histogram.Values(now).count == latencies.size());
+  });
+}
+
 TEST_CASE("log line: any strings: one line of JSON") {
   rc::prop("no line breaks", [](const std::string& value) {
     const std::string line = FormatLogLine(
