Targets copy parts of prompts from each other instead of reading them again

The choice counts a copied token as a tenth of a read one, so load decides more and waiting for a keeper is not needed.

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -69,6 +69,10 @@
         .Add("tokens_before", effect.tokens_before)
         .Add("over_share", effect.over_share);
   }
+  if (effect.copy_from) {
+    record.Add("copied_tokens", effect.copied_tokens)
+        .Add("copy_from", ToString(*effect.copy_from));
+  }
   logger_.Log(record);
 }
 
--- a/src/gateway/i_target_dialect.h
+++ b/src/gateway/i_target_dialect.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "framework/net/http_client.h"
+#include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "gateway/i_stream_scanner.h"
@@ -31,6 +32,8 @@
   std::optional<duration> time_left;
   /// Id of the last event that the caller has; set if the stream is resumed.
   std::optional<std::string> resume_after;
+  /// Another target, from which this one can copy part of the prompt.
+  std::optional<endpoint> copy_from;
 };
 
 enum class head_verdict {
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -79,7 +79,7 @@
   sent_ = true;
   Report(routing::attempt_sending{});
   net::http_request request = call_.request;
-  attempt_terms terms{.target = order_.target};
+  attempt_terms terms{.target = order_.target, .copy_from = order_.copy_from};
   if (call_.deadline) {
     terms.time_left = *call_.deadline - std::chrono::steady_clock::now();
   }
--- a/src/routes/types/configuration.h
+++ b/src/routes/types/configuration.h
@@ -77,6 +77,8 @@
   double cold_rate = 0;
   /// Tokens that a target's memory holds; zero if it is not a model engine.
   std::uint64_t memory_tokens = 0;
+  /// Targets copy parts of prompts from each other.
+  bool copies_prompts = false;
 
   friend bool operator==(const service_terms&, const service_terms&) = default;
 };
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -115,6 +115,8 @@
                        .waited = waited,
                        .unread_tokens = choice->unread_tokens,
                        .tokens_before = choice->tokens_before,
+                       .copied_tokens = choice->copied_tokens,
+                       .copy_from = choice->copy_from,
                        .over_share = over_share});
   out.emplace_back(start_attempt{
       .request = request,
@@ -126,7 +128,8 @@
           is_retry || (!record.spec.repeatable && !options_.reuse_for_all)
               ? connection_choice::kNewOnly
               : connection_choice::kReuseAllowed,
-      .resumes = record.life.resuming()});
+      .resumes = record.life.resuming(),
+      .copy_from = choice->copy_from});
   return true;
 }
 
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -34,6 +34,8 @@
   connection_choice connection = connection_choice::kReuseAllowed;
   /// The attempt goes on with a stream that broke at another target.
   bool resumes = false;
+  /// Another target from which this one can copy part of the prompt.
+  std::optional<endpoint> copy_from;
 };
 
 /// End a running attempt and report `attempt_failed`.
@@ -74,6 +76,9 @@
   /// it, and those of others before it.
   std::uint32_t unread_tokens = 0;
   std::uint64_t tokens_before = 0;
+  /// Prompt tokens that it can copy from another target, and from where.
+  std::uint32_t copied_tokens = 0;
+  std::optional<endpoint> copy_from;
   /// The customer has had its share; there was room to spare.
   bool over_share = false;
 };
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -23,6 +23,12 @@
 // Part of a shared prefix that these probably keep, although this router may
 // not have sent it there.
 constexpr std::array<double, kAgreedTargets> kAgreedHeld = {0.95, 0.4};
+// What a copy of parts from another target costs, in prompt tokens to be read:
+// to begin with, and for each token.
+constexpr double kTokensPerCopy = 150;
+constexpr double kTokensPerCopied = 0.1;
+// Less than this is read sooner than copied.
+constexpr std::uint32_t kLeastCopiedTokens = 256;
 // Shared parts of this size are worth some waiting for a target that keeps
 // them.
 constexpr std::uint32_t kTokensWorthWaiting = 1000;
@@ -120,49 +126,92 @@
   }
   const std::vector<const entry*> agreed =
       AgreedTargets(pool, SharedKey(prompt), now);
+  const holding most = MostHeld(pool, prompt, agreed, now);
   const bool only_agreed = urgency.agreed_only && !agreed.empty() &&
+                           most.target == nullptr &&
                            SharedTokens(prompt) >= kTokensWorthWaiting;
-  entry* best = nullptr;
-  entry* second = nullptr;
-  double best_cost = std::numeric_limits<double>::max();
-  double second_cost = best_cost;
+  placing best;
+  placing second;
   for (entry* candidate : all) {
-    const auto place = std::find(agreed.begin(), agreed.end(), candidate);
-    const std::uint32_t unread = UnreadOf(
-        *candidate, prompt,
-        static_cast<std::size_t>(std::distance(agreed.begin(), place)));
-    if ((only_agreed && place == agreed.end()) ||
-        !MayRead(*candidate, unread, urgency)) {
+    const placing placed = Place(*candidate, prompt, agreed, most);
+    const bool is_agreed =
+        std::find(agreed.begin(), agreed.end(), candidate) != agreed.end();
+    if ((only_agreed && !is_agreed) ||
+        !MayRead(*candidate, placed.unread, urgency)) {
       continue;
     }
-    const double cost = CostOf(*candidate, unread);
-    if (cost < best_cost) {
-      second = std::exchange(best, candidate);
-      second_cost = std::exchange(best_cost, cost);
-    } else if (cost < second_cost) {
-      second = candidate;
-      second_cost = cost;
+    if (placed.cost < best.cost) {
+      second = std::exchange(best, placed);
+    } else if (placed.cost < second.cost) {
+      second = placed;
     }
   }
-  if (best == nullptr) {
+  if (best.target == nullptr) {
     return std::nullopt;
   }
-  std::vector<target_id> considered = {best->announced.target};
-  if (second != nullptr) {
-    considered.push_back(second->announced.target);
-  }
-  choice made = Grant(*best, std::move(considered), now);
-  const auto place = std::find(agreed.begin(), agreed.end(), best);
-  const std::uint32_t unread =
-      UnreadOf(*best, prompt,
-               static_cast<std::size_t>(std::distance(agreed.begin(), place)));
-  made.unread_tokens = unread;
-  made.tokens_before = best->unread_tokens + best->others_unread;
-  best->unread[made.grant.number] = unread;
-  best->unread_tokens += unread;
-  granted_tokens_ += unread;
-  made.grant.tokens_ahead = best->unread_tokens;
-  best->prefixes.Note(prompt);
+  std::vector<target_id> considered = {best.target->announced.target};
+  if (second.target != nullptr) {
+    considered.push_back(second.target->announced.target);
+  }
+  return GrantPlacing(best, prompt, std::move(considered), now);
+}
+
+target_directory::placing target_directory::Place(
+    entry& candidate,
+    const prompt& prompt,
+    const std::vector<const entry*>& agreed,
+    const holding& most) const {
+  const std::uint32_t held = HeldBy(candidate, prompt, agreed);
+  placing placed{.target = &candidate,
+                 .unread = prompt.input_tokens - held};
+  double copy_cost = 0;
+  if (most.target != nullptr && most.target != &candidate &&
+      most.tokens >= held + kLeastCopiedTokens) {
+    placed.copied = most.tokens - held;
+    placed.source = most.target;
+    placed.unread -= placed.copied;
+    copy_cost = kTokensPerCopy + kTokensPerCopied * placed.copied;
+  }
+  placed.cost = CostOf(candidate, placed.unread) + copy_cost;
+  return placed;
+}
+
+target_directory::holding target_directory::MostHeld(
+    const pool_id& pool,
+    const prompt& prompt,
+    const std::vector<const entry*>& agreed,
+    time_point now) const {
+  holding most;
+  const auto entries = by_pool_.find(pool);
+  if (entries == by_pool_.end() || !copying_.contains(pool)) {
+    return most;
+  }
+  for (const entry* entry : entries->second) {
+    const std::uint32_t held = HeldBy(*entry, prompt, agreed);
+    if (held > most.tokens && IsUsable(*entry, now)) {
+      most = {.target = entry, .tokens = held};
+    }
+  }
+  return most;
+}
+
+choice target_directory::GrantPlacing(const placing& best,
+                                      const prompt& prompt,
+                                      std::vector<target_id> considered,
+                                      time_point now) {
+  entry& target = *best.target;
+  choice made = Grant(target, std::move(considered), now);
+  made.unread_tokens = best.unread;
+  made.tokens_before = target.unread_tokens + target.others_unread;
+  if (best.source != nullptr) {
+    made.copy_from = best.source->announced.address;
+    made.copied_tokens = best.copied;
+  }
+  target.unread[made.grant.number] = best.unread;
+  target.unread_tokens += best.unread;
+  granted_tokens_ += best.unread;
+  made.grant.tokens_ahead = target.unread_tokens;
+  target.prefixes.Note(prompt);
   return made;
 }
 
@@ -192,15 +241,19 @@
   return agreed;
 }
 
-std::uint32_t target_directory::UnreadOf(const entry& entry,
-                                         const prompt& prompt,
-                                         std::size_t rank) {
+std::uint32_t target_directory::HeldBy(
+    const entry& entry,
+    const prompt& prompt,
+    const std::vector<const target_directory::entry*>& agreed) {
   std::uint32_t held = entry.prefixes.Held(prompt);
-  if (rank < kAgreedTargets) {
-    const double agreed = kAgreedHeld[rank] * SharedTokens(prompt);
-    held = std::max(held, static_cast<std::uint32_t>(agreed));
-  }
-  return prompt.input_tokens - std::min(held, prompt.input_tokens);
+  const auto place = std::find(agreed.begin(), agreed.end(), &entry);
+  if (place != agreed.end()) {
+    const double probable =
+        kAgreedHeld[static_cast<std::size_t>(place - agreed.begin())] *
+        SharedTokens(prompt);
+    held = std::max(held, static_cast<std::uint32_t>(probable));
+  }
+  return std::min(held, prompt.input_tokens);
 }
 
 bool target_directory::MayRead(const entry& entry,
@@ -307,6 +360,14 @@
   }
 }
 
+void target_directory::SetCopying(const pool_id& pool, bool copies) {
+  if (copies) {
+    copying_.insert(pool);
+  } else {
+    copying_.erase(pool);
+  }
+}
+
 void target_directory::SetOthersLoad(
     const std::vector<admission::target_load>& others) {
   for (auto& [target, entry] : entries_) {
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "admission/types/fleet_load.h"
@@ -101,6 +103,10 @@
   /// those of others before it.
   std::uint32_t unread_tokens = 0;
   std::uint64_t tokens_before = 0;
+  /// Another target from which the chosen one can copy part of the prompt
+  /// instead of reading it, and how many tokens.
+  std::optional<endpoint> copy_from;
+  std::uint32_t copied_tokens = 0;
 };
 
 /// One target as operators see it.
@@ -155,6 +161,8 @@
   void SetColdTerms(const pool_id& pool, const cold_terms& terms);
   /// Tokens that a target of the pool keeps.
   void SetMemory(const pool_id& pool, std::uint64_t tokens);
+  /// Whether targets of the pool copy parts of prompts from each other.
+  void SetCopying(const pool_id& pool, bool copies);
   /// The routers that share the targets, this one included.
   void SetRouters(std::vector<daemon_id> routers);
   /// Work of the other routers at each target.
@@ -283,15 +291,45 @@
   [[nodiscard]] candidates Candidates(const pool_id& pool,
                                       const std::vector<target_id>& excluded,
                                       time_point now);
+  /// What sending a prompt to one target would mean.
+  struct placing {
+    entry* target = nullptr;
+    /// Prompt tokens that it would have to read.
+    std::uint32_t unread = 0;
+    /// Prompt tokens that it would copy from `source`.
+    std::uint32_t copied = 0;
+    const entry* source = nullptr;
+    double cost = std::numeric_limits<double>::max();
+  };
+  /// How much of a prompt some target keeps.
+  struct holding {
+    const entry* target = nullptr;
+    std::uint32_t tokens = 0;
+  };
+
+  [[nodiscard]] placing Place(entry& candidate,
+                              const prompt& prompt,
+                              const std::vector<const entry*>& agreed,
+                              const holding& most) const;
+  /// The usable target that probably keeps most of the prompt; none if targets
+  /// of the pool do not copy from each other.
+  [[nodiscard]] holding MostHeld(const pool_id& pool,
+                                 const prompt& prompt,
+                                 const std::vector<const entry*>& agreed,
+                                 time_point now) const;
+  choice GrantPlacing(const placing& best,
+                      const prompt& prompt,
+                      std::vector<target_id> considered,
+                      time_point now);
   choice Grant(entry& picked,
                std::vector<target_id> considered,
                time_point now);
   [[nodiscard]] double CostOf(const entry& entry, std::uint32_t unread) const;
-  /// Prompt tokens that the target will probably have to read; `rank` is its
-  /// place among the targets on which routers agree for this prompt.
-  [[nodiscard]] static std::uint32_t UnreadOf(const entry& entry,
-                                              const prompt& prompt,
-                                              std::size_t rank);
+  /// Prompt tokens that the target probably keeps.
+  [[nodiscard]] static std::uint32_t HeldBy(
+      const entry& entry,
+      const prompt& prompt,
+      const std::vector<const target_directory::entry*>& agreed);
   [[nodiscard]] bool MayRead(const entry& entry,
                              std::uint32_t unread,
                              prompt_urgency urgency) const;
@@ -332,6 +370,8 @@
   std::unordered_map<pool_id, std::uint32_t> capacity_;
   std::unordered_map<pool_id, cold_terms> cold_terms_;
   std::unordered_map<pool_id, std::uint64_t> memory_;
+  /// Pools whose targets copy parts of prompts from each other.
+  std::unordered_set<pool_id> copying_;
   std::vector<daemon_id> routers_;
   std::uint64_t last_grant_ = 0;
   double own_part_ = 1;
