Name another keeper of a prompt even where the target should keep it

What a target keeps is only supposed: agreed targets are believed to keep what other routers sent, and running requests push kept parts out.

Change: the chosen target is always told of another one that has read most of the prompt, as far as this router sent it there; it copies what it lacks and nothing if it lacks nothing. A part counts as a source once its request's output has begun. A target is believed to keep parts in two fifths of its memory; a copied token counts as 0.4 of a read one.

--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -26,7 +26,7 @@
 // What a copy of parts from another target costs, in prompt tokens to be read:
 // to begin with, and for each token.
 constexpr double kTokensPerCopy = 150;
-constexpr double kTokensPerCopied = 0.1;
+constexpr double kTokensPerCopied = 0.4;
 // Less than this is read sooner than copied.
 constexpr std::uint32_t kLeastCopiedTokens = 256;
 // Shared parts of this size are worth some waiting for a target that keeps
@@ -126,14 +126,14 @@
   }
   const std::vector<const entry*> agreed =
       AgreedTargets(pool, SharedKey(prompt), now);
-  const holding most = MostHeld(pool, prompt, agreed, now);
+  const best_holders holders = BestHolders(pool, prompt, now);
   const bool only_agreed = urgency.agreed_only && !agreed.empty() &&
-                           most.target == nullptr &&
+                           holders[0].target == nullptr &&
                            SharedTokens(prompt) >= kTokensWorthWaiting;
   placing best;
   placing second;
   for (entry* candidate : all) {
-    const placing placed = Place(*candidate, prompt, agreed, most);
+    const placing placed = Place(*candidate, prompt, agreed, holders);
     const bool is_agreed =
         std::find(agreed.begin(), agreed.end(), candidate) != agreed.end();
     if ((only_agreed && !is_agreed) ||
@@ -160,15 +160,18 @@
     entry& candidate,
     const prompt& prompt,
     const std::vector<const entry*>& agreed,
-    const holding& most) const {
+    const best_holders& holders) const {
   const std::uint32_t held = HeldBy(candidate, prompt, agreed);
   placing placed{.target = &candidate,
                  .unread = prompt.input_tokens - held};
   double copy_cost = 0;
-  if (most.target != nullptr && most.target != &candidate &&
-      most.tokens >= held + kLeastCopiedTokens) {
-    placed.copied = most.tokens - held;
-    placed.source = most.target;
+  const holding& other =
+      holders[0].target != &candidate ? holders[0] : holders[1];
+  // Also named where it should not be needed: what the target keeps is only
+  // supposed.
+  placed.source = other.target;
+  if (other.tokens >= held + kLeastCopiedTokens) {
+    placed.copied = other.tokens - held;
     placed.unread -= placed.copied;
     copy_cost = kTokensPerCopy + kTokensPerCopied * placed.copied;
   }
@@ -176,23 +179,28 @@
   return placed;
 }
 
-target_directory::holding target_directory::MostHeld(
+target_directory::best_holders target_directory::BestHolders(
     const pool_id& pool,
     const prompt& prompt,
-    const std::vector<const entry*>& agreed,
     time_point now) const {
-  holding most;
+  best_holders best;
   const auto entries = by_pool_.find(pool);
   if (entries == by_pool_.end() || !copying_.contains(pool)) {
-    return most;
+    return best;
   }
   for (const entry* entry : entries->second) {
-    const std::uint32_t held = HeldBy(*entry, prompt, agreed);
-    if (held > most.tokens && IsUsable(*entry, now)) {
-      most = {.target = entry, .tokens = held};
+    const holding held{.target = entry,
+                       .tokens = entry->prefixes.HeldAndRead(prompt)};
+    if (held.tokens < kLeastCopiedTokens || !IsUsable(*entry, now)) {
+      continue;
+    }
+    if (held.tokens > best[0].tokens) {
+      best[1] = std::exchange(best[0], held);
+    } else if (held.tokens > best[1].tokens) {
+      best[1] = held;
     }
   }
-  return most;
+  return best;
 }
 
 choice target_directory::GrantPlacing(const placing& best,
@@ -207,7 +215,8 @@
     made.copy_from = best.source->announced.address;
     made.copied_tokens = best.copied;
   }
-  target.unread[made.grant.number] = best.unread;
+  target.unread[made.grant.number] = {.tokens = best.unread,
+                                      .parts = prompt.parts};
   target.unread_tokens += best.unread;
   granted_tokens_ += best.unread;
   made.grant.tokens_ahead = target.unread_tokens;
@@ -356,7 +365,7 @@
     return;
   }
   for (entry* entry : entries->second) {
-    entry->prefixes = prefix_memory(tokens);
+    entry->prefixes = prefix_memory(tokens * 2 / 5);
   }
 }
 
@@ -424,7 +433,7 @@
   for (const pool_id& pool : entry.announced.pools) {
     const auto memory = memory_.find(pool);
     if (entry.prefixes.capacity() == 0 && memory != memory_.end()) {
-      entry.prefixes = prefix_memory(memory->second);
+      entry.prefixes = prefix_memory(memory->second * 2 / 5);
     }
   }
   if (!entry.announced.cold_for) {
@@ -444,7 +453,7 @@
 void target_directory::ForgetUnread(entry& entry, std::uint64_t grant) {
   const auto found = entry.unread.find(grant);
   if (found != entry.unread.end()) {
-    entry.unread_tokens -= found->second;
+    entry.unread_tokens -= found->second.tokens;
     entry.unread.erase(found);
   }
 }
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -177,6 +177,10 @@
     return false;
   }
   LearnRate(*known, grant, latency);
+  const auto begun = known->unread.find(grant.number);
+  if (begun != known->unread.end()) {
+    known->prefixes.NoteRead(begun->second.parts);
+  }
   ForgetUnread(*known, grant.number);
   if (!known->ramp.OnFirstOutput(grant.epoch, latency)) {
     return false;
--- a/src/targets/prefix_memory.h
+++ b/src/targets/prefix_memory.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "targets/types/prompt.h"
 
@@ -20,15 +21,24 @@
   explicit prefix_memory(std::uint64_t capacity_tokens)
       : capacity_(capacity_tokens) {}
 
-  /// Tokens of the leading parts that are held without a gap.
+  /// Tokens of the leading parts that are held without a gap, or will be once
+  /// what was sent before is read.
   [[nodiscard]] std::uint32_t Held(const prompt& prompt) const;
+  /// As above, of parts that have been read already.
+  [[nodiscard]] std::uint32_t HeldAndRead(const prompt& prompt) const;
   /// The target has been sent this prompt.
   void Note(const prompt& prompt);
+  /// The target has read these parts.
+  void NoteRead(const std::vector<prompt_part>& parts);
   void Clear();
   [[nodiscard]] std::uint64_t capacity() const { return capacity_; }
 
  private:
-  using order = std::list<prompt_part>;
+  struct kept_part {
+    prompt_part part;
+    bool is_read = false;
+  };
+  using order = std::list<kept_part>;
 
   void Touch(const prompt_part& part);
 
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -2,6 +2,7 @@
 // among them.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <limits>
 #include <optional>
@@ -254,6 +255,10 @@
       const target_id& target) const;
 
  private:
+  struct reading {
+    std::uint32_t tokens = 0;
+    std::vector<prompt_part> parts;
+  };
   struct entry {
     announcement announced;
     admission_ramp ramp;
@@ -270,8 +275,8 @@
     time_point cold_until{};
     cold_bucket cold;
     prefix_memory prefixes{0};
-    /// Tokens still to be read of each grant whose output has not begun.
-    std::unordered_map<std::uint64_t, std::uint32_t> unread;
+    /// What is still to be read of each grant whose output has not begun.
+    std::unordered_map<std::uint64_t, reading> unread;
     std::uint64_t unread_tokens = 0;
     std::uint32_t others_in_flight = 0;
     std::uint64_t others_unread = 0;
@@ -298,6 +303,7 @@
     std::uint32_t unread = 0;
     /// Prompt tokens that it would copy from `source`.
     std::uint32_t copied = 0;
+    /// Keeps part of the prompt, in case the target does not.
     const entry* source = nullptr;
     double cost = std::numeric_limits<double>::max();
   };
@@ -306,17 +312,19 @@
     const entry* target = nullptr;
     std::uint32_t tokens = 0;
   };
+  /// The two that keep most of a prompt; one of them may be chosen itself.
+  using best_holders = std::array<holding, 2>;
 
   [[nodiscard]] placing Place(entry& candidate,
                               const prompt& prompt,
                               const std::vector<const entry*>& agreed,
-                              const holding& most) const;
-  /// The usable target that probably keeps most of the prompt; none if targets
-  /// of the pool do not copy from each other.
-  [[nodiscard]] holding MostHeld(const pool_id& pool,
-                                 const prompt& prompt,
-                                 const std::vector<const entry*>& agreed,
-                                 time_point now) const;
+                              const best_holders& holders) const;
+  /// The usable targets that have read most of the prompt, as far as this
+  /// router has sent it there; none if targets of the pool do not copy from
+  /// each other.
+  [[nodiscard]] best_holders BestHolders(const pool_id& pool,
+                                         const prompt& prompt,
+                                         time_point now) const;
   choice GrantPlacing(const placing& best,
                       const prompt& prompt,
                       std::vector<target_id> considered,
