--- /dev/null
+++ b/src/targets/tests/prompt_placement_unittest.cc
@@ -0,0 +1,320 @@
+// Where prompts are sent: kept parts, load, copies between targets, cold
+// targets.
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "framework/seeded_random.h"
+#include "targets/cold_admission.h"
+#include "targets/prefix_memory.h"
+#include "targets/target_directory.h"
+
+namespace burdocklock::targets {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Engines of one pool as a router that shares them sees them.
+struct prompt_fixture {
+  seeded_random random{5};
+  time_point now{seconds(1000)};
+  target_directory directory{Options(), random};
+
+  static directory_options Options() {
+    directory_options options;
+    options.local_data_centre = data_centre_id("cheras");
+    options.self = daemon_id("r0");
+    return options;
+  }
+  void Announce(const std::string& name,
+                std::uint64_t sequence = 1,
+                milliseconds cold_for = milliseconds(0)) {
+    directory.Announce({.target = target_id(name),
+                        .life = incarnation(1),
+                        .data_centre = data_centre_id("cheras"),
+                        .pools = {pool_id("llm")},
+                        .state = target_state::kReady,
+                        .slots = 64,
+                        .cold_slots = 16,
+                        .sequence = sequence,
+                        .cold_for = cold_for},
+                       now);
+  }
+  void AnnounceThree() {
+    directory.SetMemory(pool_id("llm"), 500'000);
+    for (const char* name : {"a", "b", "c"}) {
+      Announce(name);
+    }
+  }
+  static prompt Prompt(std::uint64_t session, std::uint32_t own_tokens) {
+    static std::uint64_t last_own = 1'000'000;
+    return {.input_tokens = 4000 + own_tokens,
+            .max_output_tokens = 100,
+            .parts = {{.id = session, .tokens = 4000},
+                      {.id = ++last_own, .tokens = own_tokens}}};
+  }
+  std::optional<choice> Choose(const prompt& prompt,
+                               prompt_urgency urgency = {}) {
+    return directory.ChooseForPrompt(pool_id("llm"), {}, prompt, urgency, now);
+  }
+};
+
+TEST_CASE_METHOD(prompt_fixture,
+                 "placement: prompts of one session: stay together while their "
+                 "target has room") {
+  AnnounceThree();
+  const auto first = Choose(Prompt(7, 500));
+  REQUIRE(first.has_value());
+  directory.ReportFirstOutput(first->grant, milliseconds(50));
+  directory.ReleaseGood(first->grant);
+  const auto second = Choose(Prompt(7, 500));
+  REQUIRE(second.has_value());
+  CHECK(second->grant.target == first->grant.target);
+  // Only the request's own part is left to be read.
+  CHECK(second->unread_tokens == 500);
+}
+
+TEST_CASE_METHOD(prompt_fixture,
+                 "placement: routers that never spoke: agree on a session's "
+                 "target") {
+  AnnounceThree();
+  const auto here = Choose(Prompt(7, 500));
+  prompt_fixture other;
+  other.AnnounceThree();
+  const auto there = other.Choose(Prompt(7, 500));
+  REQUIRE((here && there));
+  CHECK(here->grant.target == there->grant.target);
+}
+
+TEST_CASE_METHOD(prompt_fixture,
+                 "placement: targets have much to read: nothing more is sent "
+                 "until output begins") {
+  AnnounceThree();
+  std::vector<slot_grant> sent;
+  for (std::uint64_t session = 1; session <= 60; ++session) {
+    if (const auto made = Choose(Prompt(session, 6000))) {
+      sent.push_back(made->grant);
+    }
+  }
+  REQUIRE_FALSE(sent.empty());
+  CHECK(sent.size() < 10);
+  CHECK_FALSE(Choose(Prompt(100, 6000)).has_value());
+  for (const slot_grant& grant : sent) {
+    if (grant.target == sent.front().target) {
+      directory.ReportFirstOutput(grant, milliseconds(200));
+    }
+  }
+  CHECK(Choose(Prompt(100, 6000)).has_value());
+}
+
+TEST_CASE_METHOD(prompt_fixture,
+                 "placement: others' work is known: their target is avoided") {
+  AnnounceThree();
+  for (std::uint64_t session = 1; session <= 20; ++session) {
+    const auto free_choice = Choose(Prompt(session, 200));
+    REQUIRE(free_choice.has_value());
+    directory.ReleaseNeutral(free_choice->grant);
+    directory.SetOthersLoad(
+        {{.target = free_choice->grant.target, .unread_tokens = 40'000}});
+    const auto made = Choose(Prompt(session, 200));
+    REQUIRE(made.has_value());
+    CHECK(made->grant.target != free_choice->grant.target);
+    directory.ReleaseNeutral(made->grant);
+    directory.SetOthersLoad({});
+  }
+}
+
+TEST_CASE_METHOD(prompt_fixture,
+                 "placement: customer over its share: only targets with room "
+                 "to spare") {
+  AnnounceThree();
+  directory.SetOthersLoad({{.target = target_id("a"), .unread_tokens = 9000},
+                           {.target = target_id("b"), .unread_tokens = 9000},
+                           {.target = target_id("c"), .unread_tokens = 9000}});
+  CHECK_FALSE(Choose(Prompt(7, 500), {.spare_only = true}).has_value());
+  CHECK(Choose(Prompt(7, 500)).has_value());
+}
+
+TEST_CASE_METHOD(prompt_fixture,
+                 "announcements: numbered, out of order: the latest counts") {
+  Announce("a", 5);
+  announcement leaving{.target = target_id("a"),
+                       .life = incarnation(1),
+                       .data_centre = data_centre_id("cheras"),
+                       .pools = {pool_id("llm")},
+                       .state = target_state::kLeaving,
+                       .slots = 64,
+                       .sequence = 6};
+  directory.Announce(leaving, now);
+  Announce("a", 4);
+  CHECK_FALSE(directory.IsUsable(target_id("a"), now));
+  Announce("a", 7);
+  CHECK(directory.IsUsable(target_id("a"), now));
+  leaving.sequence = kLastSequence;
+  directory.Announce(leaving, now);
+  Announce("a", 8);
+  CHECK_FALSE(directory.IsUsable(target_id("a"), now));
+}
+
+TEST_CASE_METHOD(prompt_fixture,
+                 "other target at the address: no more work until it announces "
+                 "a new life") {
+  Announce("a");
+  const auto made = directory.Choose(pool_id("llm"), {}, now);
+  REQUIRE(made.has_value());
+  directory.NoteGone(made->grant);
+  CHECK_FALSE(directory.IsUsable(target_id("a"), now));
+}
+
+// All routers press on one cold target as hard as they may, with lists of
+// routers that differ as they do behind a partition.
+TEST_CASE("cold target: any number of routers: rate holds over all of them") {
+  constexpr double kRate = 12;
+  constexpr double kBound = kRate * 1.5 + 5;
+  for (const std::size_t count : {1U, 2U, 4U, 5U, 12U, 30U}) {
+    CAPTURE(count);
+    std::vector<daemon_id> routers;
+    for (std::size_t i = 0; i < count; ++i) {
+      routers.emplace_back("r" + std::to_string(i));
+    }
+    std::vector<cold_bucket> buckets(count);
+    std::vector<time_point> admitted;
+    for (int ms = 0; ms < 4000; ms += 5) {
+      const time_point now{seconds(100) + milliseconds(ms)};
+      for (std::size_t i = 0; i < count; ++i) {
+        const double rate =
+            kRate * ColdShare(target_id("t"), routers[i], routers);
+        if (buckets[i].HasToken(rate, now)) {
+          buckets[i].Take(rate, now);
+          admitted.push_back(now);
+        }
+      }
+    }
+    for (std::size_t first = 0; first < admitted.size(); ++first) {
+      const auto within =
+          std::count_if(admitted.begin(), admitted.end(), [&](time_point at) {
+            return at >= admitted[first] && at < admitted[first] + seconds(1);
+          });
+      REQUIRE(static_cast<double>(within) <= kBound);
+    }
+    // It is not starved either.
+    CHECK(admitted.size() >= 4 * kRate * 0.8);
+  }
+}
+
+struct copying_fixture : prompt_fixture {
+  copying_fixture() {
+    AnnounceThree();
+    directory.SetCopying(pool_id("llm"), true);
+  }
+  // A session's first prompt has been read by the target that is returned.
+  target_id ReadOnce(std::uint64_t session) {
+    const auto made = Choose(Prompt(session, 500));
+    REQUIRE(made.has_value());
+    directory.ReportFirstOutput(made->grant, milliseconds(50));
+    directory.ReleaseGood(made->grant);
+    return made->grant.target;
+  }
+  void Load(const target_id& target) {
+    directory.SetOthersLoad({{.target = target, .unread_tokens = 40'000}});
+  }
+};
+
+TEST_CASE_METHOD(copying_fixture,
+                 "copying: the keeper is busy: another target copies from it") {
+  const target_id keeper = ReadOnce(7);
+  Load(keeper);
+  const auto made = Choose(Prompt(7, 500));
+  REQUIRE(made.has_value());
+  CHECK(made->grant.target != keeper);
+  CHECK(made->copied_tokens > 0);
+  CHECK(made->copy_from.has_value());
+  // Only the request's own part is left to be read.
+  CHECK(made->unread_tokens == 500);
+}
+
+TEST_CASE_METHOD(copying_fixture,
+                 "copying: two keepers: each may lack what the other has") {
+  const target_id first = ReadOnce(7);
+  Load(first);
+  const target_id second = ReadOnce(7);
+  REQUIRE(second != first);
+  directory.SetOthersLoad({});
+  const auto made = Choose(Prompt(7, 500));
+  REQUIRE(made.has_value());
+  CHECK(made->copied_tokens == 0);
+  CHECK(made->copy_from.has_value());
+}
+
+TEST_CASE_METHOD(copying_fixture,
+                 "copying: output has not begun: no source yet") {
+  const auto first = Choose(Prompt(7, 500));
+  REQUIRE(first.has_value());
+  Load(first->grant.target);
+  const auto second = Choose(Prompt(7, 500));
+  REQUIRE(second.has_value());
+  CHECK(second->grant.target != first->grant.target);
+  CHECK_FALSE(second->copy_from.has_value());
+  CHECK(second->unread_tokens > 500);
+}
+
+TEST_CASE_METHOD(copying_fixture,
+                 "copying: the keeper is leaving: not a source any more") {
+  const target_id keeper = ReadOnce(7);
+  directory.Announce({.target = keeper,
+                      .life = incarnation(1),
+                      .data_centre = data_centre_id("cheras"),
+                      .pools = {pool_id("llm")},
+                      .state = target_state::kLeaving,
+                      .slots = 64,
+                      .sequence = 2},
+                     now);
+  const auto made = Choose(Prompt(7, 500));
+  REQUIRE(made.has_value());
+  CHECK_FALSE(made->copy_from.has_value());
+}
+
+TEST_CASE_METHOD(copying_fixture,
+                 "copying: targets of the pool do not copy: no source") {
+  directory.SetCopying(pool_id("llm"), false);
+  const target_id keeper = ReadOnce(7);
+  Load(keeper);
+  const auto made = Choose(Prompt(7, 500));
+  REQUIRE(made.has_value());
+  CHECK_FALSE(made->copy_from.has_value());
+}
+
+TEST_CASE("prefix memory: more parts than fit: the least recent yield") {
+  prefix_memory memory(1000);
+  const auto part = [](std::uint64_t id) {
+    return prompt{.input_tokens = 400, .parts = {{.id = id, .tokens = 400}}};
+  };
+  memory.Note(part(1));
+  memory.Note(part(2));
+  memory.Note(part(1));
+  memory.Note(part(3));
+  CHECK(memory.Held(part(1)) == 400);
+  CHECK(memory.Held(part(2)) == 0);
+  CHECK(memory.Held(part(3)) == 400);
+}
+
+TEST_CASE("prefix memory: parts sent and parts read: told apart") {
+  prefix_memory memory(1000);
+  const prompt sent{
+      .input_tokens = 300,
+      .parts = {{.id = 1, .tokens = 100}, {.id = 2, .tokens = 200}}};
+  memory.Note(sent);
+  CHECK(memory.Held(sent) == 300);
+  CHECK(memory.HeldAndRead(sent) == 0);
+  memory.NoteRead({sent.parts[0]});
+  CHECK(memory.HeldAndRead(sent) == 100);
+  memory.Note(sent);
+  CHECK(memory.HeldAndRead(sent) == 100);
+}
+
+}  // namespace
+}  // namespace burdocklock::targets
