The product's own interface for routes, without the operators' platform

Cause: routes, commands and calls on them existed only in the platform's form, so the product could not be used without its adapter.

Change: module route_interface: a strict JSON form of configurations, header fields of calls and targets, commands with tokens; interface = "routes" selects it, "platform" the adapter. burdocklockctl config show|check|apply, which follows redirects to the leader. What both adapters need is in one place now: command calls, replies, readiness, prompt fields, the reader of JSON members (used by announcements too). Tests over loopback for both share one fixture.

--- a/src/app/internal/router_options.cc
+++ b/src/app/internal/router_options.cc
@@ -20,7 +20,7 @@
 
 routing::router_options MakeRouterOptions(const config::settings& settings) {
   const config::timeout_settings& timeouts = settings.timeouts;
-  const bool routed = settings.interface == config::caller_interface::kRoutes;
+  const bool routed = config::HasRoutes(settings.interface);
   const std::uint32_t attempts = settings.retries.max_attempts;
   return {
       .lifecycle = {.queue_timeout = timeouts.queue,
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,6 +1,7 @@
 // Command line of burdocklockd.
 #include <algorithm>
 #include <iostream>
+#include <memory>
 #include <string>
 
 #include <CLI/CLI.hpp>
@@ -10,6 +11,7 @@
 #include "config/config_reader.h"
 #include "framework/logging/boost_logger.h"
 #include "platform/platform_adapter.h"
+#include "route_interface/route_adapter.h"
 
 namespace {
 
@@ -25,6 +27,7 @@
   return exit_code;
 }
 
+using burdocklock::app::i_interface_adapter;
 using burdocklock::config::caller_interface;
 using burdocklock::config::role;
 using burdocklock::config::settings;
@@ -34,10 +37,26 @@
          settings.roles.end();
 }
 
+// nullptr for the interface that needs none.
+std::unique_ptr<i_interface_adapter> MakeAdapter(const settings& settings) {
+  switch (settings.interface) {
+    case caller_interface::kOpenai:
+      return nullptr;
+    case caller_interface::kRoutes:
+      return std::make_unique<burdocklock::route_interface::route_adapter>(
+          burdocklock::route_interface::command_tokens{
+              .operators = settings.operator_tokens,
+              .targets = settings.target_tokens});
+    case caller_interface::kPlatform:
+      return std::make_unique<burdocklock::platform::platform_adapter>();
+  }
+  return nullptr;
+}
+
 int RunRouter(const settings& settings,
               const burdocklock::config::sheet& sheet,
               burdocklock::i_logger& logger,
-              const burdocklock::app::i_interface_adapter* adapter,
+              const i_interface_adapter* adapter,
               const burdocklock::app::settings_source& reread) {
   burdocklock::app::daemon daemon(settings, sheet, logger, adapter, reread);
   const auto run = daemon.Run([](const auto& addresses) {
@@ -50,7 +69,7 @@
 
 int RunControlHost(const settings& settings,
                    burdocklock::i_logger& logger,
-                   const burdocklock::app::i_interface_adapter& adapter,
+                   const i_interface_adapter& adapter,
                    const burdocklock::app::settings_source& reread) {
   burdocklock::app::control_host host(settings, logger, adapter, reread);
   const auto run = host.Run([&settings] {
@@ -66,7 +85,7 @@
     return Fail(read.error(), kExitBadConfig);
   }
   const settings& settings = read.value();
-  const bool routed = settings.interface == caller_interface::kRoutes;
+  const bool routed = burdocklock::config::HasRoutes(settings.interface);
   burdocklock::config::sheet sheet;
   if (!routed) {
     auto sheet_read = burdocklock::config::ReadSheet(settings.sheet_path);
@@ -85,16 +104,16 @@
   burdocklock::boost_logger logger({.path = settings.log.path,
                                     .min_level = settings.log.level,
                                     .daemon = settings.daemon.value()});
-  if (!routed) {
+  const std::unique_ptr<i_interface_adapter> adapter = MakeAdapter(settings);
+  if (adapter == nullptr) {
     return RunRouter(settings, sheet, logger, nullptr, {});
   }
-  const burdocklock::platform::platform_adapter adapter;
   const auto reread = [&settings_path] {
     return burdocklock::config::ReadSettings(settings_path);
   };
   return HasRole(settings, role::kControl)
-             ? RunControlHost(settings, logger, adapter, reread)
-             : RunRouter(settings, sheet, logger, &adapter, reread);
+             ? RunControlHost(settings, logger, *adapter, reread)
+             : RunRouter(settings, sheet, logger, adapter.get(), reread);
 }
 
 }  // namespace
--- /dev/null
+++ b/src/app/tests/path_fixture.h
@@ -0,0 +1,147 @@
+// A control host and a router over loopback, for tests of one interface.
+#pragma once
+
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <unistd.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+#include "app/control_host.h"
+#include "app/daemon.h"
+#include "app/i_interface_adapter.h"
+#include "framework/fiber/fiber_thread.h"
+#include "framework/net/http_client.h"
+
+namespace burdocklock::app {
+
+class silent_logger : public i_logger {
+ public:
+  void Log(const log_record&) override {}
+};
+
+inline endpoint FreeAddress() {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor probe(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  return {.port = probe.local_endpoint().port()};
+}
+
+/// Starts with nothing configured. The data centre is called "z".
+template <typename Adapter>
+struct path_fixture {
+  silent_logger logger;
+  Adapter adapter;
+  std::filesystem::path folder;
+  config::settings control_settings;
+  config::settings router_settings;
+  std::unique_ptr<control_host> control;
+  std::unique_ptr<daemon> router;
+  std::thread control_thread;
+  std::thread router_thread;
+  daemon_addresses addresses;
+
+  explicit path_fixture(Adapter used = Adapter()) : adapter(std::move(used)) {
+    std::string name =
+        (std::filesystem::temp_directory_path() / "burdocklock-XXXXXX")
+            .string();
+    REQUIRE(::mkdtemp(name.data()) != nullptr);
+    folder = name;
+    MakeSettings();
+    StartControl();
+    std::promise<daemon_addresses> started;
+    router = std::make_unique<daemon>(router_settings, config::sheet(), logger,
+                                      &adapter);
+    router_thread = std::thread([&] {
+      REQUIRE(router->Run([&](const auto& bound) { started.set_value(bound); })
+                  .has_value());
+    });
+    addresses = started.get_future().get();
+  }
+  ~path_fixture() {
+    router->Stop();
+    router_thread.join();
+    StopControl();
+    std::filesystem::remove_all(folder);
+  }
+
+  void MakeSettings() {
+    const endpoint links = FreeAddress();
+    control_settings.daemon = daemon_id("c");
+    control_settings.data_folder = folder.string();
+    control_settings.interface = config::caller_interface::kRoutes;
+    control_settings.operators.port = 0;
+    control_settings.peer_listener = links;
+    control_settings.commands = FreeAddress();
+    control_settings.control = {.hosts = {links},
+                                .first_start = true,
+                                .tolerated_disk_losses = 0,
+                                .data_centres = {data_centre_id("z")}};
+    router_settings = control_settings;
+    router_settings.daemon = daemon_id("r");
+    router_settings.data_centre = data_centre_id("z");
+    router_settings.peer_listener = {};
+    router_settings.callers.port = 0;
+    router_settings.readiness = FreeAddress();
+    router_settings.limits.share_control_thread = true;
+    router_settings.timeouts.drain_notice = std::chrono::milliseconds(100);
+    router_settings.timeouts.shutdown = std::chrono::milliseconds(2600);
+  }
+  void StartControl() {
+    std::promise<void> started;
+    control = std::make_unique<control_host>(control_settings, logger, adapter,
+                                             settings_source());
+    control_thread = std::thread([&] {
+      REQUIRE(control->Run([&] { started.set_value(); }).has_value());
+    });
+    started.get_future().get();
+  }
+  void StopControl() {
+    control->Stop();
+    control_thread.join();
+  }
+
+  // A failed exchange has status 0.
+  static net::http_reply Call(const endpoint& to, net::http_request request) {
+    net::http_reply reply;
+    // Outlives its thread, as the scheduler of a thread refers to it.
+    boost::asio::io_context io{1};
+    std::thread caller([&] {
+      RunFiberThread(io, [&] {
+        auto got =
+            net::Fetch(io, to, std::move(request), std::chrono::seconds(5));
+        if (got) {
+          reply = std::move(got.value());
+        }
+      });
+    });
+    caller.join();
+    return reply;
+  }
+  static bool Until(const std::function<bool()>& condition) {
+    const auto deadline =
+        std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > deadline) {
+        return false;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return true;
+  }
+  [[nodiscard]] unsigned Readiness(const std::string& path) const {
+    return Call(router_settings.readiness,
+                net::http_request(net::http::verb::get, path, 11))
+        .status;
+  }
+};
+
+}  // namespace burdocklock::app
--- a/src/config/internal/settings_reader.cc
+++ b/src/config/internal/settings_reader.cc
@@ -92,8 +92,10 @@
   const std::string name = root.String("interface").value_or("openai");
   if (name == "routes") {
     out.interface = caller_interface::kRoutes;
+  } else if (name == "platform") {
+    out.interface = caller_interface::kPlatform;
   } else if (name != "openai") {
-    root.Report("interface", "must be \"openai\" or \"routes\"");
+    root.Report("interface", "must be \"openai\", \"routes\" or \"platform\"");
   }
 }
 
@@ -255,7 +257,7 @@
   out.data_centre = data_centre_id(root.RequiredString("data_centre"));
   out.region = region_id(root.RequiredString("region"));
   out.data_folder = root.String("data_folder").value_or("");
-  if (out.interface == caller_interface::kOpenai) {
+  if (!HasRoutes(out.interface)) {
     const std::filesystem::path sheet = root.RequiredString("sheet");
     out.sheet_path =
         (std::filesystem::path(file).parent_path() / sheet).string();
--- a/src/config/types/settings.h
+++ b/src/config/types/settings.h
@@ -21,8 +21,14 @@
   kOpenai,
   /// Routes of the configuration that the control hosts keep.
   kRoutes,
+  /// Routes, in the form of the operators' platform.
+  kPlatform,
 };
 
+constexpr bool HasRoutes(caller_interface interface) {
+  return interface != caller_interface::kOpenai;
+}
+
 struct log_settings {
   /// Standard error if empty, standard output if "stdout".
   std::string path;
--- a/src/ctl/internal/operator_client.cc
+++ b/src/ctl/internal/operator_client.cc
@@ -15,7 +15,11 @@
 namespace http = net::http;
 
 constexpr std::chrono::seconds kTimeout{10};
+constexpr unsigned kHttp11 = 11;
 constexpr unsigned kUnauthorised = 401;
+constexpr unsigned kRedirect = 307;
+// From any control host to the leader, and once more if it has changed.
+constexpr int kMaxRedirects = 2;
 constexpr unsigned kFirstError = 400;
 
 error MakeError(error_code code, const std::string& peer, std::string detail) {
@@ -38,6 +42,33 @@
   return reply;
 }
 
+// The "ip:port" of an absolute URL.
+std::string HostOf(std::string_view url) {
+  constexpr std::string_view kScheme = "http://";
+  if (url.starts_with(kScheme)) {
+    url.remove_prefix(kScheme.size());
+  }
+  return std::string(url.substr(0, url.find('/')));
+}
+
+result<nlohmann::ordered_json> ReadReply(const net::http_reply& reply,
+                                         const std::string& address) {
+  if (reply.status == kUnauthorised) {
+    return MakeError(error_code::kUnauthorised, address,
+                     "the operator token was not accepted");
+  }
+  nlohmann::ordered_json document =
+      nlohmann::ordered_json::parse(reply.body, nullptr, false);
+  if (reply.status >= kFirstError || document.is_discarded()) {
+    const std::string problem =
+        document.is_object() ? document.value("error", std::string()) : "";
+    return MakeError(error_code::kInternal, address,
+                     "status " + std::to_string(reply.status) +
+                         (problem.empty() ? "" : ": " + problem));
+  }
+  return document;
+}
+
 }  // namespace
 
 operator_client::operator_client(std::string address, std::string token)
@@ -45,41 +76,43 @@
 
 result<nlohmann::ordered_json> operator_client::Get(
     const std::string& path) const {
-  return Call(false, path);
+  return Call(net::http_request(http::verb::get, path, kHttp11));
 }
 
 result<nlohmann::ordered_json> operator_client::Post(
     const std::string& path) const {
-  return Call(true, path);
+  return Call(net::http_request(http::verb::post, path, kHttp11));
+}
+
+result<nlohmann::ordered_json> operator_client::Put(
+    const std::string& path,
+    const std::string& body) const {
+  net::http_request request(http::verb::put, path, kHttp11);
+  request.body() = body;
+  return Call(std::move(request));
 }
 
 result<nlohmann::ordered_json> operator_client::Call(
-    bool post,
-    const std::string& path) const {
-  const std::optional<endpoint> peer = ParseEndpoint(address_);
-  if (!peer) {
-    return MakeError(error_code::kInvalidArgument, address_,
-                     "not an address of the form ip:port");
-  }
-  net::http_request request(post ? http::verb::post : http::verb::get, path,
-                            11);
-  request.set(http::field::host, address_);
+    net::http_request request) const {
+  std::string address = address_;
   request.set(http::field::authorization, "Bearer " + token_);
-  const result<net::http_reply> reply = FetchBlocking(*peer, request);
-  if (!reply) {
-    return reply.error();
+  for (int hops = 0; hops <= kMaxRedirects; ++hops) {
+    const std::optional<endpoint> peer = ParseEndpoint(address);
+    if (!peer) {
+      return MakeError(error_code::kInvalidArgument, address,
+                       "not an address of the form ip:port");
+    }
+    request.set(http::field::host, address);
+    const result<net::http_reply> reply = FetchBlocking(*peer, request);
+    if (!reply) {
+      return reply.error();
+    }
+    if (reply.value().status != kRedirect) {
+      return ReadReply(reply.value(), address);
+    }
+    address = HostOf(reply.value().fields[http::field::location]);
   }
-  if (reply.value().status == kUnauthorised) {
-    return MakeError(error_code::kUnauthorised, address_,
-                     "the operator token was not accepted");
-  }
-  nlohmann::ordered_json document =
-      nlohmann::ordered_json::parse(reply.value().body, nullptr, false);
-  if (reply.value().status >= kFirstError || document.is_discarded()) {
-    return MakeError(error_code::kInternal, address_,
-                     "status " + std::to_string(reply.value().status));
-  }
-  return document;
+  return MakeError(error_code::kInternal, address, "too many redirects");
 }
 
 }  // namespace burdocklock::ctl
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,20 +1,28 @@
 // Command line of burdocklockctl.
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <string>
 
 #include <CLI/CLI.hpp>
 
 #include "ctl/operator_client.h"
 #include "ctl/table.h"
+#include "route_interface/configuration_document.h"
+#include "routes/configuration_checks.h"
 
 namespace {
 
+using burdocklock::error;
+using burdocklock::error_code;
+using burdocklock::result;
 using burdocklock::ctl::operator_client;
 
 // Exit codes, documented in docs/operations/ctl.md.
 constexpr int kExitOk = 0;
 constexpr int kExitUnreachable = 3;
 constexpr int kExitRefused = 4;
+constexpr int kExitInvalid = 5;
 
 struct ctl_options {
   std::string address = "127.0.0.1:8081";
@@ -22,11 +30,10 @@
   bool json = false;
 };
 
-int Fail(const burdocklock::error& problem) {
+int Fail(const error& problem) {
   std::cerr << "burdocklockctl: " << problem.Message() << '\n';
-  return problem.code == burdocklock::error_code::kUnauthorised
-             ? kExitRefused
-             : kExitUnreachable;
+  return problem.code == error_code::kUnauthorised ? kExitRefused
+                                                   : kExitUnreachable;
 }
 
 // Fetches `path` and prints its document; `list` names its rows if it has any.
@@ -61,6 +68,73 @@
   return kExitOk;
 }
 
+constexpr char kConfiguration[] = "/v1/configuration";
+
+result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    return error{.code = error_code::kInvalidArgument,
+                 .step = "read file",
+                 .peer = path,
+                 .detail = "cannot be read"};
+  }
+  return text.str();
+}
+
+// Reads a configuration and applies every check that does not need the fleet.
+result<std::string> ReadCheckedConfiguration(const std::string& path) {
+  auto text = ReadFile(path);
+  if (!text) {
+    return text;
+  }
+  const auto configuration =
+      burdocklock::route_interface::configuration_document().Read(text.value());
+  if (!configuration) {
+    return configuration.error();
+  }
+  if (const auto checked = burdocklock::routes::Check(configuration.value());
+      !checked) {
+    return checked.error();
+  }
+  return text;
+}
+
+int CheckConfiguration(const std::string& path) {
+  const auto text = ReadCheckedConfiguration(path);
+  if (!text) {
+    std::cerr << path << ": " << text.error().Message() << '\n';
+    return kExitInvalid;
+  }
+  std::cout << path << ": ok\n";
+  return kExitOk;
+}
+
+int ApplyConfiguration(const ctl_options& options, const std::string& path) {
+  const auto text = ReadCheckedConfiguration(path);
+  if (!text) {
+    std::cerr << path << ": " << text.error().Message() << '\n';
+    return kExitInvalid;
+  }
+  const auto applied = operator_client(options.address, options.token)
+                           .Put(kConfiguration, text.value());
+  if (!applied) {
+    return Fail(applied.error());
+  }
+  std::cout << path << ": in force or overtaken by a higher version\n";
+  return kExitOk;
+}
+
+int ShowConfiguration(const ctl_options& options) {
+  const auto document =
+      operator_client(options.address, options.token).Get(kConfiguration);
+  if (!document) {
+    return Fail(document.error());
+  }
+  std::cout << document.value().dump(2) << '\n';
+  return kExitOk;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -96,6 +170,20 @@
                         name + " " + order + ": accepted");
     });
   }
+  CLI::App* configuration = app.add_subcommand(
+      "config", "Show, check or apply the configuration (control host)");
+  configuration->require_subcommand(1);
+  configuration->add_subcommand("show", "Print the newest configuration")
+      ->callback([&] { exit_code = ShowConfiguration(options); });
+  std::string file;
+  CLI::App* check =
+      configuration->add_subcommand("check", "Check a file, without a daemon");
+  check->add_option("file", file, "Configuration (JSON)")->required();
+  check->callback([&] { exit_code = CheckConfiguration(file); });
+  CLI::App* apply =
+      configuration->add_subcommand("apply", "Put a file in force");
+  apply->add_option("file", file, "Configuration (JSON)")->required();
+  apply->callback([&] { exit_code = ApplyConfiguration(options, file); });
   app.add_subcommand("drain", "Shut the daemon down gracefully")->callback([&] {
     exit_code = Order(options, "/v1/drain", "draining");
   });
--- a/src/ctl/operator_client.h
+++ b/src/ctl/operator_client.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/net/http_types.h"
 #include "framework/types/error.h"
 
 namespace burdocklock::ctl {
@@ -18,11 +19,14 @@
       const std::string& path) const;
   [[nodiscard]] result<nlohmann::ordered_json> Post(
       const std::string& path) const;
+  [[nodiscard]] result<nlohmann::ordered_json> Put(
+      const std::string& path,
+      const std::string& body) const;
 
  private:
+  // Follows redirects to the control host that decides.
   [[nodiscard]] result<nlohmann::ordered_json> Call(
-      bool post,
-      const std::string& path) const;
+      net::http_request request) const;
 
   std::string address_;
   std::string token_;
--- a/src/gateway/i_call_dialect.h
+++ b/src/gateway/i_call_dialect.h
@@ -16,7 +16,7 @@
 
 /// What a request says about itself.
 struct call_facts {
-  /// The caller's own name of this request.
+  /// The caller's own name of this request; empty if it gave none.
   std::string name;
   std::string host_name;
   /// Empty if there is none.
@@ -27,16 +27,22 @@
   std::optional<targets::prompt> prompt;
 };
 
+/// What a request is known by on its way.
+struct call_identity {
+  std::string name;
+  /// Empty if the call needs no key.
+  customer_id customer;
+};
+
 class i_call_dialect : public i_target_dialect {
  public:
   /// Fails if a field cannot be read.
   [[nodiscard]] virtual result<call_facts> ReadCall(
       const net::http_request& request) const = 0;
-  /// The request as targets get it, but for what `Prepare` adds. `customer` is
-  /// empty if the call needs no key.
+  /// The request as targets get it, but for what `Prepare` adds.
   [[nodiscard]] virtual net::http_request BuildTargetRequest(
       const net::http_request& received,
-      const customer_id& customer) const = 0;
+      const call_identity& identity) const = 0;
 };
 
 }  // namespace burdocklock::gateway
--- a/src/gateway/internal/numbered_event_scanner.cc
+++ b/src/gateway/internal/numbered_event_scanner.cc
@@ -24,18 +24,25 @@
     while (line.starts_with(' ')) {
       line.remove_prefix(1);
     }
-    std::uint64_t number = 0;
-    const auto [rest, problem] =
-        std::from_chars(line.data(), line.data() + line.size(), number);
-    const bool whole = rest == line.data() + line.size() || *rest == '\r';
-    return problem == std::errc() && whole ? std::optional(number)
-                                           : std::nullopt;
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    return ParseEventNumber(line);
   }
   return std::nullopt;
 }
 
 }  // namespace
 
+std::optional<std::uint64_t> ParseEventNumber(std::string_view id) {
+  std::uint64_t number = 0;
+  const auto [end, problem] =
+      std::from_chars(id.data(), id.data() + id.size(), number);
+  return problem == std::errc() && end == id.data() + id.size()
+             ? std::optional(number)
+             : std::nullopt;
+}
+
 std::string_view numbered_event_scanner::Feed(std::string_view bytes) {
   pending_.erase(0, released_);
   released_ = 0;
--- a/src/gateway/internal/routed_handler.cc
+++ b/src/gateway/internal/routed_handler.cc
@@ -44,35 +44,46 @@
 net::keep_alive routed_handler::Handle(net::http_connection& connection,
                                        net::http_request& request) {
   const time_point arrived = std::chrono::steady_clock::now();
-  const auto facts = dialect_.ReadCall(request);
-  if (!facts) {
-    return Refuse(connection, request, {}, refusal_reason::kMalformedRequest,
-                  facts.error().detail);
+  const request_seq id = context_.control.NextRequest();
+  auto read = dialect_.ReadCall(request);
+  if (!read) {
+    return calls_.Refuse(connection, request, {},
+                         {.request = id,
+                          .reason = refusal_reason::kMalformedRequest,
+                          .detail = read.error().detail});
+  }
+  call_facts& facts = read.value();
+  if (facts.name.empty()) {
+    facts.name = context_.control.RequestName(id);
   }
-  const std::string& name = facts.value().name;
   const auto routes = context_.control.Routes();
   if (!routes) {
-    return Refuse(connection, request, name, refusal_reason::kNoConfiguration,
-                  {});
+    return calls_.Refuse(connection, request, facts.name,
+                         {.request = id,
+                          .reason = refusal_reason::kNoConfiguration,
+                          .retry_after = kConfigurationWait});
   }
-  const routes::route* route =
-      routes->Match(facts.value().host_name, request.target());
+  const routes::route* route = routes->Match(facts.host_name, request.target());
   if (route == nullptr) {
-    return Refuse(connection, request, name, refusal_reason::kUnknownRoute, {});
+    return calls_.Refuse(
+        connection, request, facts.name,
+        {.request = id, .reason = refusal_reason::kUnknownRoute});
   }
   customer_id customer;
   if (routes->NeedsKey(*route)) {
-    const routes::route_customer* owner =
-        routes->FindByKey(facts.value().api_key);
+    const routes::route_customer* owner = routes->FindByKey(facts.api_key);
     if (owner == nullptr) {
-      return Refuse(connection, request, name, refusal_reason::kUnknownKey, {});
+      return calls_.Refuse(
+          connection, request, facts.name,
+          {.request = id, .reason = refusal_reason::kUnknownKey});
     }
     customer = owner->customer;
   }
-  outgoing_call call{.spec = SpecifyCall(*route, customer, facts.value()),
-                     .request_name = name,
-                     .request = dialect_.BuildTargetRequest(request, customer)};
-  call.spec.id = context_.control.NextRequest();
+  outgoing_call call{.spec = SpecifyCall(*route, customer, facts),
+                     .request_name = facts.name,
+                     .request = dialect_.BuildTargetRequest(
+                         request, {.name = facts.name, .customer = customer})};
+  call.spec.id = id;
   call.deadline = arrived + *call.spec.time_limit;
   return calls_.Serve(connection, request, std::move(call));
 }
@@ -82,18 +93,4 @@
   calls_.RefuseUnread(connection, code);
 }
 
-net::keep_alive routed_handler::Refuse(net::http_connection& connection,
-                                       const net::http_request& request,
-                                       const std::string& name,
-                                       refusal_reason reason,
-                                       std::string detail) {
-  refusals::refusal refusal{.request = context_.control.NextRequest(),
-                            .reason = reason,
-                            .detail = std::move(detail)};
-  if (reason == refusal_reason::kNoConfiguration) {
-    refusal.retry_after = kConfigurationWait;
-  }
-  return calls_.Refuse(connection, request, name, std::move(refusal));
-}
-
 }  // namespace burdocklock::gateway
--- a/src/gateway/numbered_event_scanner.h
+++ b/src/gateway/numbered_event_scanner.h
@@ -11,6 +11,9 @@
 
 namespace burdocklock::gateway {
 
+/// The number that an event id stands for; nullopt if it is not one.
+std::optional<std::uint64_t> ParseEventNumber(std::string_view id);
+
 /// Releases whole events whose ids rise by one. The stream is whole if its body
 /// ends properly after a whole event.
 class numbered_event_scanner : public i_stream_scanner {
--- a/src/gateway/routed_handler.h
+++ b/src/gateway/routed_handler.h
@@ -18,12 +18,6 @@
   void OnBadRequest(net::http_connection& connection, error_code code) override;
 
  private:
-  net::keep_alive Refuse(net::http_connection& connection,
-                         const net::http_request& request,
-                         const std::string& name,
-                         refusals::refusal_reason reason,
-                         std::string detail);
-
   traffic_context& context_;
   call_service calls_;
   const i_call_dialect& dialect_;
--- /dev/null
+++ b/src/route_interface/internal/command_handler.cc
@@ -0,0 +1,142 @@
+// See the header.
+#include "route_interface/command_handler.h"
+
+#include <limits>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "app/command_call.h"
+#include "config/key_hashing.h"
+#include "framework/codec/member_reader.h"
+#include "gateway/call_parser.h"
+#include "targets/announcement_parser.h"
+
+namespace burdocklock::route_interface {
+
+namespace http = net::http;
+
+using app::MakeProblem;
+
+namespace {
+
+constexpr std::string_view kConfiguration = "/v1/configuration";
+// Followed by a name and "/out" or "/in".
+constexpr std::string_view kDataCentres = "/v1/data-centres/";
+constexpr std::string_view kTargets = "/v1/targets/";
+constexpr std::string_view kAnnounce = "/v1/targets/announce";
+constexpr std::string_view kWithdraw = "/v1/targets/withdraw";
+
+bool IsFrom(const net::http_request& request,
+            const std::vector<config::key_hash>& tokens) {
+  return config::IsAcceptedKey(config::HashKey(gateway::BearerToken(
+                                   request[http::field::authorization])),
+                               tokens);
+}
+
+}  // namespace
+
+net::keep_alive command_handler::Handle(net::http_connection& connection,
+                                        net::http_request& request) {
+  return net::WriteReply(connection, request, Answer(request));
+}
+
+void command_handler::OnBadRequest(net::http_connection& connection,
+                                   error_code code) {
+  net::WriteReply(
+      connection, {},
+      {.status = code == error_code::kTooLarge ? http::status::payload_too_large
+                                               : http::status::bad_request});
+}
+
+net::json_reply command_handler::Answer(const net::http_request& request) {
+  const std::string_view path = request.target();
+  const bool for_targets = path.starts_with(kTargets);
+  if (!IsFrom(request, for_targets ? tokens_.targets : tokens_.operators)) {
+    return MakeProblem(http::status::unauthorized, "the token is not known");
+  }
+  if (for_targets) {
+    return AnswerTarget(request);
+  }
+  if (path == kConfiguration) {
+    return AnswerConfiguration(request);
+  }
+  if (request.method() == http::verb::post && path.starts_with(kDataCentres)) {
+    return SetOutage(request, path.substr(kDataCentres.size()));
+  }
+  return MakeProblem(http::status::not_found, "there is nothing here");
+}
+
+net::json_reply command_handler::AnswerTarget(
+    const net::http_request& request) {
+  if (request.method() == http::verb::post && request.target() == kAnnounce) {
+    return Announce(request);
+  }
+  if (request.method() == http::verb::post && request.target() == kWithdraw) {
+    return Withdraw(request);
+  }
+  return MakeProblem(http::status::not_found, "there is nothing here");
+}
+
+net::json_reply command_handler::AnswerConfiguration(
+    const net::http_request& request) {
+  switch (request.method()) {
+    case http::verb::get:
+      return app::RunReadConfiguration(request, commands_);
+    case http::verb::put:
+      return app::RunReplaceConfiguration(request, reader_, commands_);
+    default:
+      return MakeProblem(http::status::method_not_allowed,
+                         "the method must be GET or PUT");
+  }
+}
+
+net::json_reply command_handler::SetOutage(const net::http_request& request,
+                                           std::string_view order) {
+  const std::size_t slash = order.rfind('/');
+  const std::string_view word =
+      slash == std::string_view::npos ? "" : order.substr(slash + 1);
+  if (word != "out" && word != "in") {
+    return MakeProblem(http::status::not_found, "the order must be out or in");
+  }
+  return app::RunCommand(request, [&](control::command_done done) {
+    commands_.SetOutage(data_centre_id(std::string(order.substr(0, slash))),
+                        word == "out", std::move(done));
+  });
+}
+
+net::json_reply command_handler::Announce(const net::http_request& request) {
+  const auto announcement = targets::ParseAnnouncement(request.body());
+  if (!announcement) {
+    return MakeProblem(http::status::bad_request,
+                       announcement.error().Message());
+  }
+  if (announcement.value().sequence == 0) {
+    return MakeProblem(http::status::bad_request,
+                       "sequence: must rise with each announcement, from 1");
+  }
+  commands_.Announce(announcement.value());
+  return {};
+}
+
+net::json_reply command_handler::Withdraw(const net::http_request& request) {
+  const auto parsed = nlohmann::json::parse(request.body(), nullptr,
+                                            /*allow_exceptions=*/false);
+  std::string problem;
+  member_reader reader(parsed, "", problem);
+  const target_id target(reader.String("target"));
+  std::optional<incarnation> life;
+  if (reader.Find("incarnation") != nullptr) {
+    life = incarnation(reader.Unsigned(
+        "incarnation", 0, std::numeric_limits<std::int64_t>::max()));
+  }
+  if (!problem.empty()) {
+    return MakeProblem(http::status::bad_request, problem);
+  }
+  commands_.Withdraw(target, life);
+  return {};
+}
+
+}  // namespace burdocklock::route_interface
--- a/src/targets/internal/announcement_parser.cc
+++ b/src/targets/internal/announcement_parser.cc
@@ -3,9 +3,12 @@
 
 #include <limits>
 #include <string>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "framework/codec/member_reader.h"
+
 namespace burdocklock::targets {
 
 namespace {
@@ -13,64 +16,7 @@
 using nlohmann::json;
 
 constexpr std::uint32_t kMaxSlots = 1'000'000;
-
-// Reads members of one JSON object and keeps the first problem.
-class member_reader {
- public:
-  explicit member_reader(const json& object) : object_(object) {}
-
-  std::string String(const char* key) {
-    const json* member = Find(key);
-    if (member == nullptr || !member->is_string() ||
-        member->get_ref<const std::string&>().empty()) {
-      Fail(key, "must be a string that is not empty");
-      return {};
-    }
-    return member->get<std::string>();
-  }
-
-  std::uint64_t Unsigned(const char* key,
-                         std::uint64_t min,
-                         std::uint64_t max) {
-    const json* member = Find(key);
-    if (member == nullptr || !member->is_number_unsigned()) {
-      Fail(key, "must be an integer that is not negative");
-      return min;
-    }
-    const auto value = member->get<std::uint64_t>();
-    if (value < min || value > max) {
-      Fail(key, "is out of range");
-      return min;
-    }
-    return value;
-  }
-
-  double Fraction(const char* key) {
-    const json* member = Find(key);
-    if (member == nullptr || !member->is_number()) {
-      Fail(key, "must be a number");
-      return 0;
-    }
-    return member->get<double>();
-  }
-
-  const json* Find(const char* key) const {
-    const auto found = object_.find(key);
-    return found == object_.end() ? nullptr : &*found;
-  }
-
-  void Fail(const char* key, const char* problem) {
-    if (problem_.empty()) {
-      problem_ = std::string(key) + ": " + problem;
-    }
-  }
-
-  [[nodiscard]] const std::string& problem() const { return problem_; }
-
- private:
-  const json& object_;
-  std::string problem_;
-};
+constexpr std::uint64_t kMaxColdMilliseconds = 24ULL * 3600 * 1000;
 
 target_state ParseState(member_reader& reader) {
   const std::string name = reader.String("state");
@@ -111,43 +57,29 @@
     reader.Fail("kind", "must be engine or service");
     return;
   }
-  const json* models = reader.Find("models");
-  if (models == nullptr || !models->is_array() || models->empty()) {
-    reader.Fail("models", "must name at least one model");
-    return;
+  for (std::string& model : reader.Strings("models")) {
+    out.pools.emplace_back(std::move(model));
   }
-  for (const json& model : *models) {
-    if (!model.is_string()) {
-      reader.Fail("models", "must hold strings only");
-      return;
-    }
-    out.pools.emplace_back(model.get<std::string>());
+  if (out.pools.empty()) {
+    reader.Fail("models", "must name at least one model");
   }
 }
 
-void ParseLoad(member_reader& reader, announcement& out) {
+void ParseLoad(member_reader& reader, std::string& problem, announcement& out) {
   const json* load = reader.Find("load");
   if (load == nullptr || load->is_null()) {
     return;
   }
-  if (!load->is_object()) {
-    reader.Fail("load", "must be an object");
-    return;
-  }
   constexpr auto kMaxCount = std::numeric_limits<std::uint32_t>::max();
-  member_reader members(*load);
+  member_reader members(*load, "load", problem);
   load_report report;
   report.running =
       static_cast<std::uint32_t>(members.Unsigned("running", 0, kMaxCount));
   report.waiting =
       static_cast<std::uint32_t>(members.Unsigned("waiting", 0, kMaxCount));
-  report.kv_used = members.Fraction("kv_used");
+  report.kv_used = members.Number("kv_used");
   report.at_ms =
       members.Unsigned("at_ms", 0, std::numeric_limits<std::int64_t>::max());
-  if (!members.problem().empty()) {
-    reader.Fail("load", members.problem().c_str());
-    return;
-  }
   out.load = report;
 }
 
@@ -162,10 +94,8 @@
 
 result<announcement> ParseAnnouncement(std::string_view body) {
   const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
-  if (!parsed.is_object()) {
-    return Malformed("body must be a JSON object");
-  }
-  member_reader reader(parsed);
+  std::string problem;
+  member_reader reader(parsed, "", problem);
   announcement out;
   out.target = target_id(reader.String("target"));
   out.life = incarnation(reader.Unsigned(
@@ -184,9 +114,14 @@
   out.cold_slots =
       static_cast<std::uint32_t>(reader.Unsigned("cold_slots", 1, out.slots));
   out.fencing = ParseFencing(reader);
-  ParseLoad(reader, out);
-  if (!reader.problem().empty()) {
-    return Malformed(reader.problem());
+  ParseLoad(reader, problem, out);
+  out.sequence = reader.UnsignedOr("sequence", 0, 0, kLastSequence - 1);
+  if (reader.Find("cold_for_ms") != nullptr) {
+    out.cold_for = std::chrono::milliseconds(
+        reader.Unsigned("cold_for_ms", 0, kMaxColdMilliseconds));
+  }
+  if (!problem.empty()) {
+    return Malformed(problem);
   }
   return out;
 }
