--- /dev/null
+++ b/tools/fuzz/log_record.cc
@@ -0,0 +1,19 @@
+// Fuzzes the codec of log records.
+#include "fuzz/fuzz_input.h"
+#include "quorum/quorum_codec.h"
+
+namespace fuzz = burdocklock::fuzz;
+namespace quorum = burdocklock::quorum;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const auto record = quorum::DecodeRecord(fuzz::ToText(data, size));
+  if (record) {
+    const std::string encoded = quorum::EncodeRecord(record.value());
+    const auto again = quorum::DecodeRecord(encoded);
+    fuzz::Require(again.has_value(), "what is encoded can be decoded");
+    fuzz::Require(quorum::EncodeRecord(again.value()) == encoded,
+                  "the encoded form is stable");
+  }
+  return 0;
+}
