One dialect base for routes; placement of prompts in a file of its own

Both dialects of routes repeated how a call is built for a target, prepared and scanned; that is routed_dialect now, which takes the names of header fields.

Found once, by ctest with two suites side by side: bl_platform ended because a listener could not be bound. Cause: the fixture took a port that the system had found free and let it go, and an outgoing connection of the other suite got it in between.

--- a/src/app/tests/path_fixture.h
+++ b/src/app/tests/path_fixture.h
@@ -28,11 +28,31 @@
   void Log(const log_record&) override {}
 };
 
+/// An address that nobody listens on. Its port is below those that the system
+/// gives to outgoing connections, and each test process has its own range: a
+/// port found free stays free until it is used.
 inline endpoint FreeAddress() {
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor probe(
-      io, {boost::asio::ip::address_v4::loopback(), 0});
-  return {.port = probe.local_endpoint().port()};
+  constexpr int kFirstPort = 20'000;
+  constexpr int kRanges = 500;
+  constexpr int kPortsInRange = 24;
+  static int last = 0;
+  for (int tries = 0; tries < kPortsInRange; ++tries) {
+    last = (last + 1) % kPortsInRange;
+    const int port = kFirstPort + (::getpid() % kRanges) * kPortsInRange + last;
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor probe(io);
+    boost::system::error_code ec;
+    probe.open(boost::asio::ip::tcp::v4());
+    probe.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+    probe.bind({boost::asio::ip::address_v4::loopback(),
+                static_cast<std::uint16_t>(port)},
+               ec);
+    if (!ec) {
+      return {.port = static_cast<std::uint16_t>(port)};
+    }
+  }
+  FAIL("no free port in the range of this process");
+  return {};
 }
 
 /// Starts with nothing configured. The data centre is called "z".
--- /dev/null
+++ b/src/gateway/internal/routed_dialect.cc
@@ -0,0 +1,80 @@
+// See the header.
+#include "gateway/routed_dialect.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "gateway/forwarded_fields.h"
+#include "gateway/numbered_event_scanner.h"
+
+namespace burdocklock::gateway {
+
+namespace http = net::http;
+
+using std::chrono::milliseconds;
+
+routed_dialect::routed_dialect(call_fields fields)
+    : fields_(std::move(fields)) {
+  fields_.set_by_routers.insert(
+      fields_.set_by_routers.end(),
+      {fields_.time_left, fields_.customer, fields_.target, fields_.copy_from});
+}
+
+net::http_request routed_dialect::BuildTargetRequest(
+    const net::http_request& received,
+    const call_identity& identity) const {
+  net::http_request request(received.method(), received.target(), 11);
+  request.method_string(received.method_string());
+  CopyForwardedFields(received, request);
+  for (const char* field : fields_.set_by_routers) {
+    request.erase(field);
+  }
+  request.set(http::field::host, received[http::field::host]);
+  request.set(fields_.name, identity.name);
+  if (!identity.customer.value().empty()) {
+    request.set(fields_.customer, identity.customer.value());
+  }
+  request.body() = received.body();
+  return request;
+}
+
+void routed_dialect::Prepare(const attempt_terms& terms,
+                             net::http_request& request) const {
+  request.set(fields_.target, terms.target.value());
+  if (terms.time_left) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(*terms.time_left).count();
+    request.set(fields_.time_left,
+                std::to_string(std::max<std::int64_t>(left, 1)));
+  }
+  if (terms.resume_after) {
+    request.set(fields_.resume_after, *terms.resume_after);
+  }
+  if (terms.copy_from) {
+    request.set(fields_.copy_from, ToString(*terms.copy_from));
+  }
+}
+
+std::unique_ptr<i_stream_scanner> routed_dialect::MakeScanner(
+    const outgoing_call&,
+    const std::optional<std::string>& resume_after) const {
+  return std::make_unique<numbered_event_scanner>(
+      resume_after ? ParseEventNumber(*resume_after) : std::nullopt);
+}
+
+answer_summary routed_dialect::Summarise(const outgoing_call&,
+                                         unsigned,
+                                         std::string_view) const {
+  return {.names_request = true};
+}
+
+head_verdict routed_dialect::JudgeStatus(const net::http_response_head& head,
+                                         const outgoing_call& call) {
+  constexpr unsigned kFirstServerError = 500;
+  return head.status >= kFirstServerError && call.spec.repeatable
+             ? head_verdict::kFailure
+             : head_verdict::kAnswer;
+}
+
+}  // namespace burdocklock::gateway
--- a/src/route_interface/internal/route_dialect.cc
+++ b/src/route_interface/internal/route_dialect.cc
@@ -2,15 +2,12 @@
 #include "route_interface/route_dialect.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <chrono>
 
 #include <boost/beast/core/string.hpp>
 
 #include "gateway/call_parser.h"
-#include "gateway/forwarded_fields.h"
-#include "gateway/numbered_event_scanner.h"
 #include "gateway/prompt_fields.h"
 
 namespace burdocklock::route_interface {
@@ -37,11 +34,6 @@
 // "no" in the answer of a target that has not run the request.
 constexpr char kAdmitted[] = "X-Admitted";
 
-constexpr std::array<const char*, 5> kRouterFields = {
-    kName, kTimeLeft, kCustomer, kTarget, kCopyFrom};
-
-constexpr unsigned kOtherTargetStatus = 421;
-constexpr unsigned kFirstServerError = 500;
 constexpr std::size_t kMaxNameLength = 128;
 
 bool IsPlainName(std::string_view name) {
@@ -62,6 +54,15 @@
 
 }  // namespace
 
+route_dialect::route_dialect()
+    : routed_dialect({.name = kName,
+                      .time_left = kTimeLeft,
+                      .customer = kCustomer,
+                      .target = kTarget,
+                      .resume_after = kResumeAfter,
+                      .copy_from = kCopyFrom,
+                      .set_by_routers = {}}) {}
+
 result<gateway::call_facts> route_dialect::ReadCall(
     const net::http_request& request) const {
   gateway::call_facts facts{
@@ -92,40 +93,6 @@
   return facts;
 }
 
-net::http_request route_dialect::BuildTargetRequest(
-    const net::http_request& received,
-    const gateway::call_identity& identity) const {
-  net::http_request request(received.method(), received.target(), 11);
-  request.method_string(received.method_string());
-  gateway::CopyForwardedFields(received, request);
-  for (const char* field : kRouterFields) {
-    request.erase(field);
-  }
-  request.set(http::field::host, received[http::field::host]);
-  request.set(kName, identity.name);
-  if (!identity.customer.value().empty()) {
-    request.set(kCustomer, identity.customer.value());
-  }
-  request.body() = received.body();
-  return request;
-}
-
-void route_dialect::Prepare(const gateway::attempt_terms& terms,
-                            net::http_request& request) const {
-  request.set(kTarget, terms.target.value());
-  if (terms.time_left) {
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(*terms.time_left).count();
-    request.set(kTimeLeft, std::to_string(std::max<std::int64_t>(left, 1)));
-  }
-  if (terms.resume_after) {
-    request.set(kResumeAfter, *terms.resume_after);
-  }
-  if (terms.copy_from) {
-    request.set(kCopyFrom, ToString(*terms.copy_from));
-  }
-}
-
 head_verdict route_dialect::Judge(const net::http_response_head& head,
                                   const gateway::outgoing_call& call) const {
   const std::string_view name = head.fields[kName];
@@ -141,27 +108,7 @@
   if (boost::beast::iequals(head.fields[kAdmitted], "no")) {
     return head_verdict::kNotAdmitted;
   }
-  return head.status >= kFirstServerError && call.spec.repeatable
-             ? head_verdict::kFailure
-             : head_verdict::kAnswer;
-}
-
-std::unique_ptr<gateway::i_stream_scanner> route_dialect::MakeScanner(
-    const gateway::outgoing_call&,
-    const std::optional<std::string>& resume_after) const {
-  return std::make_unique<gateway::numbered_event_scanner>(
-      resume_after ? gateway::ParseEventNumber(*resume_after) : std::nullopt);
-}
-
-gateway::answer_summary route_dialect::Summarise(const gateway::outgoing_call&,
-                                                 unsigned,
-                                                 std::string_view) const {
-  // The head has named the request.
-  return {.names_request = true};
-}
-
-std::string_view route_dialect::name_field() const {
-  return kName;
+  return JudgeStatus(head, call);
 }
 
 }  // namespace burdocklock::route_interface
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -1,64 +1,26 @@
-// The choice among targets. See target_directory.h.
+// The choice among targets for calls without a prompt, and what is known of the
+// targets' load. See target_directory.h.
 #include <algorithm>
-#include <array>
-#include <functional>
-#include <iterator>
 #include <limits>
 #include <utility>
 
-#include "targets/rendezvous.h"
 #include "targets/target_directory.h"
 
 namespace burdocklock::targets {
 
 namespace {
 
-// What a running request costs its neighbours, in prompt tokens to be read: its
-// share of the steps that are lengthened by it.
-constexpr double kTokensPerRunning = 120;
-// What the way to another data centre costs, in prompt tokens to be read.
-constexpr double kTokensPerDistance = 400;
-// Targets that all routers prefer for prompts of one kind.
-constexpr std::size_t kAgreedTargets = 2;
-// Part of a shared prefix that these probably keep, although this router may
-// not have sent it there.
-constexpr std::array<double, kAgreedTargets> kAgreedHeld = {0.95, 0.4};
-// What a copy of parts from another target costs, in prompt tokens to be read:
-// to begin with, and for each token.
-constexpr double kTokensPerCopy = 150;
-constexpr double kTokensPerCopied = 0.4;
-// Less than this is read sooner than copied.
-constexpr std::uint32_t kLeastCopiedTokens = 256;
-// Shared parts of this size are worth some waiting for a target that keeps
-// them.
-constexpr std::uint32_t kTokensWorthWaiting = 1000;
-// What targets may have waiting to be read, as time that they take for it.
-constexpr double kReadAheadMs = 250;
-// Part of that up to which a target has room to spare.
-constexpr double kSparePart = 0.3;
 // Weight of the newest observation of a target's speed.
 constexpr double kRateSmoothing = 0.05;
 // Shorter prompts say little about the speed.
 constexpr std::uint64_t kLeastObservedTokens = 4000;
 constexpr double kLeastTokensPerMs = 5;
 constexpr double kMostTokensPerMs = 400;
+// Part of a target's memory that running requests leave for kept parts.
+constexpr double kKeptPart = 0.4;
 
-// Id of the last part that other prompts share; the one after it belongs to
-// the request itself.
-std::uint64_t SharedKey(const prompt& prompt) {
-  const std::size_t parts = prompt.parts.size();
-  if (parts == 0) {
-    return 0;
-  }
-  return parts == 1 ? prompt.parts[0].id : prompt.parts[parts - 2].id;
-}
-
-std::uint32_t SharedTokens(const prompt& prompt) {
-  std::uint32_t tokens = 0;
-  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-    tokens += prompt.parts[i].tokens;
-  }
-  return tokens;
+std::uint64_t KeptTokens(std::uint64_t memory) {
+  return static_cast<std::uint64_t>(kKeptPart * static_cast<double>(memory));
 }
 
 }  // namespace
@@ -112,189 +74,6 @@
   return std::nullopt;
 }
 
-std::optional<choice> target_directory::ChooseForPrompt(
-    const pool_id& pool,
-    const std::vector<target_id>& excluded,
-    const prompt& prompt,
-    prompt_urgency urgency,
-    time_point now) {
-  candidates found = Candidates(pool, excluded, now);
-  std::vector<entry*>& all = found.local;
-  all.insert(all.end(), found.remote.begin(), found.remote.end());
-  if (all.empty()) {
-    all = std::move(found.last_resort);
-  }
-  const std::vector<const entry*> agreed =
-      AgreedTargets(pool, SharedKey(prompt), now);
-  const best_holders holders = BestHolders(pool, prompt, now);
-  const bool only_agreed = urgency.agreed_only && !agreed.empty() &&
-                           holders[0].target == nullptr &&
-                           SharedTokens(prompt) >= kTokensWorthWaiting;
-  placing best;
-  placing second;
-  for (entry* candidate : all) {
-    const placing placed = Place(*candidate, prompt, agreed, holders);
-    const bool is_agreed =
-        std::find(agreed.begin(), agreed.end(), candidate) != agreed.end();
-    if ((only_agreed && !is_agreed) ||
-        !MayRead(*candidate, placed.unread, urgency)) {
-      continue;
-    }
-    if (placed.cost < best.cost) {
-      second = std::exchange(best, placed);
-    } else if (placed.cost < second.cost) {
-      second = placed;
-    }
-  }
-  if (best.target == nullptr) {
-    return std::nullopt;
-  }
-  std::vector<target_id> considered = {best.target->announced.target};
-  if (second.target != nullptr) {
-    considered.push_back(second.target->announced.target);
-  }
-  return GrantPlacing(best, prompt, std::move(considered), now);
-}
-
-target_directory::placing target_directory::Place(
-    entry& candidate,
-    const prompt& prompt,
-    const std::vector<const entry*>& agreed,
-    const best_holders& holders) const {
-  const std::uint32_t held = HeldBy(candidate, prompt, agreed);
-  placing placed{.target = &candidate,
-                 .unread = prompt.input_tokens - held};
-  double copy_cost = 0;
-  const holding& other =
-      holders[0].target != &candidate ? holders[0] : holders[1];
-  // Also named where it should not be needed: what the target keeps is only
-  // supposed.
-  placed.source = other.target;
-  if (other.tokens >= held + kLeastCopiedTokens) {
-    placed.copied = other.tokens - held;
-    placed.unread -= placed.copied;
-    copy_cost = kTokensPerCopy + kTokensPerCopied * placed.copied;
-  }
-  placed.cost = CostOf(candidate, placed.unread) + copy_cost;
-  return placed;
-}
-
-target_directory::best_holders target_directory::BestHolders(
-    const pool_id& pool,
-    const prompt& prompt,
-    time_point now) const {
-  best_holders best;
-  const auto entries = by_pool_.find(pool);
-  if (entries == by_pool_.end() || !copying_.contains(pool)) {
-    return best;
-  }
-  for (const entry* entry : entries->second) {
-    const holding held{.target = entry,
-                       .tokens = entry->prefixes.HeldAndRead(prompt)};
-    if (held.tokens < kLeastCopiedTokens || !IsUsable(*entry, now)) {
-      continue;
-    }
-    if (held.tokens > best[0].tokens) {
-      best[1] = std::exchange(best[0], held);
-    } else if (held.tokens > best[1].tokens) {
-      best[1] = held;
-    }
-  }
-  return best;
-}
-
-choice target_directory::GrantPlacing(const placing& best,
-                                      const prompt& prompt,
-                                      std::vector<target_id> considered,
-                                      time_point now) {
-  entry& target = *best.target;
-  choice made = Grant(target, std::move(considered), now);
-  made.unread_tokens = best.unread;
-  made.tokens_before = target.unread_tokens + target.others_unread;
-  if (best.source != nullptr) {
-    made.copy_from = best.source->announced.address;
-    made.copied_tokens = best.copied;
-  }
-  target.unread[made.grant.number] = {.tokens = best.unread,
-                                      .parts = prompt.parts};
-  target.unread_tokens += best.unread;
-  granted_tokens_ += best.unread;
-  made.grant.tokens_ahead = target.unread_tokens;
-  target.prefixes.Note(prompt);
-  return made;
-}
-
-std::vector<const target_directory::entry*> target_directory::AgreedTargets(
-    const pool_id& pool,
-    std::uint64_t key,
-    time_point now) const {
-  std::vector<std::pair<std::uint64_t, const entry*>> weighted;
-  const auto entries = by_pool_.find(pool);
-  if (entries == by_pool_.end()) {
-    return {};
-  }
-  for (const entry* entry : entries->second) {
-    if (IsUsable(*entry, now)) {
-      weighted.emplace_back(
-          RendezvousWeight(key, entry->announced.target.value()), entry);
-    }
-  }
-  const std::size_t count = std::min(kAgreedTargets, weighted.size());
-  std::partial_sort(weighted.begin(),
-                    weighted.begin() + static_cast<std::ptrdiff_t>(count),
-                    weighted.end(), std::greater<>());
-  std::vector<const entry*> agreed;
-  for (std::size_t i = 0; i < count; ++i) {
-    agreed.push_back(weighted[i].second);
-  }
-  return agreed;
-}
-
-std::uint32_t target_directory::HeldBy(
-    const entry& entry,
-    const prompt& prompt,
-    const std::vector<const target_directory::entry*>& agreed) {
-  std::uint32_t held = entry.prefixes.Held(prompt);
-  const auto place = std::find(agreed.begin(), agreed.end(), &entry);
-  if (place != agreed.end()) {
-    const double probable =
-        kAgreedHeld[static_cast<std::size_t>(place - agreed.begin())] *
-        SharedTokens(prompt);
-    held = std::max(held, static_cast<std::uint32_t>(probable));
-  }
-  return std::min(held, prompt.input_tokens);
-}
-
-bool target_directory::MayRead(const entry& entry,
-                               std::uint32_t unread,
-                               prompt_urgency urgency) const {
-  const double limit = entry.tokens_per_ms * kReadAheadMs;
-  const auto own = static_cast<double>(entry.unread_tokens);
-  const auto others = static_cast<double>(entry.others_unread);
-  if (urgency.spare_only) {
-    return own + others + unread <= limit * kSparePart || own + others == 0;
-  }
-  // Within its own part a router need not know what others have just sent.
-  if (own + unread <= limit * own_part_) {
-    return true;
-  }
-  if (own > 0) {
-    return false;
-  }
-  return others + unread <= limit || others == 0;
-}
-
-double target_directory::CostOf(const entry& entry,
-                                std::uint32_t unread) const {
-  const double distance =
-      entry.announced.data_centre == options_.local_data_centre
-          ? 0
-          : kTokensPerDistance;
-  return static_cast<double>(entry.unread_tokens + entry.others_unread) +
-         kTokensPerRunning * (entry.in_flight + entry.others_in_flight) +
-         unread + distance;
-}
-
 choice target_directory::Grant(entry& picked,
                                std::vector<target_id> considered,
                                time_point now) {
@@ -365,7 +144,7 @@
     return;
   }
   for (entry* entry : entries->second) {
-    entry->prefixes = prefix_memory(tokens * 2 / 5);
+    entry->prefixes = prefix_memory(KeptTokens(tokens));
   }
 }
 
@@ -433,7 +212,7 @@
   for (const pool_id& pool : entry.announced.pools) {
     const auto memory = memory_.find(pool);
     if (entry.prefixes.capacity() == 0 && memory != memory_.end()) {
-      entry.prefixes = prefix_memory(memory->second * 2 / 5);
+      entry.prefixes = prefix_memory(KeptTokens(memory->second));
     }
   }
   if (!entry.announced.cold_for) {
