Never copy more of a prompt than there is

Cause: parts that a caller says are longer than its prompt made the tokens left to read wrap round; such a call was refused after its wait wherever a source was known. Found by reading the change; the test failed first (4,294,962,896 tokens unread).

--- a/src/targets/internal/prompt_placement.cc
+++ b/src/targets/internal/prompt_placement.cc
@@ -35,6 +35,7 @@
 constexpr double kReadAheadMs = 250;
 // Part of that up to which a target has room to spare.
 constexpr double kSparePart = 0.3;
+
 // Id of the last part that other prompts share; the one after it belongs to
 // the request itself.
 std::uint64_t SharedKey(const prompt& prompt) {
@@ -131,8 +132,10 @@
     return best;
   }
   for (const entry* entry : entries->second) {
+    // Callers may say that the parts are longer than the prompt.
     const holding held{.target = entry,
-                       .tokens = entry->prefixes.HeldAndRead(prompt)};
+                       .tokens = std::min(entry->prefixes.HeldAndRead(prompt),
+                                          prompt.input_tokens)};
     if (held.tokens < kLeastCopiedTokens || !IsUsable(*entry, now)) {
       continue;
     }
--- a/src/targets/tests/prompt_placement_unittest.cc
+++ b/src/targets/tests/prompt_placement_unittest.cc
@@ -250,6 +250,22 @@
   CHECK(made->copy_from.has_value());
 }
 
+TEST_CASE_METHOD(copying_fixture,
+                 "copying: parts said to be longer than the prompt: no more is "
+                 "copied than there is") {
+  prompt wrong = Prompt(7, 500);
+  const auto first = Choose(wrong);
+  REQUIRE(first.has_value());
+  directory.ReportFirstOutput(first->grant, milliseconds(50));
+  directory.ReleaseGood(first->grant);
+  wrong.input_tokens = 100;
+  const auto second = directory.ChooseForPrompt(
+      pool_id("llm"), {first->grant.target}, wrong, {}, now);
+  REQUIRE(second.has_value());
+  CHECK(second->copied_tokens <= 100);
+  CHECK(second->unread_tokens <= 100);
+}
+
 TEST_CASE_METHOD(copying_fixture,
                  "copying: output has not begun: no source yet") {
   const auto first = Choose(Prompt(7, 500));
