--- a/src/ctl/internal/operator_client.cc
+++ b/src/ctl/internal/operator_client.cc
@@ -1,7 +1,6 @@
 // See the header.
 #include "ctl/operator_client.h"
 
-#include <chrono>
 #include <thread>
 #include <utility>
 
@@ -14,7 +13,6 @@
 
 namespace http = net::http;
 
-constexpr std::chrono::seconds kTimeout{10};
 constexpr unsigned kHttp11 = 11;
 constexpr unsigned kUnauthorised = 401;
 constexpr unsigned kRedirect = 307;
@@ -31,12 +29,12 @@
 
 // Runs one exchange on a thread with a fiber scheduler.
 result<net::http_reply> FetchBlocking(const endpoint& peer,
-                                      const net::http_request& request) {
+                                      const net::http_request& request,
+                                      std::chrono::milliseconds timeout) {
   boost::asio::io_context io{1};
   result<net::http_reply> reply = net::http_reply{};
   std::thread worker([&] {
-    RunFiberThread(io,
-                   [&] { reply = net::Fetch(io, peer, request, kTimeout); });
+    RunFiberThread(io, [&] { reply = net::Fetch(io, peer, request, timeout); });
   });
   worker.join();
   return reply;
@@ -71,8 +69,12 @@
 
 }  // namespace
 
-operator_client::operator_client(std::string address, std::string token)
-    : address_(std::move(address)), token_(std::move(token)) {}
+operator_client::operator_client(std::string address,
+                                 std::string token,
+                                 std::chrono::milliseconds timeout)
+    : address_(std::move(address)),
+      token_(std::move(token)),
+      timeout_(timeout) {}
 
 result<nlohmann::ordered_json> operator_client::Get(
     const std::string& path) const {
@@ -103,7 +105,8 @@
                        "not an address of the form ip:port");
     }
     request.set(http::field::host, address);
-    const result<net::http_reply> reply = FetchBlocking(*peer, request);
+    const result<net::http_reply> reply =
+        FetchBlocking(*peer, request, timeout_);
     if (!reply) {
       return reply.error();
     }
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,4 +1,6 @@
 // Command line of burdocklockctl.
+#include <chrono>
+#include <cstdint>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -27,9 +29,17 @@
 struct ctl_options {
   std::string address = "127.0.0.1:8081";
   std::string token;
+  double timeout_s = 10;
   bool json = false;
 };
 
+operator_client MakeClient(const ctl_options& options) {
+  constexpr double kMillisecondsPerSecond = 1000;
+  return {options.address, options.token,
+          std::chrono::milliseconds(static_cast<std::int64_t>(
+              options.timeout_s * kMillisecondsPerSecond))};
+}
+
 int Fail(const error& problem) {
   std::cerr << "burdocklockctl: " << problem.Message() << '\n';
   return problem.code == error_code::kUnauthorised ? kExitRefused
@@ -40,7 +50,7 @@
 int Show(const ctl_options& options,
          const std::string& path,
          const std::string& list) {
-  const operator_client client(options.address, options.token);
+  const operator_client client = MakeClient(options);
   const auto document = client.Get(path);
   if (!document) {
     return Fail(document.error());
@@ -59,7 +69,7 @@
 int Order(const ctl_options& options,
           const std::string& path,
           const std::string& done) {
-  const operator_client client(options.address, options.token);
+  const operator_client client = MakeClient(options);
   const auto document = client.Post(path);
   if (!document) {
     return Fail(document.error());
@@ -116,8 +126,7 @@
     std::cerr << path << ": " << text.error().Message() << '\n';
     return kExitInvalid;
   }
-  const auto applied = operator_client(options.address, options.token)
-                           .Put(kConfiguration, text.value());
+  const auto applied = MakeClient(options).Put(kConfiguration, text.value());
   if (!applied) {
     return Fail(applied.error());
   }
@@ -126,8 +135,7 @@
 }
 
 int ShowConfiguration(const ctl_options& options) {
-  const auto document =
-      operator_client(options.address, options.token).Get(kConfiguration);
+  const auto document = MakeClient(options).Get(kConfiguration);
   if (!document) {
     return Fail(document.error());
   }
@@ -146,6 +154,10 @@
       ->capture_default_str();
   app.add_option("--token", options.token, "Operator token")
       ->envname("BURDOCKLOCK_TOKEN");
+  app.add_option("--timeout", options.timeout_s,
+                 "Seconds to wait for a daemon's answer")
+      ->check(CLI::Range(0.1, 600.0))
+      ->capture_default_str();
   app.add_flag("--json", options.json, "Print JSON instead of a table");
   int exit_code = kExitOk;
   app.add_subcommand("status", "Show the state of the daemon")->callback([&] {
--- a/src/ctl/operator_client.h
+++ b/src/ctl/operator_client.h
@@ -1,6 +1,7 @@
 // Client of a daemon's operator API.
 #pragma once
 
+#include <chrono>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -12,8 +13,11 @@
 
 class operator_client {
  public:
-  /// `address` is "ip:port".
-  operator_client(std::string address, std::string token);
+  /// `address` is "ip:port"; a daemon that does not answer in `timeout` counts
+  /// as unreachable.
+  operator_client(std::string address,
+                  std::string token,
+                  std::chrono::milliseconds timeout);
 
   [[nodiscard]] result<nlohmann::ordered_json> Get(
       const std::string& path) const;
@@ -30,6 +34,7 @@
 
   std::string address_;
   std::string token_;
+  std::chrono::milliseconds timeout_;
 };
 
 }  // namespace burdocklock::ctl
--- a/tools/stand_in/announcer.cc
+++ b/tools/stand_in/announcer.cc
@@ -72,6 +72,9 @@
 void announcer::AnnounceOnce() {
   nlohmann::json body = describe_();
   body["load"] = LaggedLoad();
+  if (options_.numbered) {
+    body["sequence"] = ++sequence_;
+  }
   const std::string text = body.dump();
   for (const endpoint& host : options_.entry_hosts) {
     const std::uint32_t draw = ++sent_ * 7919 % kLossResolution;
--- a/tools/stand_in/announcer.h
+++ b/tools/stand_in/announcer.h
@@ -25,6 +25,8 @@
   duration load_lag{};
   /// Share of announcements that are lost on the way.
   double loss = 0;
+  /// Each announcement carries a number that rises, as control hosts ask for.
+  bool numbered = false;
 };
 
 /// Held by shared pointer, as announcements under way outlive a stop.
@@ -52,6 +54,7 @@
   std::function<nlohmann::json()> load_;
   std::deque<std::pair<time_point, nlohmann::json>> history_;
   std::uint32_t sent_ = 0;
+  std::uint64_t sequence_ = 0;
   bool stopped_ = false;
 };
 
--- a/tools/stand_in/target_process.cc
+++ b/tools/stand_in/target_process.cc
@@ -28,6 +28,8 @@
   app.add_option("--entry-hosts", options.entry_hosts,
                  "Entry hosts to announce at, separated by commas");
   app.add_option("--token", options.token, "Target token");
+  app.add_flag("--numbered", options.numbered,
+               "Number the announcements, for control hosts");
   app.add_option("--data-centre", options.data_centre, "Data centre");
   app.add_option("--slots", options.slots, "Requests borne when warm");
   app.add_option("--cold-slots", options.cold_slots, "Requests borne cold");
@@ -75,7 +77,8 @@
       announcer_options{
           .entry_hosts = ParseEndpoints(options.entry_hosts),
           .token = options.token,
-          .load_lag = std::chrono::milliseconds(options.load_lag_ms)},
+          .load_lag = std::chrono::milliseconds(options.load_lag_ms),
+          .numbered = options.numbered},
       [&description] { return description; }, process.load);
   SpawnFiber([announcing] { announcing->Run(); });
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
--- a/tools/stand_in/target_process.h
+++ b/tools/stand_in/target_process.h
@@ -22,6 +22,7 @@
   std::string entry_hosts;
   std::string token;
   std::string data_centre = "local";
+  bool numbered = false;
   std::uint32_t slots = 16;
   std::uint32_t cold_slots = 2;
   std::uint32_t load_lag_ms = 500;
