--- a/scripts/benches/recovery.sh
+++ b/scripts/benches/recovery.sh
@@ -169,8 +169,10 @@
   for ((try = 0; try < tries; ++try)); do
     version=$((version + 1))
     "lose_$1" "$try"
+    seconds_until is_served >>"$work/$1.call" &
+    call=$!
     seconds_until apply_anywhere >>"$work/$1.change"
-    seconds_until is_served >>"$work/$1.call"
+    wait "$call"
     mend
   done
   report "$1" "$2"
