--- a/scripts/benches/recovery.sh
+++ b/scripts/benches/recovery.sh
@@ -3,75 +3,7 @@
 source scripts/lib.sh
 
 tries=${TRIES:-20}
-base=$(free_port_base 9)
-
-# control_settings INDEX FIRST_START
-control_settings() {
-  cat >"$work/c$1.toml" <<TOML
-interface = "routes"
-daemon = "c$1"
-data_centre = "a"
-region = "bench"
-roles = ["control"]
-data_folder = "$work/data-c$1"
-[listen]
-commands = "127.0.0.1:$((base + $1))"
-peers = "127.0.0.1:$((base + 3 + $1))"
-operators = "127.0.0.1:$((base + 6 + $1))"
-[control]
-hosts = ["127.0.0.1:$((base + 3))", "127.0.0.1:$((base + 4))", "127.0.0.1:$((base + 5))"]
-first_start = $2
-data_centres = ["a"]
-[tokens]
-targets_sha256 = ["$(hash_key "$target_token")"]
-operators_sha256 = ["$(hash_key "$operator_token")"]
-[log]
-path = "$work/c$1.log"
-TOML
-}
-
-router_settings() {
-  cat >"$work/router.toml" <<TOML
-interface = "routes"
-daemon = "router"
-data_centre = "a"
-region = "bench"
-[listen]
-callers = "127.0.0.1:0"
-operators = "127.0.0.1:0"
-[control]
-hosts = ["127.0.0.1:$((base + 3))", "127.0.0.1:$((base + 4))", "127.0.0.1:$((base + 5))"]
-[log]
-path = "$work/router.log"
-TOML
-}
-
-# start_control INDEX: as it is configured, on the disk that it has.
-start_control() {
-  mkdir -p "$work/data-c$1"
-  start "c$1" "$daemon" --settings "$work/c$1.toml"
-  control_pids[$1]=${started[-1]}
-}
-
-version=0
-# apply_once INDEX: puts the next version in force through one host.
-apply_once() {
-  cat >"$work/configuration.json" <<JSON
-{"version": $version,
- "routes": [{"name": "stock", "host_name": "desk.example",
-             "path_prefix": "/stock/", "kind": "idempotent",
-             "timeout_ms": 2000, "max_attempts": 2,
-             "services": [{"service": "desk"}]}],
- "services": [{"name": "desk"}]}
-JSON
-  "$ctl" --address "127.0.0.1:$((base + $1))" --token "$operator_token" \
-    --timeout 1 config apply "$work/configuration.json" >"$work/apply.out" 2>&1
-}
-
-is_served() {
-  [[ $(curl -s -m 2 -o /dev/null -w '%{http_code}' -H 'Host: desk.example' \
-    "http://$callers/stock/1") == 200 ]]
-}
+prepare_control_hosts 3
 
 # seconds_until COMMAND...: time until it succeeds, 30 s at most.
 seconds_until() {
@@ -84,19 +16,16 @@
   calc "$(date +%s.%N) - $begin"
 }
 
-apply_anywhere() {
-  local i
-  for i in 0 1 2; do
-    ! apply_once "$i" || return 0
-  done
-  return 1
+is_served() {
+  [[ $(curl -s -m 2 -o /dev/null -w '%{http_code}' -H 'Host: desk.example' \
+    "http://$callers/stock/1") == 200 ]]
 }
 
 # leader: index of the host that leads; 0 if none is known.
 leader() {
   local i
   for i in 0 1 2; do
-    if [[ $("$ctl" --address "127.0.0.1:$((base + 6 + i))" \
+    if [[ $("$ctl" --address "127.0.0.1:$((control_base + 2 * control_count + i))" \
       --token "$operator_token" --timeout 1 --json status 2>/dev/null |
       jq -r .role 2>/dev/null) == leader ]]; then
       echo "$i"
@@ -178,16 +107,13 @@
   report "$1" "$2"
 }
 
-control_pids=()
 for i in 0 1 2; do
   control_settings "$i" true
   start_control "$i"
 done
-router_settings
+routes_router_settings router
 start_daemon router "$work/router.toml"
-start desk "$service" --name desk-1 --service desk --data-centre a --numbered \
-  --entry-hosts "127.0.0.1:$base,127.0.0.1:$((base + 1)),127.0.0.1:$((base + 2))" \
-  --token "$target_token" --cold-slots 16
+start_numbered_service desk-1
 version=1
 emit recovery first_start_to_change "$(seconds_until apply_anywhere)" s at-most 4
 emit recovery first_start_to_call "$(seconds_until is_served)" s at-most 4
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -247,3 +247,114 @@
     ((++target_count))
   done <"$1/targets.txt"
 }
+
+# prepare_control_hosts COUNT: free ports for that many control hosts.
+prepare_control_hosts() {
+  control_count=$1
+  control_base=$(free_port_base $((3 * control_count)))
+  control_pids=()
+  version=0
+}
+
+# control_seeds: addresses of the first three control hosts, as TOML strings.
+control_seeds() {
+  local i seeds=""
+  for ((i = 0; i < 3; ++i)); do
+    seeds+="\"127.0.0.1:$((control_base + control_count + i))\", "
+  done
+  echo "$seeds"
+}
+
+# control_settings INDEX FIRST_START: settings of one control host.
+control_settings() {
+  cat >"$work/c$1.toml" <<EOF
+interface = "routes"
+daemon = "c$1"
+data_centre = "a"
+region = "bench"
+roles = ["control"]
+data_folder = "$work/data-c$1"
+[listen]
+commands = "127.0.0.1:$((control_base + $1))"
+peers = "127.0.0.1:$((control_base + control_count + $1))"
+operators = "127.0.0.1:$((control_base + 2 * control_count + $1))"
+[control]
+hosts = [$(control_seeds)]
+first_start = $2
+data_centres = ["a"]
+[tokens]
+targets_sha256 = ["$(hash_key "$target_token")"]
+operators_sha256 = ["$(hash_key "$operator_token")"]
+[log]
+path = "$work/c$1.log"
+EOF
+}
+
+# start_control INDEX: as it is configured, on the disk that it has.
+start_control() {
+  mkdir -p "$work/data-c$1"
+  start "c$1" "$daemon" --settings "$work/c$1.toml"
+  control_pids[$1]=${started[-1]}
+}
+
+# routes_router_settings NAME: a router that finds these control hosts.
+routes_router_settings() {
+  cat >"$work/$1.toml" <<EOF
+interface = "routes"
+daemon = "$1"
+data_centre = "a"
+region = "bench"
+[listen]
+callers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+[control]
+hosts = [$(control_seeds)]
+[log]
+path = "$work/$1.log"
+EOF
+}
+
+# start_numbered_service NAME: a stand-in that announces to the control hosts.
+start_numbered_service() {
+  local i hosts=""
+  for ((i = 0; i < 3; ++i)); do
+    hosts+="127.0.0.1:$((control_base + i)),"
+  done
+  start "$1" "$service" --name "$1" --service desk --data-centre a --numbered \
+    --entry-hosts "$hosts" --token "$target_token" --cold-slots 16
+}
+
+# apply_once INDEX: puts configuration $version in force through one host.
+apply_once() {
+  cat >"$work/configuration.json" <<EOF
+{"version": $version,
+ "routes": [{"name": "stock", "host_name": "desk.example",
+             "path_prefix": "/stock/", "kind": "idempotent",
+             "timeout_ms": 2000, "max_attempts": 2,
+             "services": [{"service": "desk"}]}],
+ "services": [{"name": "desk"}]}
+EOF
+  "$ctl" --address "127.0.0.1:$((control_base + $1))" \
+    --token "$operator_token" --timeout 1 \
+    config apply "$work/configuration.json" >"$work/apply.out" 2>&1
+}
+
+# apply_anywhere: the same through the first of three hosts that accepts it.
+apply_anywhere() {
+  local i
+  for i in 0 1 2; do
+    ! apply_once "$i" || return 0
+  done
+  return 1
+}
+
+# bytes_sent PID: bytes that the process has sent on the TCP connections that it
+# has open.
+bytes_sent() {
+  ss -tinpH | awk -v pid="pid=$1," '
+    /^[A-Z]/ { mine = index($0, pid) > 0; next }
+    mine && match($0, /bytes_sent:[0-9]+/) {
+      sum += substr($0, RSTART + 11, RLENGTH - 11)
+    }
+    END { print sum + 0 }'
+}
