--- /dev/null
+++ b/src/control/tests/control_fixture.h
@@ -0,0 +1,296 @@
+// Control hosts and routers on virtual time, over links that can be cut.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "control/control_node.h"
+#include "control/router_client.h"
+#include "framework/seeded_random.h"
+
+namespace burdocklock::control {
+
+inline endpoint LinkOf(std::size_t host) {
+  return {.address = "10.0.0." + std::to_string(host), .port = 7400};
+}
+inline endpoint CommandsOf(std::size_t host) {
+  return {.address = "10.0.0." + std::to_string(host), .port = 8785};
+}
+
+// Carries messages between daemons; a daemon is known by its number.
+class fake_network {
+ public:
+  struct connection {
+    std::size_t from = 0;
+    std::size_t to = 0;
+  };
+
+  void Cut(std::size_t a, std::size_t b) {
+    cuts.emplace(a, b);
+    cuts.emplace(b, a);
+  }
+
+  struct packet {
+    time_point due;
+    std::size_t to;
+    link_id link;
+    message contents;
+  };
+  std::set<std::pair<std::size_t, std::size_t>> cuts;
+  std::map<std::uint64_t, connection> connections;
+  std::deque<packet> packets;
+  std::deque<std::pair<std::size_t, link_id>> ups;
+  std::uint64_t last_link = 0;
+  time_point now{std::chrono::seconds(100)};
+};
+
+class fake_links : public i_link_port {
+ public:
+  fake_links(fake_network& network, std::size_t self)
+      : network_(network), self_(self) {}
+
+  link_id Open(const endpoint& peer) override {
+    const link_id link(++network_.last_link);
+    network_.connections[link.value()] = {self_,
+                                          std::stoul(peer.address.substr(7))};
+    network_.ups.emplace_back(self_, link);
+    return link;
+  }
+  void Reopen(link_id link) override { network_.ups.emplace_back(self_, link); }
+  void Close(link_id link) override {
+    network_.connections.erase(link.value());
+  }
+  void Send(link_id link, const message& message) override {
+    const auto found = network_.connections.find(link.value());
+    if (found == network_.connections.end()) {
+      return;
+    }
+    const auto& ends = found->second;
+    const std::size_t to = ends.from == self_ ? ends.to : ends.from;
+    if (!network_.cuts.contains({self_, to})) {
+      network_.packets.push_back(
+          {network_.now + std::chrono::milliseconds(2), to, link, message});
+    }
+  }
+
+ private:
+  fake_network& network_;
+  std::size_t self_;
+};
+
+struct fake_control : i_control_port {
+  void Store(quorum::batch_number batch,
+             std::vector<quorum::storage_record> records) override {
+    for (const auto& record : records) {
+      Apply(record, disk);
+    }
+    stored.push_back(batch);
+  }
+  void OnRole(quorum::raft_role,
+              quorum::term_number,
+              const quorum::member_id&) override {}
+  void OnMembers(const quorum::membership&) override {}
+  void OnState(state_revision, const state_contents&) override {}
+  void OnTarget(const targets::announcement&, registry_result) override {}
+  void OnProblem(const error&) override { ++problems; }
+
+  quorum::durable_state disk;
+  std::deque<quorum::batch_number> stored;
+  int problems = 0;
+};
+
+struct fake_router : i_router_view {
+  void OnState(state_revision revision,
+               const state_contents& contents,
+               bool) override {
+    went_back |= revision < held;
+    held = revision;
+    state = contents;
+  }
+  void OnTarget(const targets::announcement& announcement,
+                time_point) override {
+    targets[announcement.target] = announcement;
+  }
+  void OnRouters(const std::vector<daemon_id>& names) override {
+    routers = names;
+  }
+  void OnContact(bool in_contact) override { contact = in_contact; }
+  void OnOthersLoad(const admission::fleet_load& load) override {
+    others = load;
+  }
+
+  state_revision held;
+  state_contents state;
+  std::map<target_id, targets::announcement> targets;
+  std::vector<daemon_id> routers;
+  admission::fleet_load others;
+  bool contact = false;
+  bool went_back = false;
+};
+
+// Daemons 0 to 2 are control hosts, 3 and 4 routers.
+struct control_fixture {
+  static constexpr std::size_t kHosts = 3;
+  static constexpr std::size_t kRouters = 2;
+
+  seeded_random random{3};
+  fake_network network;
+  std::vector<std::unique_ptr<fake_links>> links;
+  std::vector<std::unique_ptr<fake_control>> ports;
+  std::vector<std::unique_ptr<control_node>> hosts;
+  std::vector<std::unique_ptr<fake_router>> views;
+  std::vector<std::unique_ptr<router_client>> routers;
+
+  control_fixture() {
+    quorum::membership first;
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      first.push_back({.id = quorum::member_id("h" + std::to_string(i)),
+                       .links = LinkOf(i),
+                       .commands = CommandsOf(i),
+                       .voter = true});
+    }
+    for (std::size_t i = 0; i < kHosts + kRouters; ++i) {
+      links.push_back(std::make_unique<fake_links>(network, i));
+    }
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      ports.push_back(std::make_unique<fake_control>());
+      ports[i]->disk.self = first[i].id;
+      ports[i]->disk.base = {.last_index = quorum::log_index(1),
+                             .last_term = quorum::term_number(1),
+                             .members = first};
+      hosts.emplace_back();
+      StartHost(i);
+    }
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      views.push_back(std::make_unique<fake_router>());
+      routers.emplace_back();
+      StartRouter(i);
+    }
+    RunFor(std::chrono::seconds(4));
+  }
+
+  static std::vector<endpoint> Seeds() {
+    return {LinkOf(0), LinkOf(1), LinkOf(2)};
+  }
+  void StartHost(std::size_t i) {
+    hosts[i] = std::make_unique<control_node>(
+        control_options{
+            .daemon = daemon_id("c" + std::to_string(i)),
+            .seeds = Seeds(),
+            .data_centres = {data_centre_id("cheras")},
+            .raft = {.links = LinkOf(i), .commands = CommandsOf(i)}},
+        ports[i]->disk, random, *links[i], *ports[i], network.now);
+  }
+  void StartRouter(std::size_t i) {
+    *views[i] = fake_router();
+    routers[i] = std::make_unique<router_client>(
+        router_client_options{.daemon = daemon_id("r" + std::to_string(i)),
+                              .seeds = Seeds()},
+        *links[kHosts + i], *views[i], network.now);
+  }
+
+  void RunFor(duration time) {
+    const time_point end = network.now + time;
+    while (network.now < end) {
+      network.now += std::chrono::milliseconds(2);
+      Step();
+    }
+  }
+  void Step() {
+    for (const auto& [daemon, link] : std::exchange(network.ups, {})) {
+      const auto found = network.connections.find(link.value());
+      if (found == network.connections.end() ||
+          network.cuts.contains({daemon, found->second.to})) {
+        continue;
+      }
+      if (daemon < kHosts) {
+        hosts[daemon]->OnLinkUp(link, network.now);
+      } else {
+        routers[daemon - kHosts]->OnLinkUp(link, network.now);
+      }
+    }
+    while (!network.packets.empty() &&
+           network.packets.front().due <= network.now) {
+      const fake_network::packet packet = network.packets.front();
+      network.packets.pop_front();
+      if (packet.to < kHosts) {
+        hosts[packet.to]->OnMessage(packet.link, packet.contents, network.now);
+      } else {
+        routers[packet.to - kHosts]->OnMessage(packet.link, packet.contents,
+                                               network.now);
+      }
+    }
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      for (const auto batch : std::exchange(ports[i]->stored, {})) {
+        hosts[i]->OnDurable(batch, network.now);
+      }
+      if (hosts[i]->NextDeadline() <= network.now) {
+        hosts[i]->OnTick(network.now);
+      }
+    }
+    for (auto& router : routers) {
+      if (router->NextDeadline() <= network.now) {
+        router->OnTick(network.now);
+      }
+    }
+  }
+
+  std::size_t Leader() {
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      if (hosts[i]->raft().role() == quorum::raft_role::kLeader &&
+          hosts[i]->raft().IsCurrent(network.now)) {
+        return i;
+      }
+    }
+    FAIL("there is no leader");
+    return 0;
+  }
+  command_status Replace(std::size_t host,
+                         std::uint64_t version,
+                         const std::string& document) {
+    command_status status = command_status::kUnknown;
+    hosts[host]->SetTime(network.now);
+    hosts[host]->ReplaceConfiguration(
+        version, document,
+        [&](const command_outcome& outcome) { status = outcome.status; });
+    RunFor(std::chrono::milliseconds(100));
+    return status;
+  }
+  command_outcome Read(std::size_t host) {
+    command_outcome read;
+    hosts[host]->SetTime(network.now);
+    hosts[host]->ReadConfiguration(
+        [&](const command_outcome& outcome) { read = outcome; });
+    RunFor(std::chrono::milliseconds(100));
+    return read;
+  }
+  void CutOff(std::size_t daemon) {
+    for (std::size_t other = 0; other < kHosts + kRouters; ++other) {
+      network.Cut(daemon, other);
+    }
+  }
+  static targets::announcement Target(std::uint64_t life,
+                                      std::uint64_t sequence,
+                                      targets::target_state state) {
+    return {.target = target_id("t"),
+            .life = incarnation(life),
+            .data_centre = data_centre_id("cheras"),
+            .pools = {pool_id("desk")},
+            .state = state,
+            .slots = 6,
+            .sequence = sequence};
+  }
+};
+
+}  // namespace burdocklock::control
