--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -259,21 +259,23 @@
   command_status Replace(std::size_t host,
                          std::uint64_t version,
                          const std::string& document) {
-    command_status status = command_status::kUnknown;
+    // The outcome may come long after this has returned.
+    const auto status =
+        std::make_shared<command_status>(command_status::kUnknown);
     hosts[host]->SetTime(network.now);
     hosts[host]->ReplaceConfiguration(
         version, document,
-        [&](const command_outcome& outcome) { status = outcome.status; });
+        [status](const command_outcome& outcome) { *status = outcome.status; });
     RunFor(std::chrono::milliseconds(100));
-    return status;
+    return *status;
   }
   command_outcome Read(std::size_t host) {
-    command_outcome read;
+    const auto read = std::make_shared<command_outcome>();
     hosts[host]->SetTime(network.now);
     hosts[host]->ReadConfiguration(
-        [&](const command_outcome& outcome) { read = outcome; });
+        [read](const command_outcome& outcome) { *read = outcome; });
     RunFor(std::chrono::milliseconds(100));
-    return read;
+    return *read;
   }
   void CutOff(std::size_t daemon) {
     for (std::size_t other = 0; other < kHosts + kRouters; ++other) {
