--- a/src/framework/codec/cbor_types.h
+++ b/src/framework/codec/cbor_types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <stdexcept>
+#include <string_view>
 
 #include <nlohmann/json.hpp>
 
@@ -30,6 +31,31 @@
   value = *parsed;
 }
 
+/// Throws if some number in `j` is a fraction that no integer type here can
+/// hold: readers of integers would convert it without a check.
+inline void CheckFractions(const nlohmann::json& j) {
+  constexpr double kLimit = 2147483648.0;
+  if (j.is_number_float()) {
+    const auto value = j.get<double>();
+    if (!(value > -1 && value < kLimit)) {
+      throw std::out_of_range("number");
+    }
+    return;
+  }
+  if (j.is_structured()) {
+    for (const nlohmann::json& element : j) {
+      CheckFractions(element);
+    }
+  }
+}
+
+/// Reads CBOR; throws if it is malformed.
+inline nlohmann::json ParseCbor(std::string_view bytes) {
+  nlohmann::json j = nlohmann::json::from_cbor(bytes);
+  CheckFractions(j);
+  return j;
+}
+
 /// Reads an enumerator; throws if it is not one.
 template <typename Enum>
 Enum ToEnum(const nlohmann::json& j, Enum last) {
--- a/src/quorum/internal/quorum_codec.cc
+++ b/src/quorum/internal/quorum_codec.cc
@@ -181,7 +181,7 @@
 result<storage_record> DecodeRecord(std::string_view bytes) {
   // nlohmann::json reports malformed input by exception only.
   try {
-    return ToVariant<storage_record>(json::from_cbor(bytes));
+    return ToVariant<storage_record>(ParseCbor(bytes));
   } catch (const std::exception& problem) {
     return error{.code = error_code::kMalformed,
                  .step = "decode record",
--- a/src/storage/tests/storage_unittest.cc
+++ b/src/storage/tests/storage_unittest.cc
@@ -162,5 +162,10 @@
   });
 }
 
+TEST_CASE("records: not a number where an integer is due: refused") {
+  // [NaN in 16 bits, 1], as a fuzzer found it.
+  CHECK_FALSE(quorum::DecodeRecord("\x82\xf9\xfc\x83\x01").has_value());
+}
+
 }  // namespace
 }  // namespace burdocklock::storage
