Show how a router takes its callers' connections

Metrics for open, accepted and turned-away connections, failed accepts and the longest turn of the last second; a record callers_delayed, at most one a second, while any of them is out of order.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -61,6 +61,7 @@
   void SetControlHosts(const std::vector<endpoint>& hosts);
   /// Aborts all unfinished requests and returns their number.
   std::size_t AbortUnfinished();
+  [[nodiscard]] metric_registry& metrics() { return metrics_; }
   /// Returns the number of requests waiting or in flight.
   [[nodiscard]] std::size_t UnfinishedCount() const;
 
--- /dev/null
+++ b/src/app/internal/caller_monitor.h
@@ -0,0 +1,38 @@
+// Watches how a router takes its callers' connections: turns of the event loop
+// and the listeners' counters, as metrics and log records.
+#pragma once
+
+#include <cstdint>
+
+#include "framework/logging/i_logger.h"
+#include "framework/metrics/metric_registry.h"
+#include "framework/net/listener_counters.h"
+#include "framework/types/time.h"
+
+namespace burdocklock::app {
+
+/// Used on the control thread.
+class caller_monitor {
+ public:
+  caller_monitor(const net::listener_counters& callers,
+                 metric_registry& metrics,
+                 i_logger& logger);
+
+  /// Records that the event loop was busy for `busy` before it waited again.
+  void OnTurn(duration busy, time_point now);
+
+ private:
+  void EndPeriod(time_point now);
+
+  const net::listener_counters& callers_;
+  i_logger& logger_;
+  time_point period_started_{};
+  duration longest_turn_{};
+  /// Of the last complete period.
+  duration last_longest_turn_{};
+  std::uint64_t reported_accepted_ = 0;
+  std::uint64_t reported_turned_away_ = 0;
+  std::uint64_t reported_accept_failures_ = 0;
+};
+
+}  // namespace burdocklock::app
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -14,6 +14,7 @@
 #include <boost/outcome/success_failure.hpp>
 
 #include "app/control_loop.h"
+#include "app/internal/caller_monitor.h"
 #include "app/internal/router_options.h"
 #include "app/internal/settings_watch.h"
 #include "config/sheet_index.h"
@@ -65,6 +66,7 @@
                 adapter,
                 NewIncarnation(),
                 logger),
+        monitor(callers, control.metrics(), logger),
         operators(control, this->settings.operator_tokens),
         operator_server(control_io,
                         {.listen = this->settings.operators},
@@ -85,10 +87,11 @@
   // Must outlive its thread because the thread's scheduler refers to it.
   boost::asio::io_context control_io{1};
   settings_watch watch;
+  net::listener_counters callers;
   control_loop control;
+  caller_monitor monitor;
   gateway::operator_handler operators;
   net::http_server operator_server;
-  std::atomic<std::uint32_t> connections{0};
   std::vector<std::unique_ptr<gateway::traffic_thread>> traffic;
   // Serves callers on the control thread if there are no traffic threads.
   std::unique_ptr<gateway::traffic_service> control_thread_traffic;
@@ -116,7 +119,11 @@
     const std::function<void(const daemon_addresses&)>& on_started) {
   state_->on_started = on_started;
   std::thread control_thread([this] {
-    RunFiberThread(state_->control_io, [this] { state_->RunControl(); });
+    RunFiberThread(
+        state_->control_io, [this] { state_->RunControl(); },
+        [this](duration busy, time_point now) {
+          state_->monitor.OnTurn(busy, now);
+        });
   });
   control_thread.join();
   if (!state_->started) {
@@ -136,12 +143,12 @@
       adapter != nullptr ? &adapter->calls() : nullptr;
   if (settings.limits.share_control_thread) {
     control_thread_traffic = std::make_unique<gateway::traffic_service>(
-        control_io, options, control, dialect, connections);
+        control_io, options, control, dialect, callers);
     return control_thread_traffic->Start();
   }
   for (std::uint32_t i = 0; i < settings.limits.traffic_threads; ++i) {
     traffic.push_back(std::make_unique<gateway::traffic_thread>(
-        options, control, dialect, connections));
+        options, control, dialect, callers));
     result<endpoint> bound = traffic.back()->Start();
     if (!bound) {
       return bound;
@@ -275,7 +282,7 @@
   StopAccepting();
   // Waits without blocking the control thread, which the remaining connections
   // need in order to finish.
-  while (connections.load() > 0) {
+  while (callers.open > 0) {
     SleepFor(control_io, kDrainPollInterval);
   }
   traffic.clear();
--- a/src/framework/fiber/fiber_thread.h
+++ b/src/framework/fiber/fiber_thread.h
@@ -7,13 +7,20 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "framework/types/time.h"
+
 namespace burdocklock {
 
+/// Called before the thread waits again, with the time for which it was busy
+/// since it last waited. Must not suspend a fiber.
+using turn_observer = std::function<void(duration busy, time_point now)>;
+
 /// Installs the scheduler on this thread and runs `main` as its first fiber.
 /// Returns when `main` has returned and all fibers started with `SpawnFiber`
 /// have finished.
 void RunFiberThread(boost::asio::io_context& context,
-                    const std::function<void()>& main);
+                    const std::function<void()>& main,
+                    turn_observer on_turn = {});
 
 /// Starts a detached fiber on the current thread, which must be inside
 /// `RunFiberThread`.
--- a/src/framework/fiber/internal/asio_scheduler.h
+++ b/src/framework/fiber/internal/asio_scheduler.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -10,6 +11,8 @@
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/scheduler.hpp>
 
+#include "framework/fiber/fiber_thread.h"
+
 namespace burdocklock {
 
 /// Round-robin scheduling of the ready fibers. Completion handlers run only
@@ -17,7 +20,8 @@
 /// run concurrently with a fiber of the same thread.
 class asio_scheduler : public boost::fibers::algo::algorithm {
  public:
-  explicit asio_scheduler(boost::asio::io_context& context);
+  /// `on_turn` may be empty.
+  asio_scheduler(boost::asio::io_context& context, turn_observer on_turn);
 
   void awakened(boost::fibers::context* fiber) noexcept override;
   boost::fibers::context* pick_next() noexcept override;
@@ -31,6 +35,9 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_;
   boost::fibers::scheduler::ready_queue_type ready_;
+  turn_observer on_turn_;
+  /// When the thread last stopped waiting.
+  std::chrono::steady_clock::time_point turn_started_{};
 };
 
 }  // namespace burdocklock
--- a/src/framework/fiber/internal/fiber_thread.cc
+++ b/src/framework/fiber/internal/fiber_thread.cc
@@ -30,8 +30,10 @@
 }  // namespace
 
 void RunFiberThread(boost::asio::io_context& context,
-                    const std::function<void()>& main) {
-  boost::fibers::use_scheduling_algorithm<asio_scheduler>(context);
+                    const std::function<void()>& main,
+                    turn_observer on_turn) {
+  boost::fibers::use_scheduling_algorithm<asio_scheduler>(context,
+                                                          std::move(on_turn));
   fiber_count count;
   current_count = &count;
   main();
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "framework/net/http_types.h"
+#include "framework/net/listener_counters.h"
 #include "framework/types/error.h"
 #include "framework/types/time.h"
 
@@ -60,8 +61,9 @@
   std::function<http_limits()> current_limits;
   duration write_timeout = std::chrono::seconds(30);
   std::uint32_t max_connections = 4096;
-  /// Number of open connections across all servers that share the counter.
-  std::atomic<std::uint32_t>* connection_count = nullptr;
+  /// Shared by several servers, which then have one limit together; nullptr for
+  /// counters of the server's own.
+  listener_counters* counters = nullptr;
 };
 
 /// All members must be called on the thread that runs the io_context.
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -71,12 +71,11 @@
   i_http_handler& handler;
   tcp_acceptor acceptor;
   std::unordered_set<http_connection*> connections;
-  std::atomic<std::uint32_t> own_count{0};
+  listener_counters own_counters;
   bool stopping = false;
 
-  std::atomic<std::uint32_t>& count() {
-    return options.connection_count != nullptr ? *options.connection_count
-                                               : own_count;
+  listener_counters& counters() {
+    return options.counters != nullptr ? *options.counters : own_counters;
   }
 };
 
@@ -149,6 +148,7 @@
       return;
     }
     if (ec) {
+      ++counters().accept_failures;
       asio::basic_waitable_timer<std::chrono::steady_clock,
                                  asio::wait_traits<std::chrono::steady_clock>,
                                  asio::io_context::executor_type>
@@ -156,9 +156,11 @@
       delay.async_wait(use_fiber);
       continue;
     }
-    if (count().load(std::memory_order_relaxed) >= options.max_connections) {
+    if (counters().open >= options.max_connections) {
+      ++counters().turned_away;
       continue;
     }
+    ++counters().accepted;
     SpawnFiber([self = shared_from_this(), stream] {
       self->ServeConnection(std::move(*stream));
     });
@@ -166,7 +168,7 @@
 }
 
 void http_server::state::ServeConnection(tcp_stream stream) {
-  count().fetch_add(1, std::memory_order_relaxed);
+  ++counters().open;
   http_connection connection{.stream = std::move(stream),
                              .buffer = {},
                              .write_timeout = options.write_timeout};
@@ -177,7 +179,7 @@
   connections.erase(&connection);
   connection.stream.socket().shutdown(asio::socket_base::shutdown_both,
                                       ignored);
-  count().fetch_sub(1, std::memory_order_relaxed);
+  --counters().open;
 }
 
 void http_server::state::ServeRequests(http_connection& connection) {
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -39,7 +39,7 @@
         gateway_options opts,
         i_control& control,
         const i_call_dialect* call_dialect,
-        std::atomic<std::uint32_t>& connections)
+        net::listener_counters& callers)
       : options(std::move(opts)),
         idle_connections(io, options.target_idle),
         progress(io, control),
@@ -62,7 +62,7 @@
                  [this, &control] { return CurrentLimits(options, control); },
              .write_timeout = options.caller_write,
              .max_connections = options.max_connections,
-             .connection_count = &connections},
+             .counters = &callers},
             *handler) {}
 
   std::unique_ptr<net::i_http_handler> MakeHandler(
@@ -86,12 +86,12 @@
                                  gateway_options options,
                                  i_control& control,
                                  const i_call_dialect* dialect,
-                                 std::atomic<std::uint32_t>& connections)
+                                 net::listener_counters& callers)
     : state_(std::make_unique<state>(io,
                                      std::move(options),
                                      control,
                                      dialect,
-                                     connections)) {}
+                                     callers)) {}
 
 traffic_service::~traffic_service() = default;
 
--- a/src/gateway/internal/traffic_thread.cc
+++ b/src/gateway/internal/traffic_thread.cc
@@ -17,18 +17,18 @@
   state(gateway_options options,
         i_control& control,
         const i_call_dialect* dialect,
-        std::atomic<std::uint32_t>& connections)
+        net::listener_counters& callers)
       : options(std::move(options)),
         control(control),
         dialect(dialect),
-        connections(connections) {}
+        callers(callers) {}
 
   void Run(std::promise<result<endpoint>>& started);
 
   gateway_options options;
   i_control& control;
   const i_call_dialect* dialect;
-  std::atomic<std::uint32_t>& connections;
+  net::listener_counters& callers;
   boost::asio::io_context io{1};
   // Set while the thread is serving; accessed only from that thread.
   traffic_service* service = nullptr;
@@ -39,11 +39,11 @@
 traffic_thread::traffic_thread(gateway_options options,
                                i_control& control,
                                const i_call_dialect* dialect,
-                               std::atomic<std::uint32_t>& connections)
+                               net::listener_counters& callers)
     : state_(std::make_unique<state>(std::move(options),
                                      control,
                                      dialect,
-                                     connections)) {}
+                                     callers)) {}
 
 traffic_thread::~traffic_thread() {
   Join();
@@ -75,7 +75,7 @@
 }
 
 void traffic_thread::state::Run(std::promise<result<endpoint>>& started) {
-  traffic_service own_service(io, options, control, dialect, connections);
+  traffic_service own_service(io, options, control, dialect, callers);
   service = &own_service;
   RunFiberThread(io, [&] {
     result<endpoint> bound = own_service.Start();
--- a/src/gateway/traffic_service.h
+++ b/src/gateway/traffic_service.h
@@ -2,12 +2,12 @@
 // and progress reports.
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
 
+#include "framework/net/listener_counters.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/error.h"
 #include "gateway/i_call_dialect.h"
@@ -20,13 +20,13 @@
 class traffic_service {
  public:
   /// `dialect` is the protocol for routed callers; nullptr selects the
-  /// OpenAI-style interface. `connections` counts open caller connections
+  /// OpenAI-style interface. `callers` counts the connections of callers
   /// across all services.
   traffic_service(boost::asio::io_context& io,
                   gateway_options options,
                   i_control& control,
                   const i_call_dialect* dialect,
-                  std::atomic<std::uint32_t>& connections);
+                  net::listener_counters& callers);
   ~traffic_service();
 
   /// Returns the listening address.
--- a/src/gateway/traffic_thread.h
+++ b/src/gateway/traffic_thread.h
@@ -1,10 +1,10 @@
 // Thread that serves callers with its own io_context.
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
 
+#include "framework/net/listener_counters.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/error.h"
 #include "gateway/i_call_dialect.h"
@@ -15,11 +15,11 @@
 
 class traffic_thread {
  public:
-  /// `connections` counts open caller connections across all threads.
+  /// `callers` counts the connections of callers across all threads.
   traffic_thread(gateway_options options,
                  i_control& control,
                  const i_call_dialect* dialect,
-                 std::atomic<std::uint32_t>& connections);
+                 net::listener_counters& callers);
   ~traffic_thread();
 
   /// Starts the thread; returns the listening address.
