--- a/src/app/tests/path_fixture.h
+++ b/src/app/tests/path_fixture.h
@@ -58,6 +58,13 @@
   return {};
 }
 
+/// Changes to the router of a fixture before it starts.
+struct router_changes {
+  std::function<void(config::settings& settings)> settings;
+  /// Logger of the router alone; the fixture's if nullptr.
+  i_logger* logger = nullptr;
+};
+
 /// Starts without a configuration. The data centre is named "z".
 template <typename Adapter>
 struct path_fixture {
@@ -72,17 +79,23 @@
   std::thread router_thread;
   daemon_addresses addresses;
 
-  explicit path_fixture(Adapter used = Adapter()) : adapter(std::move(used)) {
+  explicit path_fixture(Adapter used = Adapter(),
+                        const router_changes& changes = {})
+      : adapter(std::move(used)) {
     std::string name =
         (std::filesystem::temp_directory_path() / "burdocklock-XXXXXX")
             .string();
     REQUIRE(::mkdtemp(name.data()) != nullptr);
     folder = name;
     MakeSettings();
+    if (changes.settings) {
+      changes.settings(router_settings);
+    }
     StartControl();
     std::promise<daemon_addresses> started;
-    router = std::make_unique<daemon>(router_settings, config::sheet(), logger,
-                                      &adapter);
+    router = std::make_unique<daemon>(
+        router_settings, config::sheet(),
+        changes.logger != nullptr ? *changes.logger : logger, &adapter);
     router_thread = std::thread([&] {
       REQUIRE(router->Run([&](const auto& bound) { started.set_value(bound); })
                   .has_value());
--- /dev/null
+++ b/src/routing/tests/fleet_fairness_unittest.cc
@@ -0,0 +1,105 @@
+// Fair shares of customers over several routers, in virtual time.
+#include <algorithm>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "routing/tests/simulated_fleet.h"
+
+namespace burdocklock::routing {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::int64_t kWindowSeconds = 6;
+constexpr double kLargestRequests = 3;
+
+using account = simulated_fleet::account;
+
+simulated_fleet::second_account At(const account& seconds,
+                                   std::int64_t second) {
+  const auto found = seconds.find(second);
+  return found == seconds.end() ? simulated_fleet::second_account()
+                                : found->second;
+}
+
+// In any six seconds, a customer with a refused or late request in each is
+// begun at least half of what it asked for or the best served customer was
+// begun, whichever is less in each second, less three of its largest requests.
+void CheckNoneStarved(const simulated_fleet& fleet,
+                      std::int64_t first,
+                      std::int64_t last) {
+  for (const auto& [customer, own] : fleet.accounts()) {
+    for (std::int64_t from = first; from + kWindowSeconds <= last; ++from) {
+      bool always_turned_down = true;
+      double due = 0;
+      double begun = 0;
+      for (std::int64_t at = from; at < from + kWindowSeconds; ++at) {
+        double most = 0;
+        for (const auto& [other, seconds] : fleet.accounts()) {
+          most = std::max(most, At(seconds, at).begun);
+        }
+        always_turned_down &= At(own, at).turned_down;
+        due += std::min(At(own, at).asked, most);
+        begun += At(own, at).begun;
+      }
+      INFO(customer.value()
+           << " from " << from << " s: due " << due << ", begun " << begun);
+      const bool starved =
+          always_turned_down &&
+          begun < due / 2 - kLargestRequests * fleet.largest_request(customer);
+      CHECK_FALSE(starved);
+    }
+  }
+}
+
+struct busy_fleet_fixture {
+  static constexpr std::size_t kSmallCustomers = 8;
+
+  // A large customer at one router sends most of the load; the others' requests
+  // reach all routers. Two of five engines stop within three seconds.
+  static simulated_fleet PlayEngineLoss(std::uint32_t seed) {
+    simulated_fleet fleet({.seed = seed});
+    fleet.AddCustomer({.customer = customer_id("large"),
+                       .requests_per_second = 200,
+                       .router = 0,
+                       .begins = seconds(5)});
+    for (std::size_t i = 0; i < kSmallCustomers; ++i) {
+      fleet.AddCustomer({.customer = customer_id("c" + std::to_string(i)),
+                         .requests_per_second = 8.0 + 4.0 * i,
+                         .tokens = 2500});
+    }
+    for (std::size_t engine = 0; engine < 12; ++engine) {
+      fleet.StopEngine(engine, engine < 6 ? seconds(7) : seconds(10));
+    }
+    fleet.Run(seconds(20));
+    return fleet;
+  }
+};
+
+TEST_CASE_METHOD(busy_fleet_fixture,
+                 "fleet: two of five engines refuse connections: no customer "
+                 "is starved",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    CheckNoneStarved(PlayEngineLoss(seed), 6, 20);
+  }
+}
+
+TEST_CASE_METHOD(busy_fleet_fixture,
+                 "fleet: two of five engines refuse connections: no call is "
+                 "refused for a failed target while others serve",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    const simulated_fleet fleet = PlayEngineLoss(seed);
+    INFO("seed " << seed);
+    for (const auto& [reason, count] : fleet.refusals()) {
+      UNSCOPED_INFO(reason << " " << count);
+    }
+    CHECK(fleet.refusals().count("target_failed not_run") == 0);
+  }
+}
+
+}  // namespace
+}  // namespace burdocklock::routing
--- /dev/null
+++ b/src/routing/tests/simulated_fleet.h
@@ -0,0 +1,447 @@
+// Several routers before the same engines in virtual time, with load reports
+// that arrive late or not at all.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "admission/types/fleet_load.h"
+#include "framework/seeded_random.h"
+#include "routing/request_router.h"
+
+namespace burdocklock::routing {
+
+struct simulated_fleet_options {
+  std::size_t routers = 12;
+  std::size_t targets = 30;
+  /// Prompt tokens that one engine reads in a second.
+  double reading_rate = 20'000;
+  duration silence = std::chrono::seconds(8);
+  /// One in this many load reports is lost.
+  std::uint32_t lost_report_in = 10;
+  std::uint32_t seed = 1;
+};
+
+/// Engines read prompts one after the other; a request begins with its first
+/// output and ends `kOutputTime` later. Callers that are refused come back once
+/// at another router.
+class simulated_fleet {
+ public:
+  static constexpr duration kOutputTime = std::chrono::milliseconds(600);
+  static constexpr std::uint32_t kSlots = 48;
+
+  explicit simulated_fleet(const simulated_fleet_options& options)
+      : options_(options), random_(options.seed * kSeedStride) {
+    std::vector<daemon_id> names;
+    for (std::size_t i = 0; i < options.routers; ++i) {
+      names.emplace_back("router" + std::to_string(i));
+    }
+    for (std::size_t i = 0; i < options.routers; ++i) {
+      routers_.push_back(MakeRouter(names[i]));
+      routers_.back()->mutable_directory().SetRouters(names);
+    }
+    engines_.resize(options.targets);
+    for (std::size_t i = 0; i < options.targets; ++i) {
+      At(now_ + std::chrono::milliseconds(random_.Below(1200)),
+         [this, i] { Announce(i); });
+    }
+    for (std::size_t i = 0; i < options.routers; ++i) {
+      At(now_ + std::chrono::milliseconds(random_.Below(200)),
+         [this, i] { ReportLoad(i); });
+      At(now_, [this, i] { Tick(i); });
+    }
+  }
+
+  struct customer_profile {
+    customer_id customer;
+    double requests_per_second = 1;
+    std::uint32_t tokens = 2000;
+    /// The router of all its requests; a random one each time if absent.
+    std::optional<std::size_t> router;
+    duration begins{};
+    duration ends = std::chrono::hours(1);
+  };
+  void AddCustomer(const customer_profile& profile) {
+    At(start_ + profile.begins + RandomGap(profile.requests_per_second),
+       [this, profile] { Generate(profile); });
+  }
+  /// Connections to the engine are refused from then on; its announcements end.
+  void StopEngine(std::size_t engine, duration at) {
+    At(start_ + at, [this, engine] { engines_[engine].stopped = true; });
+  }
+  void Run(duration until) {
+    while (!events_.empty() && events_.top().at <= start_ + until) {
+      const event next = events_.top();
+      events_.pop();
+      now_ = std::max(now_, next.at);
+      next.action();
+    }
+    now_ = start_ + until;
+  }
+
+  /// What one customer asked for and was given in one second.
+  struct second_account {
+    double asked = 0;
+    double begun = 0;
+    /// A request was refused or waited longer than its objective.
+    bool turned_down = false;
+  };
+  using account = std::map<std::int64_t, second_account>;
+  [[nodiscard]] const std::map<customer_id, account>& accounts() const {
+    return accounts_;
+  }
+  /// Numbers of refusals by reason and run state, such as "deadline not_run".
+  [[nodiscard]] const std::map<std::string, int>& refusals() const {
+    return refusals_;
+  }
+  [[nodiscard]] double largest_request(const customer_id& customer) const {
+    return largest_.at(customer);
+  }
+
+ private:
+  // Spreads seeds, as this generator ignores the lowest bits of its own.
+  static constexpr std::uint32_t kSeedStride = 7919;
+
+  struct engine {
+    bool stopped = false;
+    std::uint64_t sequence = 0;
+    std::uint32_t running = 0;
+    time_point read_until{};
+  };
+  struct open_request {
+    customer_profile profile;
+    std::size_t router = 0;
+    bool is_retry = false;
+    time_point arrived;
+    std::optional<std::size_t> engine;
+    attempt_number attempt;
+    bool begun = false;
+  };
+  struct event {
+    time_point at;
+    std::uint64_t number = 0;
+    std::function<void()> action;
+    friend bool operator<(const event& a, const event& b) {
+      return std::tie(b.at, b.number) < std::tie(a.at, a.number);
+    }
+  };
+  struct null_observer : i_routing_observer {
+    void OnQueueWait(duration, time_point) override {}
+    void OnFirstOutput(duration, time_point) override {}
+  };
+
+  static pool_id Pool() { return pool_id("llm"); }
+  static target_id Name(std::size_t engine) {
+    return target_id("t" + std::to_string(engine));
+  }
+
+  std::unique_ptr<request_router> MakeRouter(const daemon_id& name) {
+    constexpr std::uint32_t kTries = 5;
+    constexpr double kOutputShare = 0.9;
+    const auto routers = static_cast<double>(options_.routers);
+    router_options options;
+    options.lifecycle.max_attempts = 3;
+    options.lifecycle.max_tries = kTries;
+    options.lifecycle.connect_timeout = std::chrono::milliseconds(400);
+    options.directory = {.local_data_centre = data_centre_id("z"),
+                         .silence = options_.silence,
+                         .self = name};
+    options.no_target_wait = std::chrono::milliseconds(300);
+    auto router = std::make_unique<request_router>(options, random_, observer_);
+    router->SetRetryOptions(
+        {.ratio = 0.1, .per_second = 0, .burst = 90 / routers});
+    router->SetPoolThroughput(Pool(),
+                              kOutputShare * options_.reading_rate *
+                                  static_cast<double>(options_.targets));
+    router->mutable_directory().SetCacheCapacity(Pool(), 600'000);
+    router->mutable_directory().SetLocalBacklogFraction(1 / routers);
+    return router;
+  }
+
+  void At(time_point at, std::function<void()> action) {
+    events_.push({.at = at, .number = ++last_event_, .action = action});
+  }
+  duration RandomGap(double per_second) {
+    constexpr std::uint32_t kSteps = 10'000;
+    const double uniform = (1.0 + random_.Below(kSteps - 1)) / kSteps;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(-std::log(uniform) / per_second));
+  }
+  std::size_t RandomRouter() {
+    return random_.Below(static_cast<std::uint32_t>(options_.routers));
+  }
+
+  void Announce(std::size_t index) {
+    engine& engine = engines_[index];
+    if (engine.stopped) {
+      return;
+    }
+    const targets::announcement announcement{
+        .target = Name(index),
+        .life = incarnation(1),
+        .data_centre = data_centre_id("z"),
+        .address = {.port = static_cast<std::uint16_t>(index + 1)},
+        .pools = {Pool()},
+        .state = targets::target_state::kReady,
+        .slots = kSlots,
+        .cold_slots = kSlots / 4,
+        .sequence = ++engine.sequence,
+        .cold_for = std::chrono::milliseconds(0)};
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      At(now_ + std::chrono::milliseconds(5 + random_.Below(500)),
+         [this, i, announcement] {
+           Handle(i, [&](effects& out) {
+             routers_[i]->OnAnnouncement(announcement, now_, out);
+           });
+         });
+    }
+    At(now_ + std::chrono::milliseconds(1200),
+       [this, index] { Announce(index); });
+  }
+
+  void ReportLoad(std::size_t router) {
+    At(now_ + std::chrono::milliseconds(200),
+       [this, router] { ReportLoad(router); });
+    if (random_.Below(options_.lost_report_in) != 0) {
+      reports_[router] = routers_[router]->OwnLoad(now_);
+    }
+    At(now_ + std::chrono::milliseconds(10 + random_.Below(60)),
+       [this, router] { ReceiveLoad(router); });
+  }
+
+  void ReceiveLoad(std::size_t router) {
+    std::map<target_id, admission::target_load> targets;
+    std::map<customer_id, admission::customer_flow> customers;
+    for (const auto& [other, report] : reports_) {
+      if (other == router) {
+        continue;
+      }
+      for (const admission::target_load& load : report.targets) {
+        admission::target_load& sum = targets[load.target];
+        sum.target = load.target;
+        sum.in_flight += load.in_flight;
+        sum.unread_tokens += load.unread_tokens;
+      }
+      for (const admission::customer_flow& flow : report.customers) {
+        admission::customer_flow& sum = customers[flow.customer];
+        sum.pool = flow.pool;
+        sum.customer = flow.customer;
+        sum.demand += flow.demand;
+        sum.started += flow.started;
+      }
+    }
+    admission::fleet_load others;
+    for (const auto& [target, load] : targets) {
+      others.targets.push_back(load);
+    }
+    for (const auto& [customer, flow] : customers) {
+      others.customers.push_back(flow);
+    }
+    Handle(router, [&](effects& out) {
+      routers_[router]->SetOthersLoad(others, now_, out);
+    });
+  }
+
+  void Tick(std::size_t router) {
+    At(now_ + std::chrono::milliseconds(20), [this, router] { Tick(router); });
+    if (routers_[router]->NextDeadline() <= now_) {
+      Handle(router,
+             [&](effects& out) { routers_[router]->OnTick(now_, out); });
+    }
+  }
+
+  void Generate(const customer_profile& profile) {
+    if (now_ < start_ + profile.ends) {
+      At(now_ + RandomGap(profile.requests_per_second),
+         [this, profile] { Generate(profile); });
+      const std::uint32_t tokens =
+          profile.tokens / 2 + random_.Below(profile.tokens);
+      customer_profile sized = profile;
+      sized.tokens = tokens;
+      double& largest = largest_[profile.customer];
+      largest = std::max<double>(largest, tokens);
+      AccountOf(profile.customer).asked += tokens;
+      Send(sized, profile.router.value_or(RandomRouter()), false);
+    }
+  }
+
+  void Send(const customer_profile& profile, std::size_t router, bool retry) {
+    const request_seq id(++last_request_);
+    requests_[id] = {.profile = profile,
+                     .router = router,
+                     .is_retry = retry,
+                     .arrived = now_};
+    request_spec spec{.id = id,
+                      .customer = profile.customer,
+                      .pool = Pool(),
+                      .prompt_tokens = profile.tokens,
+                      .time_limit = std::chrono::seconds(3),
+                      .latency_objective = std::chrono::milliseconds(400),
+                      .max_attempts = 2};
+    spec.prompt = targets::prompt{
+        .input_tokens = profile.tokens,
+        .parts = {{.id = id.value(), .tokens = profile.tokens}}};
+    Handle(router,
+           [&](effects& out) { routers_[router]->OnRequest(spec, now_, out); });
+  }
+
+  void Handle(std::size_t router, const std::function<void(effects&)>& call) {
+    effects out;
+    call(out);
+    for (const effect& effect : out) {
+      if (const auto* start = std::get_if<start_attempt>(&effect)) {
+        Start(*start);
+      } else if (const auto* cancel = std::get_if<cancel_attempt>(&effect)) {
+        Cancel(*cancel);
+      } else if (const auto* refused = std::get_if<refuse_request>(&effect)) {
+        Refused(router, refused->refusal);
+      }
+    }
+  }
+
+  void Start(const start_attempt& order) {
+    const std::size_t index = order.address.port - 1U;
+    open_request& request = requests_.at(order.request);
+    request.attempt = order.attempt;
+    if (engines_[index].stopped) {
+      Later(std::chrono::milliseconds(2), order.request, order.attempt,
+            attempt_failed{.kind = failure_kind::kConnectFailed});
+      return;
+    }
+    Later(std::chrono::milliseconds(1), order.request, order.attempt,
+          attempt_sending{});
+    At(now_ + std::chrono::milliseconds(2),
+       [this, order, index] { Arrive(order.request, order.attempt, index); });
+  }
+
+  void Arrive(request_seq id, attempt_number attempt, std::size_t index) {
+    engine& engine = engines_[index];
+    open_request& request = requests_.at(id);
+    if (engine.stopped || engine.running >= kSlots) {
+      Report(id, attempt,
+             attempt_failed{.kind = engine.stopped ? failure_kind::kBroken
+                                                   : failure_kind::kNotAdmitted,
+                            .sent = true});
+      return;
+    }
+    ++engine.running;
+    request.engine = index;
+    engine.read_until =
+        std::max(engine.read_until, now_) +
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+            request.profile.tokens / options_.reading_rate));
+    At(engine.read_until,
+       [this, id, attempt, index] { Begin(id, attempt, index); });
+  }
+
+  void Begin(request_seq id, attempt_number attempt, std::size_t index) {
+    open_request& request = requests_.at(id);
+    if (request.engine != index || request.attempt != attempt) {
+      return;
+    }
+    if (engines_[index].stopped) {
+      Leave(request);
+      Report(id, attempt,
+             attempt_failed{.kind = failure_kind::kBroken, .sent = true});
+      return;
+    }
+    if (!request.begun) {
+      request.begun = true;
+      second_account& account = AccountOf(request.profile.customer);
+      account.begun += request.profile.tokens;
+      account.turned_down |=
+          now_ - request.arrived > std::chrono::milliseconds(400);
+    }
+    Report(id, attempt, attempt_first_output{});
+    At(now_ + kOutputTime, [this, id, attempt, index] {
+      open_request& ended = requests_.at(id);
+      if (ended.engine == index && ended.attempt == attempt) {
+        Leave(ended);
+        if (engines_[index].stopped) {
+          Report(id, attempt,
+                 attempt_failed{.kind = failure_kind::kBroken,
+                                .sent = true,
+                                .delivered = true});
+        } else {
+          Report(id, attempt, attempt_completed{});
+        }
+      }
+    });
+  }
+
+  void Cancel(const cancel_attempt& order) {
+    Leave(requests_.at(order.request));
+    Later(std::chrono::milliseconds(0), order.request, order.attempt,
+          attempt_failed{.kind = failure_kind::kCancelled, .sent = true});
+  }
+
+  void Leave(open_request& request) {
+    if (request.engine) {
+      --engines_[*request.engine].running;
+      request.engine.reset();
+    }
+  }
+
+  void Refused(std::size_t router, const refusals::refusal& refusal) {
+    const open_request& request = requests_.at(*refusal.request);
+    AccountOf(request.profile.customer).turned_down = true;
+    ++refusals_[std::string(ToString(refusal.reason)) + " " +
+                ToString(refusal.run)];
+    if (request.is_retry || !refusal.retry_after) {
+      return;
+    }
+    const customer_profile profile = request.profile;
+    const std::size_t next =
+        profile.router.value_or((router + 1) % options_.routers);
+    At(now_ + *refusal.retry_after,
+       [this, profile, next] { Send(profile, next, true); });
+  }
+
+  void Later(duration delay,
+             request_seq id,
+             attempt_number attempt,
+             const attempt_event& event) {
+    At(now_ + delay,
+       [this, id, attempt, event] { Report(id, attempt, event); });
+  }
+  void Report(request_seq id,
+              attempt_number attempt,
+              const attempt_event& event) {
+    const std::size_t router = requests_.at(id).router;
+    Handle(router, [&](effects& out) {
+      routers_[router]->OnAttempt(id, attempt, event, now_, out);
+    });
+  }
+  second_account& AccountOf(const customer_id& customer) {
+    const auto second =
+        std::chrono::duration_cast<std::chrono::seconds>(now_ - start_).count();
+    return accounts_[customer][second];
+  }
+
+  simulated_fleet_options options_;
+  seeded_random random_;
+  null_observer observer_;
+  const time_point start_{std::chrono::seconds(1000)};
+  time_point now_ = start_;
+  std::vector<std::unique_ptr<request_router>> routers_;
+  std::vector<engine> engines_;
+  std::map<std::size_t, admission::fleet_load> reports_;
+  std::map<request_seq, open_request> requests_;
+  std::map<customer_id, account> accounts_;
+  std::map<customer_id, double> largest_;
+  std::map<std::string, int> refusals_;
+  std::priority_queue<event> events_;
+  std::uint64_t last_event_ = 0;
+  std::uint64_t last_request_ = 0;
+};
+
+}  // namespace burdocklock::routing
