A router takes its callers, and says that it is ready only while it does

Its processor was used up by one customer's calls while the other routers of the data centre were at 1 to 5 %.

Cause: the accepting fiber took one connection in each turn of the event loop, so that accepting slowed down with the load; the listener's queue is served first in, first out and then held only callers that had left. Nothing limited the work that was begun, and readiness knew only the configuration and draining.

Now each turn accepts up to 32 waiting connections. At the limit, and without descriptors, the connection idle longest is closed for the new one; while none is idle the listener counts as blocked. A guard of the processor's time measures how busy the event loop is, limits the rate of admitted work when no time is left, by max-min shares of customers, and refuses the rest at once as not run with a short Retry-After. A router that is blocked, or refuses over two fifths for more than half a second, is not ready, on every address that says so, until two seconds after.

--- a/src/admission/internal/share_limiter.cc
+++ b/src/admission/internal/share_limiter.cc
@@ -25,7 +25,7 @@
 void share_limiter::OnArrival(const customer_id& customer,
                               double tokens,
                               time_point now) {
-  customers_[customer].demand.Add(tokens, now);
+  StateOf(customer).demand.Add(tokens, now);
   if (now - updated_at_ >= kUpdatePeriod) {
     UpdateShare(now);
   }
@@ -34,7 +34,7 @@
 void share_limiter::OnSent(const customer_id& customer,
                            double tokens,
                            time_point now) {
-  customer_state& state = customers_[customer];
+  customer_state& state = StateOf(customer);
   state.started.Add(tokens, now);
   Refill(state, now);
   state.bucket_tokens -= tokens;
@@ -43,7 +43,7 @@
 void share_limiter::OnNotExecuted(const customer_id& customer,
                                   double tokens,
                                   time_point now) {
-  customer_state& state = customers_[customer];
+  customer_state& state = StateOf(customer);
   state.started.Add(-tokens, now);
   Refill(state, now);
   state.bucket_tokens += tokens;
@@ -57,7 +57,7 @@
   }
   for (const customer_flow& flow : others) {
     if (flow.pool == pool_) {
-      customer_state& state = customers_[flow.customer];
+      customer_state& state = StateOf(flow.customer);
       state.remote_demand = flow.demand;
       state.remote_started = flow.started;
     }
@@ -76,7 +76,9 @@
     total_demand += demands.back();
     total_started += state.started.Rate(now) + state.remote_started;
   }
-  const double capacity = std::max(total_started, known_capacity_);
+  const double capacity = options_.basis == capacity_basis::kKnown
+                              ? known_capacity_
+                              : std::max(total_started, known_capacity_);
   share_ = total_demand > kOverloadFactor * capacity
                ? MaxMinShare(std::move(demands), capacity)
                : kNoLimit;
@@ -112,7 +114,7 @@
   if (share_ == kNoLimit) {
     return false;
   }
-  customer_state& state = customers_[customer];
+  customer_state& state = StateOf(customer);
   Refill(state, now);
   return state.bucket_tokens < 0;
 }
--- /dev/null
+++ b/src/admission/processor_guard.h
@@ -0,0 +1,59 @@
+// Limits the requests that one event loop takes to what its processor can
+// serve. Answers the load pattern of many callers at one router while others
+// are idle.
+#pragma once
+
+#include <atomic>
+#include <limits>
+
+#include "admission/share_limiter.h"
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+
+namespace burdocklock::admission {
+
+/// Measures how busy the event loop is. While it has no time left, the rate of
+/// admitted work is lowered, else raised again; each customer has its max-min
+/// share of that rate.
+///
+/// Used on the event loop's thread, except `IsHeavilyOverloaded`.
+class processor_guard {
+ public:
+  processor_guard() { shares_.SetKnownCapacity(kNoLimit); }
+
+  /// Records that the event loop was busy for `busy` before it waited again.
+  void OnTurn(duration busy, time_point now);
+  /// Returns whether a request may be processed. `cost` is in units of one
+  /// generation.
+  bool Admit(const customer_id& customer, double cost, time_point now);
+  /// Returns whether so much is refused that new callers are better off at
+  /// other routers. Callable from any thread.
+  [[nodiscard]] bool IsHeavilyOverloaded() const {
+    return heavily_overloaded_.load(std::memory_order_relaxed);
+  }
+  /// Cost per second that is admitted; kNoLimit while there is time left.
+  [[nodiscard]] double limit() const { return limit_; }
+
+ private:
+  void EndWindow(time_point now);
+  void UpdateLimit(double utilisation, double admitted_rate);
+  void UpdateOverload(time_point now);
+
+  share_limiter shares_{pool_id("processor"),
+                        {.basis = capacity_basis::kKnown,
+                         .averaging = std::chrono::milliseconds(500)}};
+  double limit_ = kNoLimit;
+  int busy_windows_ = 0;
+  // Of the current window.
+  time_point window_started_{};
+  duration busy_{};
+  duration longest_turn_{};
+  double admitted_cost_ = 0;
+  double refused_cost_ = 0;
+  /// Start of the current series of windows that refuse much, or little.
+  time_point series_started_{};
+  bool series_refuses_much_ = false;
+  std::atomic<bool> heavily_overloaded_{false};
+};
+
+}  // namespace burdocklock::admission
--- a/src/admission/share_limiter.h
+++ b/src/admission/share_limiter.h
@@ -15,6 +15,20 @@
 
 namespace burdocklock::admission {
 
+/// What the shares of customers are taken from.
+enum class capacity_basis {
+  /// The work that is started, or the known capacity if that is larger.
+  kStartedOrKnown,
+  /// The known capacity alone.
+  kKnown,
+};
+
+struct share_limiter_options {
+  capacity_basis basis = capacity_basis::kStartedOrKnown;
+  /// Over which demand and started work are averaged.
+  duration averaging = std::chrono::seconds(2);
+};
+
 /// While the demand on all routers together exceeds the work that is started,
 /// each customer has a token bucket that refills at its max-min share of the
 /// started work. A customer's share is split over the routers in proportion to
@@ -24,7 +38,9 @@
 /// as over it for longer than one bucket depth.
 class share_limiter {
  public:
-  explicit share_limiter(const pool_id& pool) : pool_(pool) {}
+  explicit share_limiter(const pool_id& pool,
+                         const share_limiter_options& options = {})
+      : pool_(pool), options_(options) {}
 
   /// Records an arriving request.
   void OnArrival(const customer_id& customer, double tokens, time_point now);
@@ -54,6 +70,9 @@
 
  private:
   struct customer_state {
+    explicit customer_state(duration averaging)
+        : demand(averaging), started(averaging) {}
+
     flow_meter demand;
     flow_meter started;
     double remote_demand = 0;
@@ -63,12 +82,16 @@
     time_point refilled_at{};
   };
 
+  customer_state& StateOf(const customer_id& customer) {
+    return customers_.try_emplace(customer, options_.averaging).first->second;
+  }
   void Refill(customer_state& state, time_point now);
   void UpdateShare(time_point now);
   [[nodiscard]] double RefillRate(const customer_state& state,
                                   time_point now) const;
 
   pool_id pool_;
+  share_limiter_options options_;
   std::unordered_map<customer_id, customer_state> customers_;
   double known_capacity_ = 0;
   double share_ = kNoLimit;
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -57,6 +57,11 @@
   void SetDrainHandler(std::function<void(const std::string& cause)> handler) {
     on_drain_ = std::move(handler);
   }
+  /// Sets the check whether new callers are accepted without delay; callable
+  /// from any thread. Without one, readiness does not depend on it.
+  void SetCallerCheck(std::function<bool()> takes_callers) {
+    takes_callers_ = std::move(takes_callers);
+  }
   /// Updates the addresses at which control hosts are contacted.
   void SetControlHosts(const std::vector<endpoint>& hosts);
   /// Aborts all unfinished requests and returns their number.
@@ -163,6 +168,8 @@
   boost::asio::steady_timer timer_;
   time_point timer_at_ = kNever;
   std::function<void(const std::string& cause)> on_drain_;
+  // Set before callers are served.
+  std::function<bool()> takes_callers_;
   std::atomic<std::uint64_t> last_request_{0};
   // Written once, before `draining_` is set.
   gateway::drain_window drain_window_;
--- a/src/app/internal/caller_monitor.h
+++ b/src/app/internal/caller_monitor.h
@@ -6,15 +6,15 @@
 
 #include "framework/logging/i_logger.h"
 #include "framework/metrics/metric_registry.h"
-#include "framework/net/listener_counters.h"
 #include "framework/types/time.h"
+#include "gateway/types/traffic_state.h"
 
 namespace burdocklock::app {
 
 /// Used on the control thread.
 class caller_monitor {
  public:
-  caller_monitor(const net::listener_counters& callers,
+  caller_monitor(const gateway::traffic_state& traffic,
                  metric_registry& metrics,
                  i_logger& logger);
 
@@ -23,15 +23,17 @@
 
  private:
   void EndPeriod(time_point now);
+  void LogReadiness();
 
-  const net::listener_counters& callers_;
+  const gateway::traffic_state& traffic_;
   i_logger& logger_;
   time_point period_started_{};
   duration longest_turn_{};
   /// Of the last complete period.
   duration last_longest_turn_{};
+  bool takes_callers_ = true;
   std::uint64_t reported_accepted_ = 0;
-  std::uint64_t reported_turned_away_ = 0;
+  std::uint64_t reported_evicted_ = 0;
   std::uint64_t reported_accept_failures_ = 0;
 };
 
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -96,7 +96,8 @@
 }
 
 bool control_loop::IsReady() const {
-  return !IsDraining() && (!feed_ || feed_->Routes() != nullptr);
+  return !IsDraining() && (!feed_ || feed_->Routes() != nullptr) &&
+         (!takes_callers_ || takes_callers_());
 }
 
 void control_loop::SetControlHosts(const std::vector<endpoint>& hosts) {
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -66,12 +66,13 @@
                 adapter,
                 NewIncarnation(),
                 logger),
-        monitor(callers, control.metrics(), logger),
+        monitor(shared_traffic, control.metrics(), logger),
         operators(control, this->settings.operator_tokens),
         operator_server(control_io,
                         {.listen = this->settings.operators},
                         operators) {}
 
+  void OnTurn(duration busy, time_point now);
   result<endpoint> StartTraffic();
   result<void> StartReadiness();
   void StopAccepting();
@@ -87,7 +88,7 @@
   // Must outlive its thread because the thread's scheduler refers to it.
   boost::asio::io_context control_io{1};
   settings_watch watch;
-  net::listener_counters callers;
+  gateway::traffic_state shared_traffic;
   control_loop control;
   caller_monitor monitor;
   gateway::operator_handler operators;
@@ -121,9 +122,7 @@
   std::thread control_thread([this] {
     RunFiberThread(
         state_->control_io, [this] { state_->RunControl(); },
-        [this](duration busy, time_point now) {
-          state_->monitor.OnTurn(busy, now);
-        });
+        [this](duration busy, time_point now) { state_->OnTurn(busy, now); });
   });
   control_thread.join();
   if (!state_->started) {
@@ -137,18 +136,25 @@
                     [state = state_.get()] { state->control.Drain("stop"); });
 }
 
+void daemon::state::OnTurn(duration busy, time_point now) {
+  if (control_thread_traffic) {
+    control_thread_traffic->OnTurn(busy, now);
+  }
+  monitor.OnTurn(busy, now);
+}
+
 result<endpoint> daemon::state::StartTraffic() {
   gateway::gateway_options options = MakeGatewayOptions(settings);
   const gateway::i_call_dialect* dialect =
       adapter != nullptr ? &adapter->calls() : nullptr;
   if (settings.limits.share_control_thread) {
     control_thread_traffic = std::make_unique<gateway::traffic_service>(
-        control_io, options, control, dialect, callers);
+        control_io, options, control, dialect, shared_traffic);
     return control_thread_traffic->Start();
   }
   for (std::uint32_t i = 0; i < settings.limits.traffic_threads; ++i) {
     traffic.push_back(std::make_unique<gateway::traffic_thread>(
-        options, control, dialect, callers));
+        options, control, dialect, shared_traffic));
     result<endpoint> bound = traffic.back()->Start();
     if (!bound) {
       return bound;
@@ -176,6 +182,7 @@
 }
 
 void daemon::state::RunControl() {
+  control.SetCallerCheck([this] { return shared_traffic.TakesCallers(); });
   control.SetDrainHandler(
       [this](const std::string&) { drain_requested.Set(); });
   boost::asio::signal_set signals(control_io, SIGTERM, SIGINT, SIGHUP);
@@ -282,7 +289,7 @@
   StopAccepting();
   // Waits without blocking the control thread, which the remaining connections
   // need in order to finish.
-  while (callers.open > 0) {
+  while (shared_traffic.callers.open > 0) {
     SleepFor(control_io, kDrainPollInterval);
   }
   traffic.clear();
--- a/src/app/internal/status_report.cc
+++ b/src/app/internal/status_report.cc
@@ -82,9 +82,10 @@
       {"daemon", settings_.daemon.value()},
       {"data_centre", settings_.data_centre.value()},
       {"region", settings_.region.value()},
-      {"state", IsDraining() ? "draining"
-                : IsReady()  ? "ready"
-                             : "starting"},
+      {"state", IsDraining()                          ? "draining"
+                : IsReady()                           ? "ready"
+                : takes_callers_ && !takes_callers_() ? "busy"
+                                                      : "starting"},
       {"uptime_s", static_cast<std::int64_t>(ToSeconds(now - started_))},
       {"targets", targets.size()},
       {"targets_ready", ready},
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <unordered_set>
 
@@ -21,10 +22,15 @@
   /// Bytes received after the end of the current request.
   beast::flat_buffer buffer;
   duration write_timeout{};
+  time_point accepted_at{};
   /// True while no request is being read or handled.
-  bool idle = true;
+  bool idle = false;
   /// True once a request has been handled.
   bool used = false;
+  /// Closed to make room for a new connection.
+  bool evicted = false;
+  /// Position in the server's list of idle connections while `idle`.
+  std::list<http_connection*>::iterator idle_position;
 
   /// Writes a complete response; returns false on an error or a timeout.
   bool Write(http_response& response);
@@ -60,6 +66,8 @@
   /// If set, called before each request and used instead of `limits`.
   std::function<http_limits()> current_limits;
   duration write_timeout = std::chrono::seconds(30);
+  /// At this many open connections, a new one replaces the one that has been
+  /// idle longest. While none is idle, new ones wait to be accepted.
   std::uint32_t max_connections = 4096;
   /// Shared by several servers, which then have one limit together; nullptr for
   /// counters of the server's own.
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include <boost/asio/socket_base.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -14,6 +13,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "framework/fiber/fiber_thread.h"
+#include "framework/fiber/sleep.h"
 #include "framework/fiber/use_fiber.h"
 
 namespace burdocklock::net {
@@ -24,9 +24,14 @@
 using reuse_port =
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-// Delay before the next accept after a failed one, for example when the process
-// has run out of file descriptors.
-constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+using std::chrono::steady_clock;
+
+// Delay before the next accept while no connection can be accepted.
+constexpr std::chrono::milliseconds kBlockedRetryDelay{20};
+// Bounds the time for which accepting delays the requests already accepted.
+constexpr int kMaxAcceptsPerTurn = 32;
+// A connection without a request is not closed for a new one before this time.
+constexpr std::chrono::seconds kMinUnusedTime{1};
 
 bool IsTooLarge(const beast::error_code& ec) {
   return ec == http::error::header_limit || ec == http::error::body_limit ||
@@ -59,6 +64,19 @@
 
   result<endpoint> Listen();
   void AcceptLoop();
+  // Accepts further connections that already wait, so that their number does
+  // not depend on the turns of the event loop.
+  void AcceptPending();
+  // Closes idle connections, or waits, until a connection can be accepted or
+  // none waits any more.
+  void AcceptAfterFailure();
+  void SetBlocked(bool now_blocked);
+  // Returns whether another connection may be opened; closes an idle one if
+  // necessary.
+  bool MakeRoom();
+  bool EvictIdle();
+  void SetIdle(http_connection& connection, bool idle);
+  void Serve(tcp_stream stream);
   void ServeConnection(tcp_stream stream);
   void ServeRequests(http_connection& connection);
   std::optional<http_request> ReadRequest(http_connection& connection);
@@ -71,6 +89,12 @@
   i_http_handler& handler;
   tcp_acceptor acceptor;
   std::unordered_set<http_connection*> connections;
+  /// Idle connections with and without an earlier request, longest idle first.
+  std::list<http_connection*> idle_used;
+  std::list<http_connection*> idle_unused;
+  /// Evicted connections whose fibers have not ended yet.
+  std::uint32_t evicting = 0;
+  bool blocked = false;
   listener_counters own_counters;
   bool stopping = false;
 
@@ -140,45 +164,126 @@
 }
 
 void http_server::state::AcceptLoop() {
+  beast::error_code ignored;
+  acceptor.non_blocking(true, ignored);
   while (!stopping) {
-    auto stream = std::make_shared<tcp_stream>(context);
+    if (!MakeRoom()) {
+      SetBlocked(true);
+      SleepFor(context, kBlockedRetryDelay);
+      continue;
+    }
+    SetBlocked(false);
+    tcp_stream stream(context);
     const beast::error_code ec =
-        acceptor.async_accept(stream->socket(), use_fiber);
+        acceptor.async_accept(stream.socket(), use_fiber);
     if (stopping) {
-      return;
+      break;
     }
     if (ec) {
-      ++counters().accept_failures;
-      asio::basic_waitable_timer<std::chrono::steady_clock,
-                                 asio::wait_traits<std::chrono::steady_clock>,
-                                 asio::io_context::executor_type>
-          delay(context, kAcceptRetryDelay);
-      delay.async_wait(use_fiber);
+      AcceptAfterFailure();
       continue;
     }
-    if (counters().open >= options.max_connections) {
-      ++counters().turned_away;
-      continue;
+    Serve(std::move(stream));
+    AcceptPending();
+  }
+  SetBlocked(false);
+}
+
+void http_server::state::AcceptPending() {
+  for (int accepted = 1; accepted < kMaxAcceptsPerTurn && MakeRoom();
+       ++accepted) {
+    tcp_stream stream(context);
+    beast::error_code ec;
+    acceptor.accept(stream.socket(), ec);
+    if (ec) {
+      return;
     }
-    ++counters().accepted;
-    SpawnFiber([self = shared_from_this(), stream] {
-      self->ServeConnection(std::move(*stream));
-    });
+    Serve(std::move(stream));
   }
 }
 
-void http_server::state::ServeConnection(tcp_stream stream) {
+void http_server::state::AcceptAfterFailure() {
+  beast::error_code ec;
+  do {
+    ++counters().accept_failures;
+    if (!EvictIdle()) {
+      SetBlocked(true);
+      SleepFor(context, kBlockedRetryDelay);
+    }
+    tcp_stream stream(context);
+    acceptor.accept(stream.socket(), ec);
+    if (!ec) {
+      Serve(std::move(stream));
+    }
+  } while (!stopping && ec && ec != asio::error::would_block);
+}
+
+void http_server::state::SetBlocked(bool now_blocked) {
+  if (blocked != now_blocked) {
+    blocked = now_blocked;
+    counters().blocked += now_blocked ? 1 : -1;
+  }
+}
+
+bool http_server::state::MakeRoom() {
+  return counters().open < options.max_connections + evicting || EvictIdle();
+}
+
+bool http_server::state::EvictIdle() {
+  const bool any_used = !idle_used.empty();
+  // A new connection is about to send its first request.
+  if (!any_used && (idle_unused.empty() ||
+                    steady_clock::now() - idle_unused.front()->accepted_at <
+                        kMinUnusedTime)) {
+    return false;
+  }
+  http_connection& longest = *(any_used ? idle_used : idle_unused).front();
+  SetIdle(longest, false);
+  longest.evicted = true;
+  ++evicting;
+  ++counters().evicted;
+  longest.stream.close();
+  return true;
+}
+
+void http_server::state::SetIdle(http_connection& connection, bool idle) {
+  if (connection.idle == idle) {
+    return;
+  }
+  std::list<http_connection*>& order =
+      connection.used ? idle_used : idle_unused;
+  connection.idle = idle;
+  if (idle) {
+    connection.idle_position = order.insert(order.end(), &connection);
+  } else {
+    order.erase(connection.idle_position);
+  }
+}
+
+void http_server::state::Serve(tcp_stream stream) {
+  ++counters().accepted;
   ++counters().open;
+  SpawnFiber([self = shared_from_this(),
+              stream = std::make_shared<tcp_stream>(std::move(stream))] {
+    self->ServeConnection(std::move(*stream));
+  });
+}
+
+void http_server::state::ServeConnection(tcp_stream stream) {
   http_connection connection{.stream = std::move(stream),
                              .buffer = {},
-                             .write_timeout = options.write_timeout};
+                             .write_timeout = options.write_timeout,
+                             .accepted_at = steady_clock::now()};
   beast::error_code ignored;
   connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   connections.insert(&connection);
+  SetIdle(connection, true);
   ServeRequests(connection);
+  SetIdle(connection, false);
   connections.erase(&connection);
   connection.stream.socket().shutdown(asio::socket_base::shutdown_both,
                                       ignored);
+  evicting -= connection.evicted ? 1 : 0;
   --counters().open;
 }
 
@@ -189,8 +294,8 @@
       return;
     }
     const keep_alive keep = handler.Handle(connection, *request);
-    connection.idle = true;
     connection.used = true;
+    SetIdle(connection, true);
     if (keep == keep_alive::kNo) {
       return;
     }
@@ -215,7 +320,7 @@
     }
     connection.buffer.commit(first.value);
   }
-  connection.idle = false;
+  SetIdle(connection, false);
   connection.stream.expires_after(limits.read_timeout);
   const auto header = http::async_read_header(
       connection.stream, connection.buffer, parser, use_fiber);
--- a/src/framework/net/listener_counters.h
+++ b/src/framework/net/listener_counters.h
@@ -10,10 +10,13 @@
 struct listener_counters {
   std::atomic<std::uint32_t> open{0};
   std::atomic<std::uint64_t> accepted{0};
-  /// Accepted and closed because of the limit on open connections.
-  std::atomic<std::uint64_t> turned_away{0};
+  /// Idle connections that were closed to make room for new ones.
+  std::atomic<std::uint64_t> evicted{0};
   /// Failed calls of accept, for example without free file descriptors.
   std::atomic<std::uint64_t> accept_failures{0};
+  /// Listeners that cannot accept at present: the limit on open connections or
+  /// the descriptors are used up, and no connection is idle.
+  std::atomic<std::uint32_t> blocked{0};
 };
 
 }  // namespace burdocklock::net
--- a/src/gateway/i_control.h
+++ b/src/gateway/i_control.h
@@ -67,6 +67,8 @@
   [[nodiscard]] virtual std::shared_ptr<const routes::route_index> Routes()
       const = 0;
   [[nodiscard]] virtual bool IsDraining() const = 0;
+  /// Whether new callers are accepted and served.
+  [[nodiscard]] virtual bool IsReady() const = 0;
   /// Set once the daemon is shutting down.
   [[nodiscard]] virtual std::optional<drain_window> DrainWindow() const = 0;
 
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "admission/processor_guard.h"
 #include "framework/net/http_client.h"
 #include "gateway/i_control.h"
 #include "gateway/i_target_dialect.h"
@@ -25,6 +26,7 @@
   const i_target_dialect& dialect;
   target_connections& idle_connections;
   progress_reporter& progress;
+  admission::processor_guard& guard;
   std::uint32_t max_answer_bytes = 0;
 };
 
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -15,21 +15,45 @@
 
 // Retry-After during shutdown: the usual duration of a daemon restart.
 constexpr std::chrono::seconds kRestartRetryAfter{1};
+// Retry-After when the processor is used up: another router can serve the call
+// at once. The steps spread the callers' retries.
+constexpr std::chrono::milliseconds kBusyRetryAfter{200};
+constexpr std::chrono::milliseconds kBusyRetryStep{50};
+constexpr std::uint64_t kBusyRetrySteps = 8;
+// Processor time of a call of a plain service, relative to a generation, whose
+// answer comes in many parts.
+constexpr double kServiceCallCost = 0.2;
+
+double ProcessorCost(const routing::request_spec& spec) {
+  return spec.kind == routing::call_kind::kServiceCall ? kServiceCallCost : 1;
+}
+
+std::chrono::milliseconds BusyRetryAfter(request_seq request) {
+  return kBusyRetryAfter + kBusyRetryStep * (request.value() % kBusyRetrySteps);
+}
 
 }  // namespace
 
 net::keep_alive call_service::Serve(net::http_connection& connection,
                                     const net::http_request& request,
                                     outgoing_call call) {
+  const time_point now = std::chrono::steady_clock::now();
   const std::optional<drain_window> drain = context_.control.DrainWindow();
-  if (drain &&
-      !drain->Accepts(std::chrono::steady_clock::now(), call.spec.time_limit)) {
+  if (drain && !drain->Accepts(now, call.spec.time_limit)) {
     return Refuse(connection, request, call.request_name,
                   {.customer = call.spec.customer,
                    .request = call.spec.id,
                    .reason = refusal_reason::kDraining,
                    .retry_after = kRestartRetryAfter});
   }
+  if (!context_.guard.Admit(call.spec.customer, ProcessorCost(call.spec),
+                            now)) {
+    return Refuse(connection, request, call.request_name,
+                  {.customer = call.spec.customer,
+                   .request = call.spec.id,
+                   .reason = refusal_reason::kRouterBusy,
+                   .retry_after = BusyRetryAfter(call.spec.id)});
+  }
   const bool keep = request.keep_alive() && !drain;
   response_writer writer(connection, request, call.request_name, keep,
                          context_.dialect);
@@ -48,7 +72,8 @@
                                      refusals::refusal refusal) {
   const request_seq id = *refusal.request;
   const bool keep = request.keep_alive() && !context_.control.IsDraining() &&
-                    request.method() != net::http::verb::unknown;
+                    request.method() != net::http::verb::unknown &&
+                    refusal.reason != refusal_reason::kRouterBusy;
   response_writer writer(connection, request, name, keep, context_.dialect);
   outgoing_call refused_call{.spec = {.id = id, .caller_name = name},
                              .request_name = name,
--- a/src/gateway/internal/call_service.h
+++ b/src/gateway/internal/call_service.h
@@ -15,7 +15,7 @@
 
   /// Serves the call on the connection's fiber until the response is written or
   /// the caller disconnects. Refuses it if the daemon is shutting down and the
-  /// call might not end in time.
+  /// call might not end in time, or if the processor has no time for it.
   net::keep_alive Serve(net::http_connection& connection,
                         const net::http_request& request,
                         outgoing_call call);
--- a/src/gateway/internal/caller_handler.cc
+++ b/src/gateway/internal/caller_handler.cc
@@ -67,9 +67,9 @@
     return Reply(connection, request, 200, "text/plain", "ok\n");
   }
   if (path == "/readyz") {
-    const bool ready = !context_.control.IsDraining();
+    const bool ready = context_.control.IsReady();
     return Reply(connection, request, ready ? 200 : 503, "text/plain",
-                 ready ? "ready\n" : "draining\n");
+                 ready ? "ready\n" : "not ready\n");
   }
   if (path == "/v1/targets/announce") {
     return HandleAnnouncement(connection, request);
--- a/src/gateway/internal/operator_handler.cc
+++ b/src/gateway/internal/operator_handler.cc
@@ -59,7 +59,7 @@
   const bool ready = path == "/healthz" || operations_.IsReady();
   return {.status = ready ? 200U : 503U,
           .content_type = "text/plain",
-          .body = ready ? "ok\n" : "draining\n"};
+          .body = ready ? "ok\n" : "not ready\n"};
 }
 
 operator_handler::reply operator_handler::HandleOperator(
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -39,8 +39,9 @@
         gateway_options opts,
         i_control& control,
         const i_call_dialect* call_dialect,
-        net::listener_counters& callers)
+        traffic_state& shared)
       : options(std::move(opts)),
+        shared(shared),
         idle_connections(io, options.target_idle),
         progress(io, control),
         context{
@@ -51,6 +52,7 @@
                            : openai,
             .idle_connections = idle_connections,
             .progress = progress,
+            .guard = guard,
             .max_answer_bytes = options.max_answer_bytes},
         handler(MakeHandler(call_dialect)),
         server(
@@ -62,7 +64,7 @@
                  [this, &control] { return CurrentLimits(options, control); },
              .write_timeout = options.caller_write,
              .max_connections = options.max_connections,
-             .counters = &callers},
+             .counters = &shared.callers},
             *handler) {}
 
   std::unique_ptr<net::i_http_handler> MakeHandler(
@@ -74,6 +76,10 @@
   }
 
   gateway_options options;
+  traffic_state& shared;
+  admission::processor_guard guard;
+  /// Whether this thread is counted as overloaded.
+  bool overloaded = false;
   openai_dialect openai;
   target_connections idle_connections;
   progress_reporter progress;
@@ -86,15 +92,23 @@
                                  gateway_options options,
                                  i_control& control,
                                  const i_call_dialect* dialect,
-                                 net::listener_counters& callers)
+                                 traffic_state& shared)
     : state_(std::make_unique<state>(io,
                                      std::move(options),
                                      control,
                                      dialect,
-                                     callers)) {}
+                                     shared)) {}
 
 traffic_service::~traffic_service() = default;
 
+void traffic_service::OnTurn(duration busy, time_point now) {
+  state_->guard.OnTurn(busy, now);
+  if (state_->overloaded != state_->guard.IsHeavilyOverloaded()) {
+    state_->overloaded = !state_->overloaded;
+    state_->shared.overloaded_threads += state_->overloaded ? 1 : -1;
+  }
+}
+
 result<endpoint> traffic_service::Start() {
   return state_->server.Start();
 }
--- a/src/gateway/internal/traffic_thread.cc
+++ b/src/gateway/internal/traffic_thread.cc
@@ -17,18 +17,18 @@
   state(gateway_options options,
         i_control& control,
         const i_call_dialect* dialect,
-        net::listener_counters& callers)
+        traffic_state& shared)
       : options(std::move(options)),
         control(control),
         dialect(dialect),
-        callers(callers) {}
+        shared(shared) {}
 
   void Run(std::promise<result<endpoint>>& started);
 
   gateway_options options;
   i_control& control;
   const i_call_dialect* dialect;
-  net::listener_counters& callers;
+  traffic_state& shared;
   boost::asio::io_context io{1};
   // Set while the thread is serving; accessed only from that thread.
   traffic_service* service = nullptr;
@@ -39,11 +39,11 @@
 traffic_thread::traffic_thread(gateway_options options,
                                i_control& control,
                                const i_call_dialect* dialect,
-                               net::listener_counters& callers)
+                               traffic_state& shared)
     : state_(std::make_unique<state>(std::move(options),
                                      control,
                                      dialect,
-                                     callers)) {}
+                                     shared)) {}
 
 traffic_thread::~traffic_thread() {
   Join();
@@ -75,18 +75,23 @@
 }
 
 void traffic_thread::state::Run(std::promise<result<endpoint>>& started) {
-  traffic_service own_service(io, options, control, dialect, callers);
+  traffic_service own_service(io, options, control, dialect, shared);
   service = &own_service;
-  RunFiberThread(io, [&] {
-    result<endpoint> bound = own_service.Start();
-    const bool listening = bound.has_value();
-    started.set_value(std::move(bound));
-    if (!listening) {
-      return;
-    }
-    stop.Wait();
-    own_service.Stop();
-  });
+  RunFiberThread(
+      io,
+      [&] {
+        result<endpoint> bound = own_service.Start();
+        const bool listening = bound.has_value();
+        started.set_value(std::move(bound));
+        if (!listening) {
+          return;
+        }
+        stop.Wait();
+        own_service.Stop();
+      },
+      [&own_service](duration busy, time_point now) {
+        own_service.OnTurn(busy, now);
+      });
   service = nullptr;
 }
 
--- a/src/gateway/traffic_service.h
+++ b/src/gateway/traffic_service.h
@@ -7,12 +7,12 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "framework/net/listener_counters.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/error.h"
 #include "gateway/i_call_dialect.h"
 #include "gateway/i_control.h"
 #include "gateway/types/gateway_options.h"
+#include "gateway/types/traffic_state.h"
 
 namespace burdocklock::gateway {
 
@@ -20,17 +20,18 @@
 class traffic_service {
  public:
   /// `dialect` is the protocol for routed callers; nullptr selects the
-  /// OpenAI-style interface. `callers` counts the connections of callers
-  /// across all services.
+  /// OpenAI-style interface. `shared` is updated by all services.
   traffic_service(boost::asio::io_context& io,
                   gateway_options options,
                   i_control& control,
                   const i_call_dialect* dialect,
-                  net::listener_counters& callers);
+                  traffic_state& shared);
   ~traffic_service();
 
   /// Returns the listening address.
   result<endpoint> Start();
+  /// Records that the thread's event loop was busy before it waited again.
+  void OnTurn(duration busy, time_point now);
   /// Closes idle caller connections.
   void CloseIdle();
   /// Stops accepting connections; requests in progress continue.
--- a/src/gateway/traffic_thread.h
+++ b/src/gateway/traffic_thread.h
@@ -4,22 +4,22 @@
 #include <cstdint>
 #include <memory>
 
-#include "framework/net/listener_counters.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/error.h"
 #include "gateway/i_call_dialect.h"
 #include "gateway/i_control.h"
 #include "gateway/types/gateway_options.h"
+#include "gateway/types/traffic_state.h"
 
 namespace burdocklock::gateway {
 
 class traffic_thread {
  public:
-  /// `callers` counts the connections of callers across all threads.
+  /// `shared` is updated by all threads.
   traffic_thread(gateway_options options,
                  i_control& control,
                  const i_call_dialect* dialect,
-                 net::listener_counters& callers);
+                 traffic_state& shared);
   ~traffic_thread();
 
   /// Starts the thread; returns the listening address.
--- /dev/null
+++ b/src/gateway/types/traffic_state.h
@@ -0,0 +1,22 @@
+// State of the traffic threads that the control thread may read at any time.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+#include "framework/net/listener_counters.h"
+
+namespace burdocklock::gateway {
+
+struct traffic_state {
+  net::listener_counters callers;
+  /// Threads whose processor time is so short that they refuse most requests.
+  std::atomic<std::uint32_t> overloaded_threads{0};
+
+  /// Returns whether a new caller is accepted and served without delay.
+  [[nodiscard]] bool TakesCallers() const {
+    return callers.blocked == 0 && overloaded_threads == 0;
+  }
+};
+
+}  // namespace burdocklock::gateway
--- a/src/refusals/types/refusal.h
+++ b/src/refusals/types/refusal.h
@@ -19,6 +19,7 @@
   kUnknownPool,
   kUnknownRoute,
   kNoConfiguration,
+  kRouterBusy,
   kOverShare,
   kQueueFull,
   kQueueTimeout,
