Bound the framing of a target's answer, and close idle connections that get bytes

A target in trouble may send bytes without end in a head or a body. Ten such answers against a scripted target: heads, chunks, bodies until the end of the connection, events and comments of streams were given up at their limits; an extension of a chunk header was read for the whole time limit (765 MB in two seconds, into one buffer), a trailer as well, and a kept connection on which bytes came after a complete answer stayed open until it expired.

Cause: the limit on the body counts what the parser has consumed, and it consumes a chunk header or a trailer only as a whole; idle connections were looked at only when taken. What the parser cannot consume is now bounded like a head, 64 KB; every two seconds idle connections that have become readable are closed; one event may be 128 KB instead of 1 MB, as many streams are read at once.

--- a/src/app/tests/fake_target.h
+++ b/src/app/tests/fake_target.h
@@ -25,6 +25,8 @@
   std::string bytes;
   /// Keeps the connection open afterwards until the peer closes it.
   bool hang = false;
+  /// If not empty, written again and again until the peer closes.
+  std::string endless = {};
 };
 
 class fake_target : public net::i_http_handler {
@@ -60,6 +62,11 @@
     }
     net::asio::async_write(connection.stream, net::asio::buffer(answer.bytes),
                            use_fiber);
+    if (!answer.endless.empty()) {
+      WriteEndlessly(connection, answer.endless);
+      ++closed_by_peer;
+      return net::keep_alive::kNo;
+    }
     if (answer.hang) {
       char byte = 0;
       connection.stream.async_read_some(net::asio::buffer(&byte, 1), use_fiber);
@@ -73,8 +80,21 @@
 
   std::atomic<int> requests{0};
   std::atomic<int> closed_by_peer{0};
+  std::atomic<std::size_t> endless_bytes{0};
 
  private:
+  void WriteEndlessly(net::http_connection& connection,
+                      const std::string& piece) {
+    for (;;) {
+      const auto written = net::asio::async_write(
+          connection.stream, net::asio::buffer(piece), use_fiber);
+      if (written.ec) {
+        return;
+      }
+      endless_bytes += written.value;
+    }
+  }
+
   script script_;
   boost::asio::io_context io_{1};
   fiber_event stop_;
--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -144,6 +144,10 @@
 }
 
 result<void> http_client::FillBuffer() {
+  // What is left in the buffer is an unfinished chunk header or trailer.
+  if (state_->buffer.size() > kMaxHeadBytes) {
+    return state_->MakeError("read answer", http::error::header_limit);
+  }
   const auto read = state_->stream.async_read_some(
       state_->buffer.prepare(kReadBytes), use_fiber);
   state_->buffer.commit(read.value);
--- a/src/gateway/internal/target_connections.cc
+++ b/src/gateway/internal/target_connections.cc
@@ -10,6 +10,7 @@
 // An idle connection is closed this long before the target would close it, so
 // that a request is not sent while the target closes the connection.
 constexpr std::chrono::milliseconds kIdleMargin{800};
+constexpr std::chrono::seconds kSweepInterval{2};
 
 }  // namespace
 
@@ -58,11 +59,11 @@
   sweep_timer_.cancel();
 }
 
-void target_connections::CloseExpired() {
+void target_connections::CloseUnusable() {
   const time_point now = std::chrono::steady_clock::now();
   for (auto it = idle_.begin(); it != idle_.end();) {
-    std::erase_if(it->second, [now](const idle_connection& connection) {
-      return connection.until <= now;
+    std::erase_if(it->second, [now](const idle_connection& idle) {
+      return idle.until <= now || !idle.connection->IsQuiet();
     });
     it = it->second.empty() ? idle_.erase(it) : std::next(it);
   }
@@ -73,13 +74,13 @@
     return;
   }
   sweep_scheduled_ = true;
-  sweep_timer_.expires_after(max_idle_);
+  sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](const boost::system::error_code& ec) {
     if (ec) {
       return;
     }
     sweep_scheduled_ = false;
-    CloseExpired();
+    CloseUnusable();
     ScheduleSweep();
   });
 }
--- a/src/gateway/numbered_event_scanner.h
+++ b/src/gateway/numbered_event_scanner.h
@@ -18,7 +18,7 @@
 /// body ends after a complete event.
 class numbered_event_scanner : public i_stream_scanner {
  public:
-  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+  static constexpr std::size_t kMaxEventBytes = 128 * 1024;
 
   /// `after` is the ID of the last event forwarded by an earlier attempt.
   explicit numbered_event_scanner(std::optional<std::uint64_t> after)
--- a/src/gateway/target_connections.h
+++ b/src/gateway/target_connections.h
@@ -39,7 +39,9 @@
   };
   using key = std::pair<endpoint, incarnation>;
 
-  void CloseExpired();
+  /// Closes connections that have expired, have been closed by the target, or
+  /// on which it has sent bytes without a request.
+  void CloseUnusable();
   void ScheduleSweep();
 
   boost::asio::io_context& context_;
--- a/src/route_interface/tests/route_path_fixture.h
+++ b/src/route_interface/tests/route_path_fixture.h
@@ -54,6 +54,12 @@
                {"kind", "idempotent"},
                {"timeout_ms", 2000},
                {"max_attempts", 2},
+               {"services", {{{"service", "desk"}}}}},
+              {{"name", "talk"},
+               {"host_name", "desk.example"},
+               {"path_prefix", "/talk/"},
+               {"kind", "stream"},
+               {"timeout_ms", 2000},
                {"services", {{{"service", "desk"}}}}}}},
             {"services", {{{"name", "desk"}}}},
             {"customers", {{{"name", "c"}, {"keys", {"k"}}}}}};
