A router without descriptors does not blame its targets

It is a failure of its own now: the call is refused as not run with reason router_busy and the target is left as it was.

--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -33,6 +33,12 @@
       ec == asio::error::bad_descriptor) {
     return error_code::kCancelled;
   }
+  if (ec == asio::error::no_descriptors || ec == asio::error::no_memory ||
+      ec == asio::error::no_buffer_space ||
+      ec == boost::system::errc::too_many_files_open_in_system ||
+      ec == boost::system::errc::address_not_available) {
+    return error_code::kNoResources;
+  }
   if (ec == http::error::body_limit || ec == http::error::header_limit) {
     return error_code::kTooLarge;
   }
--- a/src/framework/types/error.h
+++ b/src/framework/types/error.h
@@ -15,6 +15,8 @@
   kTimeout,
   kConnectionFailed,
   kConnectionClosed,
+  /// This process has no file descriptors, ports or memory left for it.
+  kNoResources,
   kTooLarge,
   kUnauthorised,
   kCancelled,
@@ -36,6 +38,8 @@
       return "connection_failed";
     case error_code::kConnectionClosed:
       return "connection_closed";
+    case error_code::kNoResources:
+      return "no_resources";
     case error_code::kTooLarge:
       return "too_large";
     case error_code::kUnauthorised:
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -67,8 +67,10 @@
   connection_ = std::make_unique<net::http_client>(context_.io);
   const result<void> connected = connection_->Connect(order_.address);
   if (!connected) {
-    return Fail(failure_kind::kConnectFailed, connected.error().step,
-                connected.error().detail);
+    const bool own_fault = connected.error().code == error_code::kNoResources;
+    return Fail(
+        own_fault ? failure_kind::kNoResources : failure_kind::kConnectFailed,
+        connected.error().step, connected.error().detail);
   }
   return std::nullopt;
 }
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -13,6 +13,7 @@
                std::optional<refusals::refusal_reason> cancel_reason) {
   switch (failure.kind) {
     case failure_kind::kCallerLost:
+    case failure_kind::kNoResources:
     case failure_kind::kAnswerTooLarge:
     case failure_kind::kTargetError:
       return failure.kind != failure_kind::kTargetError || failure.has_answer;
--- a/src/routing/internal/request_lifecycle.cc
+++ b/src/routing/internal/request_lifecycle.cc
@@ -11,10 +11,11 @@
 
 namespace {
 
-// The failure does not depend on the target, so a retry cannot succeed.
+// The failure does not depend on the target, so a retry cannot succeed here.
 bool IsNonRetryable(failure_kind kind) {
   return kind == failure_kind::kAnswerTooLarge ||
-         kind == failure_kind::kCallerLost;
+         kind == failure_kind::kCallerLost ||
+         kind == failure_kind::kNoResources;
 }
 
 bool MayHaveRun(const attempt_failed& failure) {
@@ -213,7 +214,9 @@
   if (failure.kind == failure_kind::kCancelled && cancel_reason_) {
     return *cancel_reason_;
   }
-  return refusal_reason::kTargetFailed;
+  return failure.kind == failure_kind::kNoResources
+             ? refusal_reason::kRouterBusy
+             : refusal_reason::kTargetFailed;
 }
 
 run_state request_lifecycle::RunState() const {
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -450,6 +450,7 @@
       return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
     }
     case refusal_reason::kDraining:
+    case refusal_reason::kRouterBusy:
     case refusal_reason::kTargetFailed:
     case refusal_reason::kTargetTimeout:
       return kMinRetryAfter;
--- a/src/routing/tests/request_router_unittest.cc
+++ b/src/routing/tests/request_router_unittest.cc
@@ -249,6 +249,31 @@
         connection_choice::kNewOnly);
 }
 
+TEST_CASE_METHOD(router_fixture,
+                 "router: no descriptors for a connection: refused as not run, "
+                 "the target stays in use") {
+  Announce(Target("t1"));
+  const auto limit = router.directory().RampLimit(target_id("t1"));
+  Fail(Request("depot"), failure_kind::kNoResources);
+  REQUIRE(refusals.size() == 1);
+  CHECK(refusals[0].reason == refusal_reason::kRouterBusy);
+  CHECK(refusals[0].run == run_state::kNotRun);
+  CHECK(refusals[0].retry_after.has_value());
+  CHECK(router.directory().RampLimit(target_id("t1")) == limit);
+  CHECK(running.contains(Request("depot")));
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "router: a target refuses a connection: not used until it "
+                 "announces itself again") {
+  Announce(Target("t1"));
+  Fail(Request("depot"), failure_kind::kConnectFailed);
+  Request("depot");
+  CHECK(running.empty());
+  Announce(Target("t1", 1, 2));
+  CHECK(running.size() == 1);
+}
+
 TEST_CASE_METHOD(router_fixture,
                  "router: every target fails: retries stay in the budget") {
   for (int i = 0; i < 4; ++i) {
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -12,6 +12,8 @@
 
 enum class failure_kind {
   kConnectFailed,
+  /// This daemon has no file descriptors, ports or memory for a connection.
+  kNoResources,
   /// The connection was closed or reset before the response was complete.
   kBroken,
   /// The target reported that it rejected the request without executing it.
@@ -33,6 +35,8 @@
   switch (kind) {
     case failure_kind::kConnectFailed:
       return "connect_failed";
+    case failure_kind::kNoResources:
+      return "no_resources";
     case failure_kind::kBroken:
       return "broken";
     case failure_kind::kNotAdmitted:
