--- a/src/admission/internal/processor_guard.cc
+++ b/src/admission/internal/processor_guard.cc
@@ -19,8 +19,8 @@
 constexpr int kBusyWindowsBeforeLimit = 2;
 // The first decrease also lets the requests that have piled up be served. Later
 // ones are gradual, as streams admitted earlier still use the processor.
-constexpr double kFirstDecrease = 0.7;
-constexpr double kDecrease = 0.9;
+constexpr double kFirstDecrease = 0.8;
+constexpr double kDecrease = 0.95;
 constexpr double kIncrease = 1.05;
 constexpr double kMinLimit = 10;
 // The limit ends when it exceeds the demand by this factor.
