--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -315,7 +315,8 @@
     connection.stream.expires_after(limits.idle_timeout);
     const auto first = connection.stream.async_read_some(
         connection.buffer.prepare(limits.max_header_bytes), use_fiber);
-    if (first.ec || first.value == 0) {
+    // Bytes that crossed an eviction belong to a request that is not read.
+    if (first.ec || first.value == 0 || connection.evicted) {
       return std::nullopt;
     }
     connection.buffer.commit(first.value);
