--- a/src/quorum/tests/quorum_unittest.cc
+++ b/src/quorum/tests/quorum_unittest.cc
@@ -191,6 +191,32 @@
   CheckInvariants(cluster);
 }
 
+TEST_CASE(
+    "disk: two of eight lost right after an acknowledgement while all "
+    "others lose power: command kept") {
+  constexpr std::size_t kHosts = 8;
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    fake_cluster cluster(seed, 3, kHosts);
+    cluster.RunFor(seconds(12));
+    REQUIRE(cluster.Leader().has_value());
+    REQUIRE(cluster.Propose("a"));
+    while (cluster.acks.empty()) {
+      cluster.RunFor(milliseconds(1));
+    }
+    const std::size_t first = cluster.Below(kHosts);
+    const std::size_t second = (first + 1 + cluster.Below(kHosts - 1)) % kHosts;
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      if (host == first || host == second) {
+        cluster.WipeDisk(host);
+      } else {
+        cluster.Crash(host);
+      }
+    }
+    CheckRecovered(cluster);
+  }
+}
+
 // Injects faults in random order; at most one disk is lost at a time.
 void RunRandomFaults(std::uint32_t seed, std::size_t hosts) {
   fake_cluster cluster(seed, 3, hosts);
