--- a/src/routing/tests/fleet_fairness_unittest.cc
+++ b/src/routing/tests/fleet_fairness_unittest.cc
@@ -56,10 +56,7 @@
 struct busy_fleet_fixture {
   static constexpr std::size_t kSmallCustomers = 8;
 
-  // A large customer at one router sends most of the load; the others' requests
-  // reach all routers. Two of five engines stop within three seconds.
-  static simulated_fleet PlayEngineLoss(std::uint32_t seed) {
-    simulated_fleet fleet({.seed = seed});
+  static void AddCustomers(simulated_fleet& fleet) {
     fleet.AddCustomer({.customer = customer_id("large"),
                        .requests_per_second = 200,
                        .router = 0,
@@ -69,6 +66,13 @@
                          .requests_per_second = 8.0 + 4.0 * i,
                          .tokens = 2500});
     }
+  }
+
+  // A large customer at one router sends most of the load; the others' requests
+  // reach all routers. Two of five engines stop within three seconds.
+  static simulated_fleet PlayEngineLoss(std::uint32_t seed) {
+    simulated_fleet fleet({.seed = seed});
+    AddCustomers(fleet);
     for (std::size_t engine = 0; engine < 12; ++engine) {
       fleet.StopEngine(engine, engine < 6 ? seconds(7) : seconds(10));
     }
@@ -99,5 +103,26 @@
   }
 }
 
+TEST_CASE_METHOD(busy_fleet_fixture,
+                 "fleet: the stated throughput is half again what engines "
+                 "reach: no customer is starved",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    simulated_fleet fleet({.routers = 24,
+                           .targets = 12,
+                           .reading_rate = 55'000,
+                           .stated_throughput = 1.5,
+                           .seed = seed});
+    AddCustomers(fleet);
+    fleet.AddCustomer({.customer = customer_id("wide"),
+                       .requests_per_second = 100,
+                       .tokens = 6000,
+                       .begins = seconds(3)});
+    fleet.Run(seconds(20));
+    CheckNoneStarved(fleet, 6, 20);
+  }
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -25,6 +25,8 @@
   std::size_t targets = 30;
   /// Prompt tokens that one engine reads in a second.
   double reading_rate = 20'000;
+  /// Stated throughput of the pool, as a fraction of what its engines read.
+  double stated_throughput = 0.9;
   duration silence = std::chrono::seconds(8);
   /// One in this many load reports is lost.
   std::uint32_t lost_report_in = 10;
@@ -146,7 +148,6 @@
 
   std::unique_ptr<request_router> MakeRouter(const daemon_id& name) {
     constexpr std::uint32_t kTries = 5;
-    constexpr double kOutputShare = 0.9;
     const auto routers = static_cast<double>(options_.routers);
     router_options options;
     options.lifecycle.max_attempts = 3;
@@ -159,9 +160,9 @@
     auto router = std::make_unique<request_router>(options, random_, observer_);
     router->SetRetryOptions(
         {.ratio = 0.1, .per_second = 0, .burst = 90 / routers});
-    router->SetPoolThroughput(Pool(),
-                              kOutputShare * options_.reading_rate *
-                                  static_cast<double>(options_.targets));
+    router->SetPoolThroughput(
+        Pool(), options_.stated_throughput * options_.reading_rate *
+                    static_cast<double>(options_.targets));
     router->mutable_directory().SetCacheCapacity(Pool(), 600'000);
     router->mutable_directory().SetLocalBacklogFraction(1 / routers);
     return router;
