Close an idle connection only when a new one has come

At the limit on connections the listener closed an idle connection before it waited for the next caller, also if none came: a caller's kept connection was lost for nothing. It now accepts first and closes the one idle longest for the connection it has.

--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -71,9 +71,11 @@
   // none waits any more.
   void AcceptAfterFailure();
   void SetBlocked(bool now_blocked);
-  // Returns whether another connection may be opened; closes an idle one if
-  // necessary.
-  bool MakeRoom();
+  bool HasRoom();
+  // The connection to close for a new one; nullptr if there is none.
+  http_connection* LongestIdle() const;
+  bool CanAccept() { return HasRoom() || LongestIdle() != nullptr; }
+  // Closes the connection that has been idle longest; false if there is none.
   bool EvictIdle();
   void SetIdle(http_connection& connection, bool idle);
   void Serve(tcp_stream stream);
@@ -167,7 +169,7 @@
   beast::error_code ignored;
   acceptor.non_blocking(true, ignored);
   while (!stopping) {
-    if (!MakeRoom()) {
+    if (!CanAccept()) {
       SetBlocked(true);
       SleepFor(context, kBlockedRetryDelay);
       continue;
@@ -190,7 +192,7 @@
 }
 
 void http_server::state::AcceptPending() {
-  for (int accepted = 1; accepted < kMaxAcceptsPerTurn && MakeRoom();
+  for (int accepted = 1; accepted < kMaxAcceptsPerTurn && CanAccept();
        ++accepted) {
     tcp_stream stream(context);
     beast::error_code ec;
@@ -225,24 +227,31 @@
   }
 }
 
-bool http_server::state::MakeRoom() {
-  return counters().open < options.max_connections + evicting || EvictIdle();
+bool http_server::state::HasRoom() {
+  return counters().open < options.max_connections + evicting;
 }
 
-bool http_server::state::EvictIdle() {
-  const bool any_used = !idle_used.empty();
+http_connection* http_server::state::LongestIdle() const {
+  if (!idle_used.empty()) {
+    return idle_used.front();
+  }
   // A new connection is about to send its first request.
-  if (!any_used && (idle_unused.empty() ||
-                    steady_clock::now() - idle_unused.front()->accepted_at <
-                        kMinUnusedTime)) {
+  const bool has_old =
+      !idle_unused.empty() &&
+      steady_clock::now() - idle_unused.front()->accepted_at >= kMinUnusedTime;
+  return has_old ? idle_unused.front() : nullptr;
+}
+
+bool http_server::state::EvictIdle() {
+  http_connection* longest = LongestIdle();
+  if (longest == nullptr) {
     return false;
   }
-  http_connection& longest = *(any_used ? idle_used : idle_unused).front();
-  SetIdle(longest, false);
-  longest.evicted = true;
+  SetIdle(*longest, false);
+  longest->evicted = true;
   ++evicting;
   ++counters().evicted;
-  longest.stream.close();
+  longest->stream.close();
   return true;
 }
 
@@ -261,6 +270,9 @@
 }
 
 void http_server::state::Serve(tcp_stream stream) {
+  if (!HasRoom()) {
+    EvictIdle();
+  }
   ++counters().accepted;
   ++counters().open;
   SpawnFiber([self = shared_from_this(),
