Split request_router.cc, drop repeated code, and keep the check on the retry budget

The virtual fleet sums its load reports with the control hosts' collector instead of its own copy; its words are demand and started, as in the code. One sum over usable targets instead of two. The guard's state is read on its own thread only, so it needs no atomic.

The test that retries stay in the budget failed attempts that had sent nothing, which no longer take from the budget, so it checked less; its attempts are sent now, as the bound means.

No change of behaviour.

--- a/src/admission/processor_guard.h
+++ b/src/admission/processor_guard.h
@@ -3,8 +3,7 @@
 // are idle.
 #pragma once
 
-#include <atomic>
-#include <limits>
+#include <chrono>
 
 #include "admission/share_limiter.h"
 #include "framework/types/ids.h"
@@ -16,7 +15,7 @@
 /// admitted work is lowered, else raised again; each customer has its max-min
 /// share of that rate.
 ///
-/// Used on the event loop's thread, except `IsHeavilyOverloaded`.
+/// Used on the event loop's thread.
 class processor_guard {
  public:
   processor_guard() { shares_.SetKnownCapacity(kNoLimit); }
@@ -27,12 +26,8 @@
   /// generation.
   bool Admit(const customer_id& customer, double cost, time_point now);
   /// Returns whether so much is refused that new callers are better off at
-  /// other routers. Callable from any thread.
-  [[nodiscard]] bool IsHeavilyOverloaded() const {
-    return heavily_overloaded_.load(std::memory_order_relaxed);
-  }
-  /// Cost per second that is admitted; kNoLimit while there is time left.
-  [[nodiscard]] double limit() const { return limit_; }
+  /// other routers.
+  [[nodiscard]] bool IsHeavilyOverloaded() const { return heavily_overloaded_; }
 
  private:
   void EndWindow(time_point now);
@@ -42,6 +37,7 @@
   share_limiter shares_{pool_id("processor"),
                         {.basis = capacity_basis::kKnown,
                          .averaging = std::chrono::milliseconds(500)}};
+  /// Cost per second that is admitted; kNoLimit while there is time left.
   double limit_ = kNoLimit;
   int busy_windows_ = 0;
   // Of the current window.
@@ -53,7 +49,7 @@
   /// Start of the current series of windows that refuse much, or little.
   time_point series_started_{};
   bool series_refuses_much_ = false;
-  std::atomic<bool> heavily_overloaded_{false};
+  bool heavily_overloaded_ = false;
 };
 
 }  // namespace burdocklock::admission
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -1,5 +1,6 @@
-// Request events and outcomes. Dispatch is in request_dispatch.cc, accounting
-// in attempt_accounting.cc.
+// Request events. Dispatch is in request_dispatch.cc, accounting in
+// attempt_accounting.cc, outcomes in request_outcome.cc, loads and shares in
+// router_load.cc.
 #include "routing/request_router.h"
 
 #include <algorithm>
@@ -14,13 +15,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds kMinRetryAfter{1};
-constexpr std::chrono::seconds kMaxRetryAfter{60};
-// Retry-After of a generation that was refused without having run, for example
-// after a queue timeout or beyond its customer's share. The jitter spreads the
-// callers' retries over time.
-constexpr std::chrono::milliseconds kMinOverloadRetryAfter{300};
-constexpr std::uint32_t kOverloadRetryAfterJitterMs = 900;
 // Expected output length as a fraction of the requested maximum.
 constexpr double kExpectedOutputFraction = 0.5;
 
@@ -194,52 +188,6 @@
   return next;
 }
 
-refusal request_router::RecordRefusal(refusal refusal) {
-  last_refusal_ = refusal_seq(last_refusal_.value() + 1);
-  refusal.id = last_refusal_;
-  ++totals_.refused;
-  return refusal;
-}
-
-std::vector<std::pair<pool_id, std::vector<fairness::customer_service>>>
-request_router::CustomerSnapshot() const {
-  std::vector<std::pair<pool_id, std::vector<fairness::customer_service>>>
-      snapshot;
-  snapshot.reserve(pools_.size());
-  for (const auto& [pool, state] : pools_) {
-    snapshot.emplace_back(pool, state.queue.Snapshot());
-  }
-  std::sort(snapshot.begin(), snapshot.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
-  return snapshot;
-}
-
-std::vector<request_router::customer_load> request_router::Load() const {
-  std::map<std::pair<pool_id, customer_id>, customer_load> loads;
-  for (const auto& [pool, state] : pools_) {
-    for (const fairness::customer_service& entry : state.queue.Snapshot()) {
-      loads[{pool, entry.customer}] = {
-          .pool = pool,
-          .customer = entry.customer,
-          .share = entry.share,
-          .waiting = static_cast<std::uint32_t>(entry.waiting),
-          .service = entry.charged};
-    }
-  }
-  for (const auto& [id, record] : records_) {
-    if (record.grant) {
-      ++loads[{record.spec.pool, record.spec.customer}]
-            .running[record.grant->data_centre];
-    }
-  }
-  std::vector<customer_load> list;
-  list.reserve(loads.size());
-  for (auto& [key, load] : loads) {
-    list.push_back(std::move(load));
-  }
-  return list;
-}
-
 void request_router::ApplyLeases(
     const data_centre_id& data_centre,
     const std::vector<targets::target_lease>& leases,
@@ -250,59 +198,6 @@
   DispatchAll(now, out);
 }
 
-admission::fleet_load request_router::OwnLoad(time_point now) const {
-  admission::fleet_load load{.targets = directory_.LocalLoad()};
-  for (const auto& [pool, state] : pools_) {
-    for (admission::customer_flow& flow : state.shares.LocalFlows(now)) {
-      load.customers.push_back(std::move(flow));
-    }
-  }
-  return load;
-}
-
-void request_router::SetOthersLoad(const admission::fleet_load& others,
-                                   time_point now,
-                                   effects& out) {
-  directory_.SetRemoteLoad(others.targets);
-  double min_own_part = 1;
-  for (auto& [pool, state] : pools_) {
-    UpdateKnownCapacity(pool, state, now);
-    state.shares.SetRemoteFlows(others.customers, now);
-    min_own_part =
-        std::min(min_own_part, state.shares.LocalDemandFraction(now));
-  }
-  directory_.SetLocalBacklogFraction(min_own_part);
-  DispatchAll(now, out);
-}
-
-void request_router::SetPoolThroughput(const pool_id& pool,
-                                       double tokens_per_second) {
-  pool_state& state = PoolOf(pool);
-  if (state.throughput != tokens_per_second) {
-    state.throughput = tokens_per_second;
-    state.most_slots = 0;
-    state.shares.SetKnownCapacity(tokens_per_second);
-  }
-}
-
-void request_router::UpdateKnownCapacity(const pool_id& pool,
-                                         pool_state& state,
-                                         time_point now) {
-  const std::uint32_t slots = directory_.AnnouncedSlots(pool, now);
-  state.most_slots = std::max(state.most_slots, slots);
-  // Without any usable target, calls are refused for that reason, not for their
-  // customers' shares.
-  if (slots > 0) {
-    state.shares.SetKnownCapacity(state.throughput * slots / state.most_slots);
-  }
-}
-
-void request_router::SetVirtualService(const pool_id& pool,
-                                       const customer_id& customer,
-                                       double value) {
-  PoolOf(pool).queue.SetVirtualService(customer, value);
-}
-
 request_router::pool_state& request_router::PoolOf(const pool_id& pool) {
   const auto found = pools_.find(pool);
   if (found != pools_.end()) {
@@ -361,53 +256,6 @@
   ScheduleDeadline(id, record);
 }
 
-void request_router::Finish(record& record,
-                            const outcome& result,
-                            time_point now,
-                            effects& out) {
-  const request_seq id = record.spec.id;
-  if (PoolOf(record.spec.pool).queue.Remove(record.spec.customer, id)) {
-    --totals_.waiting;
-  }
-  if (record.lifecycle.attempt_running()) {
-    out.emplace_back(
-        cancel_attempt{.request = id, .attempt = record.lifecycle.attempt()});
-  }
-  if (const auto* refused = std::get_if<outcome_refused>(&result)) {
-    out.emplace_back(refuse_request{
-        .refusal = MakeRefusal(record, refused->reason, refused->run)});
-  }
-  if (std::holds_alternative<outcome_target_failure>(result)) {
-    out.emplace_back(forward_error_response{.request = id});
-  }
-  if (const auto* cut = std::get_if<outcome_cut>(&result)) {
-    out.emplace_back(truncate_response{
-        .refusal = MakeRefusal(record, cut->reason, run_state::kUnknown)});
-  }
-  CountOutcome(result);
-  out.emplace_back(request_ended{.request = id,
-                                 .customer = record.spec.customer,
-                                 .pool = record.spec.pool,
-                                 .result = result,
-                                 .attempts = record.lifecycle.attempt(),
-                                 .total = now - record.lifecycle.arrived(),
-                                 .first_output = record.first_output,
-                                 .target = record.tried_targets.empty()
-                                               ? target_id()
-                                               : record.tried_targets.back()});
-}
-
-void request_router::CountOutcome(const outcome& result) {
-  if (std::holds_alternative<outcome_completed>(result) ||
-      std::holds_alternative<outcome_target_failure>(result)) {
-    ++totals_.completed;
-  } else if (std::holds_alternative<outcome_cut>(result)) {
-    ++totals_.cut;
-  } else if (std::holds_alternative<outcome_caller_left>(result)) {
-    ++totals_.caller_left;
-  }
-}
-
 void request_router::EraseIfDone(request_seq request) {
   const auto found = records_.find(request);
   if (found == records_.end() || !found->second.lifecycle.ended() ||
@@ -418,45 +266,4 @@
   records_.erase(found);
 }
 
-refusal request_router::MakeRefusal(const record& record,
-                                    refusal_reason reason,
-                                    run_state run) {
-  return RecordRefusal({.customer = record.spec.customer,
-                        .request = record.spec.id,
-                        .reason = reason,
-                        .run = run,
-                        .retry_after = RetryAfter(record, reason, run),
-                        .detail = refusals::Describe(reason)});
-}
-
-std::optional<std::chrono::milliseconds> request_router::RetryAfter(
-    const record& record,
-    refusal_reason reason,
-    run_state run) {
-  if (run == run_state::kUnknown && !record.spec.repeatable) {
-    return std::nullopt;
-  }
-  if (record.spec.prompt && run == run_state::kNotRun) {
-    return kMinOverloadRetryAfter + std::chrono::milliseconds(random_.Below(
-                                        kOverloadRetryAfterJitterMs));
-  }
-  switch (reason) {
-    case refusal_reason::kOverShare:
-    case refusal_reason::kQueueFull:
-    case refusal_reason::kQueueTimeout:
-    case refusal_reason::kNoTarget: {
-      const auto wait = std::chrono::seconds(static_cast<std::int64_t>(
-          std::ceil(PoolOf(record.spec.pool).average_wait_s)));
-      return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
-    }
-    case refusal_reason::kDraining:
-    case refusal_reason::kRouterBusy:
-    case refusal_reason::kTargetFailed:
-    case refusal_reason::kTargetTimeout:
-      return kMinRetryAfter;
-    default:
-      return std::nullopt;
-  }
-}
-
 }  // namespace burdocklock::routing
--- /dev/null
+++ b/src/routing/internal/router_load.cc
@@ -0,0 +1,101 @@
+// Part of request_router: load and service of customers, exchanged with the
+// other routers, and the capacity that shares are taken from.
+#include <algorithm>
+
+#include "routing/request_router.h"
+
+namespace burdocklock::routing {
+
+std::vector<std::pair<pool_id, std::vector<fairness::customer_service>>>
+request_router::CustomerSnapshot() const {
+  std::vector<std::pair<pool_id, std::vector<fairness::customer_service>>>
+      snapshot;
+  snapshot.reserve(pools_.size());
+  for (const auto& [pool, state] : pools_) {
+    snapshot.emplace_back(pool, state.queue.Snapshot());
+  }
+  std::sort(snapshot.begin(), snapshot.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  return snapshot;
+}
+
+std::vector<request_router::customer_load> request_router::Load() const {
+  std::map<std::pair<pool_id, customer_id>, customer_load> loads;
+  for (const auto& [pool, state] : pools_) {
+    for (const fairness::customer_service& entry : state.queue.Snapshot()) {
+      loads[{pool, entry.customer}] = {
+          .pool = pool,
+          .customer = entry.customer,
+          .share = entry.share,
+          .waiting = static_cast<std::uint32_t>(entry.waiting),
+          .service = entry.charged};
+    }
+  }
+  for (const auto& [id, record] : records_) {
+    if (record.grant) {
+      ++loads[{record.spec.pool, record.spec.customer}]
+            .running[record.grant->data_centre];
+    }
+  }
+  std::vector<customer_load> list;
+  list.reserve(loads.size());
+  for (auto& [key, load] : loads) {
+    list.push_back(std::move(load));
+  }
+  return list;
+}
+
+admission::fleet_load request_router::OwnLoad(time_point now) const {
+  admission::fleet_load load{.targets = directory_.LocalLoad()};
+  for (const auto& [pool, state] : pools_) {
+    for (admission::customer_flow& flow : state.shares.LocalFlows(now)) {
+      load.customers.push_back(std::move(flow));
+    }
+  }
+  return load;
+}
+
+void request_router::SetOthersLoad(const admission::fleet_load& others,
+                                   time_point now,
+                                   effects& out) {
+  directory_.SetRemoteLoad(others.targets);
+  double min_own_part = 1;
+  for (auto& [pool, state] : pools_) {
+    UpdateKnownCapacity(pool, state, now);
+    state.shares.SetRemoteFlows(others.customers, now);
+    min_own_part =
+        std::min(min_own_part, state.shares.LocalDemandFraction(now));
+  }
+  directory_.SetLocalBacklogFraction(min_own_part);
+  DispatchAll(now, out);
+}
+
+void request_router::SetPoolThroughput(const pool_id& pool,
+                                       double tokens_per_second) {
+  pool_state& state = PoolOf(pool);
+  if (state.throughput != tokens_per_second) {
+    state.throughput = tokens_per_second;
+    state.most_slots = 0;
+    state.shares.SetKnownCapacity(tokens_per_second);
+  }
+}
+
+void request_router::UpdateKnownCapacity(const pool_id& pool,
+                                         pool_state& state,
+                                         time_point now) {
+  const std::uint32_t slots = directory_.AnnouncedSlots(pool, now);
+  state.most_slots = std::max(state.most_slots, slots);
+  // Without any usable target, calls are refused for that reason, not for their
+  // customers' shares.
+  if (slots > 0) {
+    state.shares.SetKnownCapacity(state.throughput * slots / state.most_slots);
+  }
+}
+
+void request_router::SetVirtualService(const pool_id& pool,
+                                       const customer_id& customer,
+                                       double value) {
+  PoolOf(pool).queue.SetVirtualService(customer, value);
+}
+
+}  // namespace burdocklock::routing
--- a/src/routing/tests/fleet_fairness_unittest.cc
+++ b/src/routing/tests/fleet_fairness_unittest.cc
@@ -23,31 +23,33 @@
                                 : found->second;
 }
 
-// In any six seconds, a customer with a refused or late request in each is
-// begun at least half of what it asked for or the best served customer was
-// begun, whichever is less in each second, less three of its largest requests.
+// In any six seconds with a refused or late request of a customer in each, the
+// customer's started tokens are at least half of the lesser of its demand and
+// the most that any customer started, second by second, less three of its
+// largest requests.
 void CheckNoneStarved(const simulated_fleet& fleet,
                       std::int64_t first,
                       std::int64_t last) {
   for (const auto& [customer, own] : fleet.accounts()) {
     for (std::int64_t from = first; from + kWindowSeconds <= last; ++from) {
-      bool always_turned_down = true;
+      bool always_refused_or_late = true;
       double due = 0;
-      double begun = 0;
+      double started = 0;
       for (std::int64_t at = from; at < from + kWindowSeconds; ++at) {
         double most = 0;
         for (const auto& [other, seconds] : fleet.accounts()) {
-          most = std::max(most, At(seconds, at).begun);
+          most = std::max(most, At(seconds, at).started);
         }
-        always_turned_down &= At(own, at).turned_down;
-        due += std::min(At(own, at).asked, most);
-        begun += At(own, at).begun;
+        always_refused_or_late &= At(own, at).refused_or_late;
+        due += std::min(At(own, at).demand, most);
+        started += At(own, at).started;
       }
       INFO(customer.value()
-           << " from " << from << " s: due " << due << ", begun " << begun);
+           << " from " << from << " s: due " << due << ", started " << started);
       const bool starved =
-          always_turned_down &&
-          begun < due / 2 - kLargestRequests * fleet.largest_request(customer);
+          always_refused_or_late &&
+          started <
+              due / 2 - kLargestRequests * fleet.largest_request(customer);
       CHECK_FALSE(starved);
     }
   }
--- a/src/routing/tests/request_router_unittest.cc
+++ b/src/routing/tests/request_router_unittest.cc
@@ -290,7 +290,8 @@
     }
     while (!running.empty()) {
       ++attempts;
-      Fail(running.begin()->first, failure_kind::kConnectFailed);
+      Report(running.begin()->first, attempt_sending{});
+      Fail(running.begin()->first, failure_kind::kBroken);
     }
   }
   const retry_budget_options budget;
--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -10,11 +10,12 @@
 #include <memory>
 #include <optional>
 #include <queue>
-#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "admission/types/fleet_load.h"
+#include "control/load_collector.h"
 #include "framework/seeded_random.h"
 #include "routing/request_router.h"
 
@@ -33,7 +34,7 @@
   std::uint32_t seed = 1;
 };
 
-/// Engines read prompts one after the other; a request begins with its first
+/// Engines read prompts one after the other; a request starts with its first
 /// output and ends `kOutputTime` later. Callers that are refused come back once
 /// at another router.
 class simulated_fleet {
@@ -45,7 +46,7 @@
       : options_(options), random_(options.seed * kSeedStride) {
     std::vector<daemon_id> names;
     for (std::size_t i = 0; i < options.routers; ++i) {
-      names.emplace_back("router" + std::to_string(i));
+      names.push_back(RouterName(i));
     }
     for (std::size_t i = 0; i < options.routers; ++i) {
       routers_.push_back(MakeRouter(names[i]));
@@ -90,12 +91,13 @@
     now_ = start_ + until;
   }
 
-  /// What one customer asked for and was given in one second.
+  /// Prompt tokens of one customer in one second: those of its new requests,
+  /// and those of requests whose output started.
   struct second_account {
-    double asked = 0;
-    double begun = 0;
+    double demand = 0;
+    double started = 0;
     /// A request was refused or waited longer than its objective.
-    bool turned_down = false;
+    bool refused_or_late = false;
   };
   using account = std::map<std::int64_t, second_account>;
   [[nodiscard]] const std::map<customer_id, account>& accounts() const {
@@ -126,7 +128,7 @@
     time_point arrived;
     std::optional<std::size_t> engine;
     attempt_number attempt;
-    bool begun = false;
+    bool started = false;
   };
   struct event {
     time_point at;
@@ -142,6 +144,9 @@
   };
 
   static pool_id Pool() { return pool_id("llm"); }
+  static daemon_id RouterName(std::size_t router) {
+    return daemon_id("router" + std::to_string(router));
+  }
   static target_id Name(std::size_t engine) {
     return target_id("t" + std::to_string(engine));
   }
@@ -213,40 +218,16 @@
     At(now_ + std::chrono::milliseconds(200),
        [this, router] { ReportLoad(router); });
     if (random_.Below(options_.lost_report_in) != 0) {
-      reports_[router] = routers_[router]->OwnLoad(now_);
+      reports_.OnReport(RouterName(router), routers_[router]->OwnLoad(now_),
+                        now_);
     }
     At(now_ + std::chrono::milliseconds(10 + random_.Below(60)),
        [this, router] { ReceiveLoad(router); });
   }
 
   void ReceiveLoad(std::size_t router) {
-    std::map<target_id, admission::target_load> targets;
-    std::map<customer_id, admission::customer_flow> customers;
-    for (const auto& [other, report] : reports_) {
-      if (other == router) {
-        continue;
-      }
-      for (const admission::target_load& load : report.targets) {
-        admission::target_load& sum = targets[load.target];
-        sum.target = load.target;
-        sum.in_flight += load.in_flight;
-        sum.unread_tokens += load.unread_tokens;
-      }
-      for (const admission::customer_flow& flow : report.customers) {
-        admission::customer_flow& sum = customers[flow.customer];
-        sum.pool = flow.pool;
-        sum.customer = flow.customer;
-        sum.demand += flow.demand;
-        sum.started += flow.started;
-      }
-    }
-    admission::fleet_load others;
-    for (const auto& [target, load] : targets) {
-      others.targets.push_back(load);
-    }
-    for (const auto& [customer, flow] : customers) {
-      others.customers.push_back(flow);
-    }
+    const admission::fleet_load others =
+        reports_.LoadOfOthers(RouterName(router), now_);
     Handle(router, [&](effects& out) {
       routers_[router]->SetOthersLoad(others, now_, out);
     });
@@ -270,7 +251,7 @@
       sized.tokens = tokens;
       double& largest = largest_[profile.customer];
       largest = std::max<double>(largest, tokens);
-      AccountOf(profile.customer).asked += tokens;
+      AccountOf(profile.customer).demand += tokens;
       Send(sized, profile.router.value_or(RandomRouter()), false);
     }
   }
@@ -355,11 +336,11 @@
              attempt_failed{.kind = failure_kind::kBroken, .sent = true});
       return;
     }
-    if (!request.begun) {
-      request.begun = true;
+    if (!request.started) {
+      request.started = true;
       second_account& account = AccountOf(request.profile.customer);
-      account.begun += request.profile.tokens;
-      account.turned_down |=
+      account.started += request.profile.tokens;
+      account.refused_or_late |=
           now_ - request.arrived > std::chrono::milliseconds(400);
     }
     Report(id, attempt, attempt_first_output{});
@@ -394,7 +375,7 @@
 
   void Refused(std::size_t router, const refusals::refusal& refusal) {
     const open_request& request = requests_.at(*refusal.request);
-    AccountOf(request.profile.customer).turned_down = true;
+    AccountOf(request.profile.customer).refused_or_late = true;
     ++refusals_[std::string(ToString(refusal.reason)) + " " +
                 ToString(refusal.run)];
     if (request.is_retry || !refusal.retry_after) {
@@ -435,7 +416,7 @@
   time_point now_ = start_;
   std::vector<std::unique_ptr<request_router>> routers_;
   std::vector<engine> engines_;
-  std::map<std::size_t, admission::fleet_load> reports_;
+  control::load_collector reports_;
   std::map<request_seq, open_request> requests_;
   std::map<customer_id, account> accounts_;
   std::map<customer_id, double> largest_;
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -332,8 +332,11 @@
   }
   return UsableSlots(pool, now) > 0;
 }
-std::uint32_t target_directory::UsableSlots(const pool_id& pool,
-                                            time_point now) const {
+
+template <typename SlotsOf>
+std::uint32_t target_directory::SumUsable(const pool_id& pool,
+                                          time_point now,
+                                          SlotsOf slots_of) const {
   const auto found = by_pool_.find(pool);
   if (found == by_pool_.end()) {
     return 0;
@@ -341,23 +344,22 @@
   std::uint32_t slots = 0;
   for (const entry* entry : found->second) {
     if (IsUsable(*entry, now)) {
-      slots += entry->ramp.limit();
+      slots += slots_of(*entry);
     }
   }
   return slots;
 }
 
+std::uint32_t target_directory::UsableSlots(const pool_id& pool,
+                                            time_point now) const {
+  return SumUsable(pool, now,
+                   [](const entry& entry) { return entry.ramp.limit(); });
+}
+
 std::uint32_t target_directory::AnnouncedSlots(const pool_id& pool,
                                                time_point now) const {
-  const auto found = by_pool_.find(pool);
-  if (found == by_pool_.end()) {
-    return 0;
-  }
-  std::uint32_t slots = 0;
-  for (const entry* entry : found->second) {
-    slots += IsUsable(*entry, now) ? entry->announced.slots : 0;
-  }
-  return slots;
+  return SumUsable(pool, now,
+                   [](const entry& entry) { return entry.announced.slots; });
 }
 
 std::vector<target_view> target_directory::View(time_point now) const {
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -381,6 +381,11 @@
   void RemoveUnread(entry& entry, std::uint64_t grant);
 
   [[nodiscard]] bool IsUsable(const entry& entry, time_point now) const;
+  /// Returns the sum of `slots_of` over the usable targets of the pool.
+  template <typename SlotsOf>
+  std::uint32_t SumUsable(const pool_id& pool,
+                          time_point now,
+                          SlotsOf slots_of) const;
   [[nodiscard]] std::uint32_t LimitOf(const entry& entry) const;
   [[nodiscard]] bool HasRoom(const entry& entry, time_point now) const;
   [[nodiscard]] bool IsBetter(const entry& a, const entry& b) const;
