--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -9,9 +9,7 @@
 
 namespace burdocklock::routing {
 
-using refusals::refusal;
 using refusals::refusal_reason;
-using refusals::run_state;
 
 namespace {
 
