Bound the debt that a customer has after using spare capacity

Cause: work that is sent to spare capacity beyond a customer's share is charged to its token bucket without bound. The class: a penalty without bound for the use of what would have been idle.

Change: such work lowers the bucket by at most one bucket depth (a second of refill). What is sent within the share is charged in full, as before.

The new test (a customer that used spare capacity for 20 s is within its share a second after) failed before the change.

--- a/src/admission/internal/share_limiter.cc
+++ b/src/admission/internal/share_limiter.cc
@@ -9,7 +9,8 @@
 
 namespace {
 
-// Bucket depth, as time at the refill rate. It tolerates short bursts.
+// Bucket depth, and the most that work sent to spare capacity may lower it
+// below zero, as time at the refill rate. It tolerates short bursts.
 constexpr double kBucketSeconds = 1.0;
 // The pool is overloaded if demand exceeds the started work, or the known
 // capacity if larger, by this factor.
@@ -37,7 +38,11 @@
   customer_state& state = StateOf(customer);
   state.started.Add(tokens, now);
   Refill(state, now);
-  state.bucket_tokens -= tokens;
+  const double max_debt = RefillRate(state, now) * kBucketSeconds;
+  state.bucket_tokens = state.bucket_tokens < 0
+                            ? std::max(state.bucket_tokens - tokens,
+                                       std::min(state.bucket_tokens, -max_debt))
+                            : state.bucket_tokens - tokens;
 }
 
 void share_limiter::OnNotExecuted(const customer_id& customer,
--- a/src/admission/share_limiter.h
+++ b/src/admission/share_limiter.h
@@ -32,7 +32,8 @@
 /// While the demand on all routers together exceeds the work that is started,
 /// each customer has a token bucket that refills at its max-min share of the
 /// started work. A customer's share is split over the routers in proportion to
-/// its demand at each.
+/// its demand at each. A customer over its share may still be sent to spare
+/// capacity, at the cost of at most one bucket depth of its later share.
 ///
 /// Invariant: a customer whose demand stays within its share is never reported
 /// as over it for longer than one bucket depth.
--- a/src/admission/tests/admission_unittest.cc
+++ b/src/admission/tests/admission_unittest.cc
@@ -159,5 +159,30 @@
   CHECK(started[customer_id("b")] >= 0.8 * share);
 }
 
+// Work sent to spare capacity is a debt that later shares would pay for.
+TEST_CASE(
+    "shares: spare capacity was used for long: within its share a second "
+    "after it is no longer used") {
+  share_limiter limiter(pool_id("p"));
+  const customer_id first("first");
+  const customer_id second("second");
+  time_point now{seconds(100)};
+  const auto arrive = [&] {
+    now += milliseconds(10);
+    limiter.OnArrival(first, 2000, now);
+    limiter.OnArrival(second, 1000, now);
+  };
+  for (int i = 0; i < 2000; ++i) {
+    arrive();
+    limiter.OnSent(first, 1000, now);
+  }
+  REQUIRE(limiter.IsOverShare(first, now));
+  for (int i = 0; i < 105; ++i) {
+    arrive();
+    limiter.OnSent(second, 1000, now);
+  }
+  CHECK_FALSE(limiter.IsOverShare(first, now));
+}
+
 }  // namespace
 }  // namespace burdocklock::admission
