Measure a target's rate with the prompts of all routers ahead

Cause: a router measures how fast a target processes prompts as its own tokens ahead of a request over the time to its first output. At a target that others load too the time holds their prompts, the tokens do not, so the rate comes out several times too low, and with it the backlog that this router may have there. Samples need 4,000 tokens ahead: the router with the most work measures, the others keep the assumed rate and win the race for room. The class: a figure measured over what is shared, from one's own part alone.

Change: the tokens ahead are those of all routers at the time of the grant.

Evidence: the new test of one directory with 20,000 tokens of others ahead failed before (no room after some forty samples).

--- a/src/targets/internal/prompt_placement.cc
+++ b/src/targets/internal/prompt_placement.cc
@@ -171,7 +171,7 @@
                                       .parts = prompt.parts};
   target.unread_tokens += best.unread;
   granted_tokens_ += best.unread;
-  made.grant.tokens_ahead = target.unread_tokens;
+  made.grant.tokens_ahead = target.unread_tokens + target.remote_unread_tokens;
   target.prefixes.RecordSent(prompt);
   return made;
 }
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -66,7 +66,7 @@
   /// Unique among the grants of a target.
   std::uint64_t number = 0;
   /// Prompt tokens that the target had to process before the first output,
-  /// including those of earlier requests.
+  /// including those of earlier requests of any router.
   std::uint64_t tokens_ahead = 0;
 };
 
--- a/src/targets/tests/prompt_placement_unittest.cc
+++ b/src/targets/tests/prompt_placement_unittest.cc
@@ -91,6 +91,26 @@
   CHECK(here->grant.target == there->grant.target);
 }
 
+TEST_CASE_METHOD(prompt_fixture,
+                 "placement: prompts of other routers are processed first: the "
+                 "target is not taken to be slower") {
+  directory.SetCacheCapacity(pool_id("llm"), 500'000);
+  Announce("a");
+  directory.SetRemoteLoad(
+      {{.target = target_id("a"), .unread_tokens = 20'000}});
+  for (std::uint64_t session = 1; session <= 100; ++session) {
+    const auto made = Choose(Prompt(session, 6000));
+    REQUIRE(made.has_value());
+    constexpr double kTokensPerMs = 55;
+    const double ahead = 20'000 + made->unread_tokens;
+    directory.ReportFirstOutput(
+        made->grant,
+        std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::milli>(ahead / kTokensPerMs)));
+    directory.ReleaseSucceeded(made->grant);
+  }
+}
+
 TEST_CASE_METHOD(prompt_fixture,
                  "placement: targets have a full backlog: no more prompts are "
                  "sent until output begins") {
