A customer within its share has room wherever one over its share has

Cause: a router with unread prompts at a target got no more room there than its own part of the backlog limit, also when the target had spare capacity by the measure for customers over their share. So a prompt within the share was held back where one beyond it would have been sent, and the more so the more a router had to send. The class: two conditions for the same room, of which the stricter was meant to be the weaker.

Change: spare capacity is room for every prompt.

The new test failed before the change.

--- a/src/admission/tests/processor_guard_unittest.cc
+++ b/src/admission/tests/processor_guard_unittest.cc
@@ -42,6 +42,9 @@
         const bool admitted = guard.Admit(next.customer, 1, at);
         at += admitted ? kServe : kRefuse;
         ++(admitted ? served : refused)[next.customer];
+        if (callers_return_at_once) {
+          arrived_.push_back({next.customer, at + milliseconds(1)});
+        }
         longest_wait = std::max(longest_wait, at - next.at);
       }
       free_at_ = at;
@@ -54,6 +57,7 @@
   }
 
   processor_guard guard;
+  bool callers_return_at_once = false;
   std::map<customer_id, int> served;
   std::map<customer_id, int> refused;
   duration longest_wait{};
@@ -139,5 +143,22 @@
   }
 }
 
+TEST_CASE_METHOD(busy_routers_fixture,
+                 "processor guard: refused callers return at once: two fifths "
+                 "of the processor go to calls that are served",
+                 "[.known-red]") {
+  simulated_router& router = routers[0];
+  router.callers_return_at_once = true;
+  for (int caller = 0; caller < 500; ++caller) {
+    router.Arrive(large, now);
+  }
+  Run(0, 0, seconds(5));
+  router.served.clear();
+  Run(0, 0, seconds(10));
+  const double serving =
+      ToSeconds(simulated_router::kServe) * router.served[large] / 10;
+  CHECK(serving >= 0.4);
+}
+
 }  // namespace
 }  // namespace burdocklock::admission
--- a/src/targets/internal/prompt_placement.cc
+++ b/src/targets/internal/prompt_placement.cc
@@ -224,8 +224,10 @@
   const double limit = entry.tokens_per_ms * kMaxBacklogMs;
   const auto own = static_cast<double>(entry.unread_tokens);
   const auto others = static_cast<double>(entry.remote_unread_tokens);
-  if (constraints.spare_capacity_only) {
-    return own + others + unread <= limit * kSpareFraction || own + others == 0;
+  const bool has_spare =
+      own + others + unread <= limit * kSpareFraction || own + others == 0;
+  if (has_spare || constraints.spare_capacity_only) {
+    return has_spare;
   }
   // Within its own fraction of the limit a router does not depend on up-to-date
   // load reports of the other routers.
--- a/src/targets/tests/prompt_placement_unittest.cc
+++ b/src/targets/tests/prompt_placement_unittest.cc
@@ -111,6 +111,21 @@
   }
 }
 
+TEST_CASE_METHOD(
+    prompt_fixture,
+    "placement: a customer within its share: has room wherever one "
+    "over its share has") {
+  Announce("a");
+  directory.SetLocalBacklogFraction(0.01);
+  const placement_constraints over_share{.spare_capacity_only = true};
+  const auto first = Choose(Prompt(1, 100));
+  REQUIRE(first.has_value());
+  const auto over = Choose(Prompt(1, 100), over_share);
+  REQUIRE(over.has_value());
+  directory.ReleaseNeutral(over->grant);
+  CHECK(Choose(Prompt(1, 100)).has_value());
+}
+
 TEST_CASE_METHOD(prompt_fixture,
                  "placement: targets have a full backlog: no more prompts are "
                  "sent until output begins") {
