Log the prompt's parts of attempts that ended with their target

A broken attempt now asks with a new connection whether the address still accepts (150 ms at most); attempt_failed then has target_ended, output_began and shared_parts, and a counter counts such attempts. Nothing else changes.

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -1,5 +1,9 @@
 // Performs routing effects: orders to exchanges, log records and metrics.
 #include <algorithm>
+#include <cstdint>
+#include <sstream>
+#include <string>
+#include <vector>
 
 #include "app/control_loop.h"
 
@@ -16,6 +20,18 @@
   return names;
 }
 
+// Part ids in the form in which callers give them.
+std::vector<std::string> HexNames(const std::vector<std::uint64_t>& parts) {
+  std::vector<std::string> names;
+  names.reserve(parts.size());
+  for (const std::uint64_t part : parts) {
+    std::ostringstream name;
+    name << std::hex << part;
+    names.push_back(name.str());
+  }
+  return names;
+}
+
 log_level AnnouncementLevel(targets::announce_result result) {
   return result == targets::announce_result::kUpdated ? log_level::kDebug
                                                       : log_level::kInfo;
@@ -81,14 +97,21 @@
                            time_point) {
   ++metrics_.Counter("burdocklock_attempt_failures_total",
                      {{"kind", ToString(effect.kind)}});
-  logger_.Log(log_record("attempt_failed", log_level::kWarning)
-                  .Add("request", LogName(effect.request))
-                  .Add("attempt", effect.attempt.value())
-                  .Add("target", effect.target.value())
-                  .Add("kind", ToString(effect.kind))
-                  .Add("step", effect.step)
-                  .Add("detail", effect.detail)
-                  .Add("will_retry", effect.will_retry));
+  log_record record("attempt_failed", log_level::kWarning);
+  record.Add("request", LogName(effect.request))
+      .Add("attempt", effect.attempt.value())
+      .Add("target", effect.target.value())
+      .Add("kind", ToString(effect.kind))
+      .Add("step", effect.step)
+      .Add("detail", effect.detail)
+      .Add("will_retry", effect.will_retry);
+  if (effect.target_ended) {
+    ++metrics_.Counter("burdocklock_attempts_ended_with_target_total");
+    record.Add("target_ended", true)
+        .Add("output_began", effect.output_began)
+        .Add("shared_parts", HexNames(effect.shared_parts));
+  }
+  logger_.Log(record);
 }
 
 void control_loop::Perform(const routing::request_ended& effect,
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <chrono>
+#include <variant>
 
 namespace burdocklock::gateway {
 
@@ -18,6 +19,8 @@
 // How long to wait for the end of the body after the closing event.
 constexpr std::chrono::seconds kStreamTailTimeout{1};
 constexpr std::size_t kReadBytes = 32 * 1024;
+// A live target or its host responds within a round trip.
+constexpr std::chrono::milliseconds kProbeTimeout{150};
 // How many responses to earlier requests are skipped on a reused connection.
 constexpr int kMaxStaleResponses = 2;
 
@@ -46,7 +49,19 @@
   attempt_progress_meter meter(context_.progress, order_.request,
                                order_.attempt);
   meter_ = &meter;
-  return Receive();
+  attempt_event event = Receive();
+  auto* failure = std::get_if<attempt_failed>(&event);
+  if (failure != nullptr && failure->kind == failure_kind::kBroken) {
+    failure->target_ended = RefusesConnections();
+  }
+  return event;
+}
+
+bool attempt_runner::RefusesConnections() {
+  net::http_client probe(context_.io);
+  probe.ExpiresAfter(kProbeTimeout);
+  const result<void> connected = probe.Connect(order_.address);
+  return !connected && connected.error().code == error_code::kConnectionFailed;
 }
 
 void attempt_runner::Cancel() {
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -60,6 +60,8 @@
   std::optional<routing::attempt_failed> Connect();
   std::optional<routing::attempt_failed> Send();
   routing::attempt_event Receive();
+  /// Whether the target's address refuses connections.
+  bool RefusesConnections();
   std::optional<routing::attempt_failed> CheckHead(
       head_verdict verdict,
       const net::http_response_head& head) const;
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -88,16 +88,21 @@
     return;
   }
   const bool retry_allowed = ConsumeRetry(*record, event, now);
+  const bool output_began = record->lifecycle.streaming();
   Account(*record, event, now, out);
   if (const auto* failure = std::get_if<attempt_failed>(&event)) {
-    out.emplace_back(
-        attempt_failure_report{.request = request,
-                               .attempt = attempt,
-                               .target = record->tried_targets.back(),
-                               .kind = failure->kind,
-                               .step = failure->step,
-                               .detail = failure->detail,
-                               .will_retry = retry_allowed});
+    out.emplace_back(attempt_failure_report{
+        .request = request,
+        .attempt = attempt,
+        .target = record->tried_targets.back(),
+        .kind = failure->kind,
+        .step = failure->step,
+        .detail = failure->detail,
+        .will_retry = retry_allowed,
+        .shared_parts = record->spec.prompt ? SharedParts(*record->spec.prompt)
+                                            : std::vector<std::uint64_t>(),
+        .output_began = output_began,
+        .target_ended = failure->target_ended});
   }
   const bool slot_freed = !record->grant.has_value();
   Apply(record->lifecycle.OnAttempt(event, retry_allowed, now), *record, now,
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -91,6 +91,8 @@
   std::string detail;
   /// The target's error response was received and can be forwarded.
   bool has_answer = false;
+  /// The target's address refused a connection right after the failure.
+  bool target_ended = false;
 };
 
 using attempt_event = std::variant<attempt_sending,
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -92,6 +92,12 @@
   std::string step;
   std::string detail;
   bool will_retry = false;
+  /// Parts of the prompt that other prompts may share.
+  std::vector<std::uint64_t> shared_parts;
+  /// Part of the response had arrived.
+  bool output_began = false;
+  /// The target's address refuses connections since.
+  bool target_ended = false;
 };
 
 /// The request has ended.
--- a/src/targets/types/prompt.h
+++ b/src/targets/types/prompt.h
@@ -1,6 +1,7 @@
 // The properties of a prompt that target selection depends on.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -20,4 +21,13 @@
   std::vector<prompt_part> parts;
 };
 
+/// Returns the ids of the parts that other prompts may share.
+inline std::vector<std::uint64_t> SharedParts(const prompt& prompt) {
+  std::vector<std::uint64_t> shared;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    shared.push_back(prompt.parts[i].id);
+  }
+  return shared;
+}
+
 }  // namespace burdocklock::targets
