--- /dev/null
+++ b/src/routing/tests/crashing_part_unittest.cc
@@ -0,0 +1,105 @@
+// Prompt parts that end targets, over several routers, in virtual time.
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "routing/tests/crashing_fleet.h"
+
+namespace burdocklock::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t kSeeds = 20;
+constexpr std::size_t kCrashesAllowed = 5;
+constexpr std::size_t kArrivalsAllowed = 3;
+constexpr seconds kEnd{30};
+
+struct crashing_part_fixture {
+  // Sizes, rates and the part's place depend on the seed.
+  static crashing_fleet_options Draw(std::uint32_t seed) {
+    seeded_random random(seed * 7919 + 1);
+    return {.routers = 4 + random.Below(20),
+            .engines = 12 + random.Below(20),
+            .customers = 4 + random.Below(12),
+            .sound_per_second = 60.0 + random.Below(60),
+            .crashing_per_second = 1.0 + random.Below(8),
+            .crashing_place = random.Below(2),
+            .seed = seed};
+  }
+
+  // The part reaches targets three times at most later than the contact time
+  // after the fifth target ended.
+  static void CheckStopped(const crashing_fleet& fleet) {
+    REQUIRE(fleet.crashes().size() > 0);
+    if (fleet.crashes().size() < kCrashesAllowed) {
+      return;
+    }
+    const time_point limit =
+        fleet.crashes()[kCrashesAllowed - 1] + crashing_fleet::kContactTime;
+    const auto late = std::count_if(
+        fleet.crashing_arrivals().begin(), fleet.crashing_arrivals().end(),
+        [&](const auto& arrival) { return arrival.sent > limit; });
+    INFO(fleet.crashes().size() << " targets ended");
+    CHECK(late <= static_cast<std::ptrdiff_t>(kArrivalsAllowed));
+  }
+
+  struct served_share {
+    double requests = 0;
+    double begun = 0;
+  };
+  // Of the sound requests of each customer, and with each first part, at least
+  // half as many begin after the part is known as before it came.
+  static void CheckSoundServed(const crashing_fleet& fleet) {
+    const time_point before = fleet.start() + seconds(8);
+    const time_point after =
+        fleet.crashes()[std::min(fleet.crashes().size(), kCrashesAllowed) - 1] +
+        2 * crashing_fleet::kContactTime;
+    std::map<std::string, std::pair<served_share, served_share>> shares;
+    for (const auto& [id, account] : fleet.accounts()) {
+      const bool is_before = account.sent < before;
+      if (account.has_crashing_part || account.is_retry ||
+          (!is_before && account.sent < after)) {
+        continue;
+      }
+      for (const std::string& key :
+           {account.customer.value(),
+            "part " + std::to_string(account.first_part)}) {
+        served_share& share =
+            is_before ? shares[key].first : shares[key].second;
+        share.requests += 1;
+        share.begun += account.begun ? 1 : 0;
+      }
+    }
+    for (const auto& [key, share] : shares) {
+      const auto& [earlier, later] = share;
+      INFO(key << ": " << earlier.begun << " of " << earlier.requests << ", "
+               << later.begun << " of " << later.requests);
+      const bool enough = earlier.requests >= 20 && later.requests >= 20;
+      CHECK((!enough || later.begun / later.requests >=
+                            earlier.begun / earlier.requests / 2));
+    }
+  }
+};
+
+TEST_CASE_METHOD(crashing_part_fixture,
+                 "crashing part: requests with it come at all routers: it is "
+                 "kept from targets and sound requests are served",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    crashing_fleet fleet(Draw(seed));
+    fleet.Run(kEnd);
+    CheckStopped(fleet);
+    CheckSoundServed(fleet);
+  }
+}
+
+}  // namespace
+}  // namespace burdocklock::routing
