Refuse prompts with a part that ends targets

Cause: what a target's end says about the requests it ran was dropped. A router took a broken attempt as evidence against the target alone, sent the next prompt with the same part to the next target, and retried the very request that had ended one. Class: failure containment that knows only the server, not the input (query of death).

Parts of the prompts that it had not yet served are suspects; ends, and when suspects were last served, are shared by all routers over all control hosts. A part that was in the requests of three targets that ended, and that none served for a minute, is blocked (more ends, apart in time, if one had): prompts with it are refused at once as not run. Ends at the same moment as others without the part do not count. A part is released when a target serves it, else after a trial. A request that may have ended its target is not retried unless targets served all its shared parts lately.

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -157,6 +157,21 @@
                   .Add("coordinates", effect.coordinates));
 }
 
+void control_loop::Perform(const routing::prompt_block_changed& effect,
+                           time_point) {
+  if (effect.blocked) {
+    ++metrics_.Counter("burdocklock_prompt_blocks_total");
+  }
+  logger_.Log(log_record(effect.blocked ? "prompt_part_blocked"
+                                        : "prompt_part_released",
+                         log_level::kWarning)
+                  .Add("pool", effect.pool.value())
+                  .Add("part", HexNames({effect.part}).front())
+                  .Add("target_ends", effect.target_ends)
+                  .Add("strikes", effect.strikes)
+                  .Add("remaining_ms", ToMilliseconds(effect.remaining)));
+}
+
 void control_loop::LogRefusal(const refusals::refusal& refusal) {
   ++metrics_.Counter(
       "burdocklock_refusals_total",
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -73,6 +73,13 @@
   metrics_.Gauge("burdocklock_retries_denied", [this] {
     return static_cast<double>(router_.totals().retries_denied);
   });
+  metrics_.Gauge("burdocklock_retries_withheld", [this] {
+    return static_cast<double>(router_.totals().retries_withheld);
+  });
+  metrics_.Gauge("burdocklock_blocked_prompt_parts", [this] {
+    return static_cast<double>(
+        router_.guard().BlockedCount(steady_clock::now()));
+  });
 }
 
 request_seq control_loop::NextRequest() {
--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -29,6 +29,9 @@
 // routers know of it.
 constexpr std::uint64_t kReportThresholdTokens = 2000;
 constexpr std::chrono::milliseconds kMinLoadReportInterval{25};
+// Evidence is collected for this long, as all requests of a target that ends
+// fail at once.
+constexpr std::chrono::milliseconds kMinEvidenceInterval{20};
 // How long the other routers' load stays valid after it was received.
 constexpr std::chrono::milliseconds kOthersLoadTimeout{1500};
 
@@ -102,6 +105,9 @@
   if (now >= next_load_report_) {
     ReportLoad(now);
   }
+  if (now >= next_evidence_) {
+    SendEvidence(now);
+  }
   if (now - others_load_received_ >= kOthersLoadTimeout &&
       others_load_received_ != time_point{}) {
     // The other routers' load is no longer known.
@@ -126,7 +132,19 @@
   client_->ReportLoad(router_.OwnLoad(now));
 }
 
+void operator_feed::SendEvidence(time_point now) {
+  next_evidence_ = kNever;
+  last_evidence_ = now;
+  client_->SendEvidence(router_.mutable_guard().TakeNews());
+}
+
 void operator_feed::AfterRouterEvent(time_point now) {
+  if (client_ && router_.guard().has_news()) {
+    next_evidence_ = last_evidence_ + kMinEvidenceInterval;
+    if (now >= next_evidence_) {
+      SendEvidence(now);
+    }
+  }
   const std::uint64_t unreported_tokens =
       router_.directory().granted_tokens() - reported_tokens_;
   if (client_ && unreported_tokens >= kReportThresholdTokens) {
@@ -139,7 +157,8 @@
 }
 
 time_point operator_feed::NextDeadline() const {
-  return client_ ? std::min(client_->NextDeadline(), next_load_report_)
+  return client_ ? std::min({client_->NextDeadline(), next_load_report_,
+                             next_evidence_})
                  : kNever;
 }
 
@@ -264,8 +283,17 @@
   router_.SetOthersLoad(others, now_, *out_);
 }
 
+void operator_feed::OnEvidence(const crashes::evidence& received) {
+  router_.OnEvidence(received, now_, *out_);
+}
+
+crashes::evidence operator_feed::KnownEvidence() const {
+  return router_.guard().KnownEvidence(now_);
+}
+
 void operator_feed::OnContactChanged(bool in_contact) {
   in_contact_ = in_contact;
+  router_.mutable_guard().SetContact(in_contact, now_);
   logger_.Log(log_record(in_contact ? "control_regained" : "control_lost",
                          in_contact ? log_level::kInfo : log_level::kWarning));
 }
--- a/src/app/internal/operator_feed.h
+++ b/src/app/internal/operator_feed.h
@@ -43,7 +43,8 @@
   void Stop();
   void OnTick(time_point now, routing::effects& out);
   /// Must be called after every event of the router. Reports this router's load
-  /// ahead of schedule if many tokens were granted since the last report.
+  /// ahead of schedule if many tokens were granted since the last report, and
+  /// new evidence about prompts.
   void AfterRouterEvent(time_point now);
   [[nodiscard]] time_point NextDeadline() const;
   void SetControlHosts(std::vector<endpoint> hosts);
@@ -62,6 +63,8 @@
   void OnTarget(const targets::announcement& announcement,
                 time_point heard) override;
   void OnRouters(const std::vector<daemon_id>& routers) override;
+  void OnEvidence(const crashes::evidence& received) override;
+  [[nodiscard]] crashes::evidence KnownEvidence() const override;
   void OnContactChanged(bool in_contact) override;
   void OnOthersLoad(const admission::fleet_load& others) override;
 
@@ -72,6 +75,7 @@
   void ApplyOutages(const std::set<data_centre_id>& out);
   void UpdateRetryBudget();
   void ReportLoad(time_point now);
+  void SendEvidence(time_point now);
 
   const config::settings& settings_;
   const routes::i_configuration_reader& reader_;
@@ -85,6 +89,8 @@
   std::size_t router_count_ = 0;
   time_point next_load_report_{};
   time_point last_load_report_{};
+  time_point last_evidence_{};
+  time_point next_evidence_ = kNever;
   /// The directory's granted token count at the last load report.
   std::uint64_t reported_tokens_ = 0;
   /// When the other routers' load was last received; default if it is unknown.
--- a/src/app/tests/fake_target.h
+++ b/src/app/tests/fake_target.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <future>
 #include <mutex>
@@ -14,6 +15,7 @@
 #include <boost/asio/write.hpp>
 
 #include "framework/fiber/fiber_thread.h"
+#include "framework/fiber/sleep.h"
 #include "framework/fiber/use_fiber.h"
 #include "framework/net/http_server.h"
 
@@ -27,6 +29,8 @@
   bool hang = false;
   /// If not empty, written again and again until the peer closes.
   std::string endless = {};
+  /// Refuses connections from then on, then closes this one.
+  bool end = false;
 };
 
 class fake_target : public net::i_http_handler {
@@ -67,6 +71,10 @@
       ++closed_by_peer;
       return net::keep_alive::kNo;
     }
+    if (answer.end) {
+      stop_.Set();
+      SleepFor(io_, std::chrono::milliseconds(20));
+    }
     if (answer.hang) {
       char byte = 0;
       connection.stream.async_read_some(net::asio::buffer(&byte, 1), use_fiber);
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -18,6 +18,7 @@
 #include "control/operator_state.h"
 #include "control/target_registry.h"
 #include "control/types/message.h"
+#include "crashes/evidence_store.h"
 #include "framework/i_random.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
@@ -41,6 +42,8 @@
   /// Minimum interval between load summaries; grows with the number of routers.
   duration min_load_interval = std::chrono::milliseconds(30);
   std::size_t routers_per_load_interval = 8;
+  /// New evidence about prompt parts is collected for this long.
+  duration evidence_interval = std::chrono::milliseconds(20);
   /// Followers wait this long before they send a new state to routers, so that
   /// normally only the leader does.
   duration follower_update_delay = std::chrono::milliseconds(250);
@@ -119,6 +122,7 @@
   void Handle(link_id link, const quorum_envelope& m);
   void Handle(link_id link, const load_report& m);
   void Handle(link_id link, const load_summary& m);
+  void Handle(link_id link, const evidence_update& m);
 
   // Commands and reads (control_commands.cc).
   void Propose(const operator_command& command, command_done done);
@@ -145,6 +149,8 @@
   void SendTargetBatch();
   [[nodiscard]] std::vector<aged_announcement> RecentTargets() const;
   void SendLoad();
+  void SendAllEvidence(link_id link);
+  void SendNewEvidence();
   void RemoveSilentPeers();
 
   control_options options_;
@@ -155,6 +161,10 @@
   operator_state state_;
   target_registry registry_;
   load_collector load_;
+  crashes::evidence_store evidence_;
+  /// Evidence that routers and other control hosts may lack.
+  crashes::evidence new_evidence_;
+  time_point next_evidence_send_ = kNever;
   time_point next_load_send_ = kNever;
   time_point last_load_send_{};
   time_point now_;
--- a/src/control/i_router_view.h
+++ b/src/control/i_router_view.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "control/types/message.h"
+#include "crashes/types/evidence.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "targets/types/announcement.h"
@@ -27,6 +28,10 @@
   virtual void OnRouters(const std::vector<daemon_id>& routers) = 0;
   /// Summed load of all other routers, from their last reports.
   virtual void OnOthersLoad(const admission::fleet_load& others) = 0;
+  /// Evidence about prompt parts that end targets has arrived.
+  virtual void OnEvidence(const crashes::evidence& received) = 0;
+  /// All such evidence that this router has, for a new link.
+  [[nodiscard]] virtual crashes::evidence KnownEvidence() const = 0;
   /// Contact with the control hosts was gained or lost.
   virtual void OnContactChanged(bool in_contact) = 0;
 };
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -52,6 +52,7 @@
     }
     RemoveSilentPeers();
     registry_.Expire(now);
+    evidence_.Expire(now);
     ExpireCommands();
   }
   if (now >= next_join_request_) {
@@ -68,12 +69,16 @@
   if (now >= next_load_send_) {
     SendLoad();
   }
+  if (now >= next_evidence_send_) {
+    SendNewEvidence();
+  }
   ProcessRaftOutput();
 }
 
 time_point control_node::NextDeadline() const {
   return std::min({raft_.NextDeadline(), next_heartbeat_, next_join_request_,
-                   next_target_batch_, next_state_send_, next_load_send_});
+                   next_target_batch_, next_state_send_, next_load_send_,
+                   next_evidence_send_});
 }
 
 void control_node::OnLinkUp(link_id link, time_point now) {
@@ -84,6 +89,7 @@
   if (!all.targets.empty()) {
     link_port_.Send(link, std::move(all));
   }
+  SendAllEvidence(link);
   ProcessRaftOutput();
 }
 
@@ -137,6 +143,7 @@
   routers_[m.daemon] = now_;
   if (added) {
     link_port_.Send(link, target_update{.targets = RecentTargets()});
+    SendAllEvidence(link);
   }
   SendStateUpdate(link, peer);
 }
--- a/src/control/internal/control_updates.cc
+++ b/src/control/internal/control_updates.cc
@@ -50,6 +50,36 @@
   }
 }
 
+void control_node::Handle(link_id, const evidence_update& m) {
+  crashes::evidence news = evidence_.Merge(m.contents, now_);
+  if (news.empty()) {
+    return;
+  }
+  new_evidence_.Append(std::move(news));
+  next_evidence_send_ =
+      std::min(next_evidence_send_, now_ + options_.evidence_interval);
+}
+
+void control_node::SendAllEvidence(link_id link) {
+  crashes::evidence all = evidence_.All(now_);
+  if (!all.empty()) {
+    link_port_.Send(link, evidence_update{.contents = std::move(all)});
+  }
+}
+
+void control_node::SendNewEvidence() {
+  next_evidence_send_ = kNever;
+  const evidence_update update{.contents = std::exchange(new_evidence_, {})};
+  for (const link_id link : links_.OpenLinks()) {
+    link_port_.Send(link, update);
+  }
+  for (const auto& [link, peer] : inbound_) {
+    if (peer.is_router) {
+      link_port_.Send(link, update);
+    }
+  }
+}
+
 std::size_t control_node::router_count() const {
   return routers_.size();
 }
--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -47,6 +47,51 @@
 
 }  // namespace burdocklock::admission
 
+namespace burdocklock::crashes {
+
+using nlohmann::json;
+
+void to_json(json& j, const target_end& e) {
+  j = json::array({e.target, e.life, e.pool, e.age_ms, e.suspects});
+}
+void from_json(const json& j, target_end& e) {
+  j.at(0).get_to(e.target);
+  j.at(1).get_to(e.life);
+  j.at(2).get_to(e.pool);
+  j.at(3).get_to(e.age_ms);
+  j.at(4).get_to(e.suspects);
+}
+
+void to_json(json& j, const served_part& s) {
+  j = json::array({s.key.pool, s.key.part, s.age_ms});
+}
+void from_json(const json& j, served_part& s) {
+  j.at(0).get_to(s.key.pool);
+  j.at(1).get_to(s.key.part);
+  j.at(2).get_to(s.age_ms);
+}
+
+void to_json(json& j, const blocked_part& b) {
+  j = json::array({b.key.pool, b.key.part, b.age_ms, b.strikes});
+}
+void from_json(const json& j, blocked_part& b) {
+  j.at(0).get_to(b.key.pool);
+  j.at(1).get_to(b.key.part);
+  j.at(2).get_to(b.age_ms);
+  j.at(3).get_to(b.strikes);
+}
+
+void to_json(json& j, const evidence& e) {
+  j = json::array({e.ends, e.served, e.blocked});
+}
+void from_json(const json& j, evidence& e) {
+  j.at(0).get_to(e.ends);
+  j.at(1).get_to(e.served);
+  j.at(2).get_to(e.blocked);
+}
+
+}  // namespace burdocklock::crashes
+
 namespace burdocklock::control {
 
 using nlohmann::json;
@@ -76,6 +121,7 @@
 constexpr char kQuorum[] = "q";
 constexpr char kLoadReport[] = "l";
 constexpr char kLoadSummary[] = "v";
+constexpr char kEvidence[] = "e";
 
 template <typename T>
 json OrNull(const std::optional<T>& value) {
@@ -110,6 +156,9 @@
   json operator()(const load_summary& m) const {
     return json::array({kLoadSummary, m.others});
   }
+  json operator()(const evidence_update& m) const {
+    return json::array({kEvidence, m.contents});
+  }
 };
 
 message DecodeMessage(const json& j) {
@@ -154,6 +203,11 @@
     j.at(1).get_to(m.others);
     return m;
   }
+  if (kind == kEvidence) {
+    evidence_update m;
+    j.at(1).get_to(m.contents);
+    return m;
+  }
   throw std::out_of_range("unknown message kind");
 }
 
--- a/src/control/internal/router_client.cc
+++ b/src/control/internal/router_client.cc
@@ -39,6 +39,10 @@
   links_.OnUp(link, now);
   port_.Send(link, introduction{.daemon = options_.daemon,
                                 .applied_revision = applied_revision_});
+  crashes::evidence known = view_.KnownEvidence();
+  if (!known.empty()) {
+    port_.Send(link, evidence_update{.contents = std::move(known)});
+  }
 }
 
 void router_client::OnLinkDown(link_id link, time_point now) {
@@ -82,6 +86,16 @@
   view_.OnOthersLoad(m.others);
 }
 
+void router_client::Handle(const evidence_update& m, time_point) {
+  view_.OnEvidence(m.contents);
+}
+
+void router_client::SendEvidence(const crashes::evidence& news) {
+  for (const link_id link : links_.OpenLinks()) {
+    port_.Send(link, evidence_update{.contents = news});
+  }
+}
+
 void router_client::ReportLoad(const admission::fleet_load& load) {
   if (collector_ && links_.IsUp(*collector_)) {
     port_.Send(*collector_,
--- a/src/control/router_client.h
+++ b/src/control/router_client.h
@@ -45,6 +45,9 @@
   /// Sends this router's load to the collecting control host; its answer
   /// arrives through `OnOthersLoad`.
   void ReportLoad(const admission::fleet_load& load);
+  /// Sends new evidence to all control hosts. Hosts that are not reached now
+  /// receive it with the next link.
+  void SendEvidence(const crashes::evidence& news);
   [[nodiscard]] state_revision applied_revision() const {
     return applied_revision_;
   }
@@ -65,6 +68,7 @@
   void Handle(const quorum_envelope& m, time_point now);
   void Handle(const load_report& m, time_point now);
   void Handle(const load_summary& m, time_point now);
+  void Handle(const evidence_update& m, time_point now);
   void ApplyState(state_revision revision,
                   const state_contents& contents,
                   bool current);
--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -18,6 +18,7 @@
 
 #include "control/control_node.h"
 #include "control/router_client.h"
+#include "crashes/evidence_store.h"
 #include "framework/seeded_random.h"
 
 namespace burdocklock::control {
@@ -131,6 +132,14 @@
     others = load;
   }
 
+  void OnEvidence(const crashes::evidence& received) override {
+    evidence.Merge(received, time_point(std::chrono::seconds(100)));
+  }
+  crashes::evidence KnownEvidence() const override {
+    return evidence.All(time_point(std::chrono::seconds(100)));
+  }
+
+  crashes::evidence_store evidence;
   state_revision applied_revision;
   state_contents state;
   std::map<target_id, targets::announcement> targets;
@@ -201,6 +210,18 @@
         *links[kHosts + i], *views[i], network.now);
   }
 
+  static crashes::evidence EndOf(const std::string& target) {
+    return {.ends = {{.target = target_id(target),
+                      .life = incarnation(1),
+                      .pool = pool_id("llm"),
+                      .suspects = {9}}}};
+  }
+  // As a router does whose target has ended.
+  void Notice(std::size_t router, const crashes::evidence& noticed) {
+    views[router]->evidence.Merge(noticed, network.now);
+    routers[router]->SendEvidence(noticed);
+  }
+
   void RunFor(duration time) {
     const time_point end = network.now + time;
     while (network.now < end) {
--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -205,5 +205,63 @@
   CHECK_FALSE(views[0]->connected);
 }
 
+constexpr milliseconds kEvidenceTime{3000};
+
+TEST_CASE_METHOD(control_fixture,
+                 "one router notices the end of a target: every other router "
+                 "is told, without the leader too") {
+  const std::size_t leader = Leader();
+  Isolate(leader);
+  Notice(0, EndOf("t1"));
+  RunFor(milliseconds(100));
+  CHECK(views[1]->evidence.ends().size() == 1);
+  Notice(1, EndOf("t2"));
+  RunFor(milliseconds(100));
+  CHECK(views[0]->evidence.ends().size() == 2);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "a router restarts empty: it is told of all targets that "
+                 "ended") {
+  Notice(0, EndOf("t1"));
+  Notice(1, EndOf("t2"));
+  RunFor(milliseconds(100));
+  StartRouter(0);
+  RunFor(kEvidenceTime);
+  CHECK(views[0]->evidence.ends().size() == 2);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "a router notices the end of a target while cut off: the "
+                 "others are told once it is back") {
+  Isolate(kHosts);
+  RunFor(milliseconds(500));
+  Notice(0, EndOf("t1"));
+  RunFor(seconds(2));
+  CHECK(views[1]->evidence.ends().empty());
+  network.disconnected.clear();
+  RunFor(kEvidenceTime);
+  CHECK(views[1]->evidence.ends().size() == 1);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "all control hosts restart empty: routers tell each other "
+                 "again what they know") {
+  Notice(0, EndOf("t1"));
+  RunFor(milliseconds(100));
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    Isolate(i);
+  }
+  RunFor(seconds(3));
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    StartHost(i);
+  }
+  network.disconnected.clear();
+  RunFor(seconds(6));
+  StartRouter(1);
+  RunFor(kEvidenceTime);
+  CHECK(views[1]->evidence.ends().size() == 1);
+}
+
 }  // namespace
 }  // namespace burdocklock::control
--- a/src/control/types/message.h
+++ b/src/control/types/message.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "admission/types/fleet_load.h"
+#include "crashes/types/evidence.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "quorum/types/quorum_message.h"
@@ -83,11 +84,18 @@
   admission::fleet_load others;
 };
 
+/// Evidence about prompt parts that end targets: from routers, and merged from
+/// control hosts.
+struct evidence_update {
+  crashes::evidence contents;
+};
+
 using message = std::variant<introduction,
                              state_update,
                              target_update,
                              quorum_envelope,
                              load_report,
-                             load_summary>;
+                             load_summary,
+                             evidence_update>;
 
 }  // namespace burdocklock::control
--- a/src/refusals/internal/refusal.cc
+++ b/src/refusals/internal/refusal.cc
@@ -35,6 +35,8 @@
         {"target_failed", 502, "The target failed before it answered."},
         {"target_timeout", 504, "The target did not answer in time."},
         {"deadline", 504, "The request exceeded its total time."},
+        {"prompt_blocked", 503,
+         "Targets end when they process a part of this prompt."},
     }};
 
 const reason_entry& EntryOf(refusal_reason reason) {
--- a/src/refusals/types/refusal.h
+++ b/src/refusals/types/refusal.h
@@ -28,9 +28,12 @@
   kTargetFailed,
   kTargetTimeout,
   kDeadline,
+  /// A part of the prompt ends targets that process it.
+  kPromptBlocked,
 };
 
-inline constexpr refusal_reason kLastRefusalReason = refusal_reason::kDeadline;
+inline constexpr refusal_reason kLastRefusalReason =
+    refusal_reason::kPromptBlocked;
 
 /// Whether a target may have started executing the request.
 enum class run_state {
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -101,6 +101,9 @@
                                  time_point now,
                                  effects& out) {
   record& record = *Find(request);
+  if (BlockedFor(record.spec, now)) {
+    return false;
+  }
   const bool over_share =
       record.spec.prompt && state.shares.IsOverShare(record.spec.customer, now);
   std::optional<targets::choice> choice = ChooseTarget(record, over_share, now);
@@ -114,6 +117,11 @@
   record.tried_targets.push_back(choice->grant.target);
   record.grant = choice->grant;
   record.output_tokens = 0;
+  record.output_began.reset();
+  record.served = false;
+  if (record.spec.prompt) {
+    guard_.OnSent(record.spec.pool, *record.spec.prompt, now);
+  }
   record.charged_prompt_cost =
       record.spec.kind == call_kind::kServiceCall
           ? fairness::kUnitsPerServiceCall
--- a/src/routing/internal/request_outcome.cc
+++ b/src/routing/internal/request_outcome.cc
@@ -44,14 +44,14 @@
   }
   if (const auto* refused = std::get_if<outcome_refused>(&result)) {
     out.emplace_back(refuse_request{
-        .refusal = MakeRefusal(record, refused->reason, refused->run)});
+        .refusal = MakeRefusal(record, refused->reason, refused->run, now)});
   }
   if (std::holds_alternative<outcome_target_failure>(result)) {
     out.emplace_back(forward_error_response{.request = id});
   }
   if (const auto* cut = std::get_if<outcome_cut>(&result)) {
     out.emplace_back(truncate_response{
-        .refusal = MakeRefusal(record, cut->reason, run_state::kUnknown)});
+        .refusal = MakeRefusal(record, cut->reason, run_state::kUnknown, now)});
   }
   CountOutcome(result);
   out.emplace_back(request_ended{.request = id,
@@ -79,22 +79,28 @@
 
 refusal request_router::MakeRefusal(const record& record,
                                     refusal_reason reason,
-                                    run_state run) {
+                                    run_state run,
+                                    time_point now) {
   return RecordRefusal({.customer = record.spec.customer,
                         .request = record.spec.id,
                         .reason = reason,
                         .run = run,
-                        .retry_after = RetryAfter(record, reason, run),
+                        .retry_after = RetryAfter(record, reason, run, now),
                         .detail = refusals::Describe(reason)});
 }
 
 std::optional<std::chrono::milliseconds> request_router::RetryAfter(
     const record& record,
     refusal_reason reason,
-    run_state run) {
+    run_state run,
+    time_point now) {
   if (run == run_state::kUnknown && !record.spec.repeatable) {
     return std::nullopt;
   }
+  if (reason == refusal_reason::kPromptBlocked) {
+    return std::chrono::ceil<std::chrono::milliseconds>(
+        BlockedFor(record.spec, now).value_or(kMinRetryAfter));
+  }
   if (record.spec.prompt && run == run_state::kNotRun) {
     return kMinOverloadRetryAfter + std::chrono::milliseconds(random_.Below(
                                         kOverloadRetryAfterJitterMs));
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -30,7 +30,8 @@
     : options_(std::move(options)),
       random_(random),
       observer_(observer),
-      directory_(options_.directory, random) {}
+      directory_(options_.directory, random),
+      guard_(options_.directory.self) {}
 
 void request_router::SetCustomer(const customer_id& customer,
                                  const customer_options& terms) {
@@ -64,6 +65,12 @@
                       .lifecycle = request_lifecycle(
                           spec, OptionsFor(spec, options_.lifecycle), now)});
   record& record = added->second;
+  if (BlockedFor(spec, now)) {
+    Apply(record.lifecycle.Refuse(refusal_reason::kPromptBlocked), record, now,
+          out);
+    EraseIfDone(spec.id);
+    return;
+  }
   if (spec.prompt) {
     record.share_cost = ShareCost(*spec.prompt);
     PoolOf(spec.pool).shares.OnArrival(spec.customer, record.share_cost, now);
@@ -87,8 +94,8 @@
       !record->lifecycle.attempt_running()) {
     return;
   }
+  RecordEvidence(*record, event, now);
   const bool retry_allowed = ConsumeRetry(*record, event, now);
-  const bool output_began = record->lifecycle.streaming();
   Account(*record, event, now, out);
   if (const auto* failure = std::get_if<attempt_failed>(&event)) {
     out.emplace_back(attempt_failure_report{
@@ -101,13 +108,14 @@
         .will_retry = retry_allowed,
         .shared_parts = record->spec.prompt ? SharedParts(*record->spec.prompt)
                                             : std::vector<std::uint64_t>(),
-        .output_began = output_began,
+        .output_began = record->output_began.has_value(),
         .target_ended = failure->target_ended});
   }
   const bool slot_freed = !record->grant.has_value();
   Apply(record->lifecycle.OnAttempt(event, retry_allowed, now), *record, now,
         out);
   EraseIfDone(request);
+  ApplyBlocks(now, out);
   if (slot_freed) {
     DispatchAll(now, out);
   }
@@ -124,6 +132,10 @@
   if (!failure->sent) {
     return true;
   }
+  if (MayEndNextTarget(record, *failure, now)) {
+    ++totals_.retries_withheld;
+    return false;
+  }
   const bool allowed = RetryBudgetOf(record.spec.pool, now).TryConsume(now);
   ++(allowed ? totals_.retries : totals_.retries_denied);
   return allowed;
@@ -171,12 +183,16 @@
       ReportRamp(target, "silent", out);
     }
   }
+  if (guard_.NextDeadline() <= now) {
+    guard_.OnTick(now);
+  }
+  ApplyBlocks(now, out);
   DispatchAll(now, out);
   RefuseForNoTarget(now, out);
 }
 
 time_point request_router::NextDeadline() const {
-  time_point next = directory_.next_deadline();
+  time_point next = std::min(directory_.next_deadline(), guard_.NextDeadline());
   if (!deadlines_.empty()) {
     next = std::min(next, deadlines_.begin()->first);
   }
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -14,6 +14,7 @@
 
 #include "admission/share_limiter.h"
 #include "admission/types/fleet_load.h"
+#include "crashes/prompt_guard.h"
 #include "fairness/fair_queue.h"
 #include "framework/i_random.h"
 #include "framework/types/ids.h"
@@ -58,6 +59,8 @@
   std::uint64_t caller_left = 0;
   std::uint64_t retries = 0;
   std::uint64_t retries_denied = 0;
+  /// Not retried because the request may have ended its target.
+  std::uint64_t retries_withheld = 0;
 };
 
 /// Deterministic: the same events at the same times with the same random
@@ -96,6 +99,10 @@
                  time_point now,
                  effects& out);
   void OnCallerLeft(request_seq request, time_point now, effects& out);
+  /// Evidence of other routers about prompt parts that end targets.
+  void OnEvidence(const crashes::evidence& received,
+                  time_point now,
+                  effects& out);
   /// Ends all requests, waiting or running.
   void AbortAll(refusals::refusal_reason reason, time_point now, effects& out);
   /// Call when `NextDeadline` has passed.
@@ -134,6 +141,9 @@
     return directory_;
   }
 
+  [[nodiscard]] crashes::prompt_guard& mutable_guard() { return guard_; }
+  [[nodiscard]] const crashes::prompt_guard& guard() const { return guard_; }
+
   [[nodiscard]] const router_totals& totals() const { return totals_; }
   [[nodiscard]] const targets::target_directory& directory() const {
     return directory_;
@@ -158,6 +168,12 @@
     bool share_charged = false;
     std::uint32_t output_tokens = 0;
     std::optional<duration> first_output;
+    /// When the output of the current attempt began.
+    std::optional<time_point> output_began;
+    /// The current attempt's target has served the prompt.
+    bool served = false;
+    /// Targets that ended before they had served the prompt.
+    std::uint32_t ended_targets = 0;
     time_point scheduled_deadline = kNever;
   };
   struct pool_state {
@@ -224,6 +240,21 @@
   std::optional<refusals::refusal_reason> QueueLimitReached(
       const request_spec& spec);
 
+  // Prompts that end targets (blocked_prompts.cc).
+  [[nodiscard]] std::optional<duration> BlockedFor(const request_spec& spec,
+                                                   time_point now) const;
+  /// Records what the event says about the prompt's effect on its target.
+  void RecordEvidence(record& record,
+                      const attempt_event& event,
+                      time_point now);
+  void OnTargetEnded(record& record, time_point now);
+  /// Whether another target might end if the request were sent there.
+  [[nodiscard]] bool MayEndNextTarget(const record& record,
+                                      const attempt_failed& failure,
+                                      time_point now) const;
+  /// Logs changed blocks and refuses waiting requests with blocked parts.
+  void ApplyBlocks(time_point now, effects& out);
+
   // Accounting of attempt events (attempt_accounting.cc).
   void Account(record& record,
                const attempt_event& event,
@@ -241,16 +272,19 @@
 
   refusals::refusal MakeRefusal(const record& record,
                                 refusals::refusal_reason reason,
-                                refusals::run_state run);
+                                refusals::run_state run,
+                                time_point now);
   std::optional<std::chrono::milliseconds> RetryAfter(
       const record& record,
       refusals::refusal_reason reason,
-      refusals::run_state run);
+      refusals::run_state run,
+      time_point now);
 
   router_options options_;
   i_random& random_;
   i_routing_observer& observer_;
   targets::target_directory directory_;
+  crashes::prompt_guard guard_;
   std::unordered_map<pool_id, retry_budget> retry_budgets_;
   std::unordered_map<pool_id, pool_state> pools_;
   std::unordered_map<customer_id, customer_options> customers_;
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -136,6 +137,17 @@
   bool coordinates = false;
 };
 
+/// Prompts with a part are refused from now on, or no longer.
+struct prompt_block_changed {
+  pool_id pool;
+  std::uint64_t part = 0;
+  bool blocked = false;
+  /// Ends of targets that are blamed on the part; 0 if another router did.
+  std::size_t target_ends = 0;
+  std::uint32_t strikes = 0;
+  duration remaining{};
+};
+
 using effect = std::variant<start_attempt,
                             cancel_attempt,
                             refuse_request,
@@ -146,7 +158,8 @@
                             request_ended,
                             ramp_changed,
                             lease_changed,
-                            coordinator_changed>;
+                            coordinator_changed,
+                            prompt_block_changed>;
 using effects = std::vector<effect>;
 
 }  // namespace burdocklock::routing
