--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -81,6 +82,52 @@
   void StopEngine(std::size_t engine, duration at) {
     At(start_ + at, [this, engine] { engines_[engine].stopped = true; });
   }
+  /// The engine names a limit in its answers, in requests per second.
+  void LimitEngine(std::size_t engine,
+                   double rate,
+                   duration from,
+                   duration to) {
+    At(start_ + from,
+       [this, engine, rate] { engines_[engine].rate_limit = rate; });
+    At(start_ + to, [this, engine] { engines_[engine].rate_limit.reset(); });
+  }
+  /// No load reports from or to the router.
+  void CutRouter(std::size_t router, duration from, duration to) {
+    At(start_ + from, [this, router] { cut_.insert(router); });
+    At(start_ + to, [this, router] { cut_.erase(router); });
+  }
+  void RestartRouter(std::size_t router, duration at) {
+    At(start_ + at, [this, router] {
+      routers_[router] = MakeRouter(RouterName(router));
+      std::vector<daemon_id> names;
+      for (std::size_t i = 0; i < routers_.size(); ++i) {
+        names.push_back(RouterName(i));
+      }
+      routers_[router]->mutable_directory().SetRouters(names);
+      for (auto& [id, request] : requests_) {
+        if (request.router == router) {
+          Leave(request);
+          request.is_lost = true;
+        }
+      }
+      restarted_[router] = now_;
+    });
+  }
+  struct arrival {
+    time_point at;
+    std::size_t engine = 0;
+    std::size_t router = 0;
+    /// When the router first passed an answer on that named the limit.
+    std::optional<time_point> told;
+  };
+  [[nodiscard]] const std::vector<arrival>& arrivals() const {
+    return arrivals_;
+  }
+  [[nodiscard]] const std::map<std::size_t, time_point>& restarted() const {
+    return restarted_;
+  }
+  [[nodiscard]] time_point start() const { return start_; }
+
   void Run(duration until) {
     while (!events_.empty() && events_.top().at <= start_ + until) {
       const event next = events_.top();
@@ -120,6 +167,9 @@
     std::uint64_t sequence = 0;
     std::uint32_t running = 0;
     time_point read_until{};
+    std::optional<double> rate_limit;
+    /// When each router first passed on an answer with the limit.
+    std::map<std::size_t, time_point> told;
   };
   struct open_request {
     customer_profile profile;
@@ -129,6 +179,8 @@
     std::optional<std::size_t> engine;
     attempt_number attempt;
     bool started = false;
+    /// Its router has restarted.
+    bool is_lost = false;
   };
   struct event {
     time_point at;
@@ -217,6 +269,9 @@
   void ReportLoad(std::size_t router) {
     At(now_ + std::chrono::milliseconds(200),
        [this, router] { ReportLoad(router); });
+    if (cut_.contains(router)) {
+      return;
+    }
     if (random_.Below(options_.lost_report_in) != 0) {
       reports_.OnReport(RouterName(router), routers_[router]->OwnLoad(now_),
                         now_);
@@ -315,8 +370,18 @@
                             .sent = true});
       return;
     }
+    if (request.is_lost) {
+      return;
+    }
     ++engine.running;
     request.engine = index;
+    const auto told = engine.told.find(request.router);
+    arrivals_.push_back({.at = now_,
+                         .engine = index,
+                         .router = request.router,
+                         .told = told == engine.told.end()
+                                     ? std::nullopt
+                                     : std::optional(told->second)});
     engine.read_until =
         std::max(engine.read_until, now_) +
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(
@@ -343,6 +408,9 @@
       account.refused_or_late |=
           now_ - request.arrived > std::chrono::milliseconds(400);
     }
+    if (engines_[index].rate_limit) {
+      engines_[index].told.emplace(request.router, now_);
+    }
     Report(id, attempt, attempt_first_output{});
     At(now_ + kOutputTime, [this, id, attempt, index] {
       open_request& ended = requests_.at(id);
@@ -399,6 +467,9 @@
               attempt_number attempt,
               const attempt_event& event) {
     const std::size_t router = requests_.at(id).router;
+    if (requests_.at(id).is_lost) {
+      return;
+    }
     Handle(router, [&](effects& out) {
       routers_[router]->OnAttempt(id, attempt, event, now_, out);
     });
@@ -421,6 +492,9 @@
   std::map<customer_id, account> accounts_;
   std::map<customer_id, double> largest_;
   std::map<std::string, int> refusals_;
+  std::set<std::size_t> cut_;
+  std::map<std::size_t, time_point> restarted_;
+  std::vector<arrival> arrivals_;
   std::priority_queue<event> events_;
   std::uint64_t last_event_ = 0;
   std::uint64_t last_request_ = 0;
