--- a/src/crashes/internal/prompt_guard.cc
+++ b/src/crashes/internal/prompt_guard.cc
@@ -26,7 +26,8 @@
 // moments: one power loss ends any number of targets at once.
 constexpr std::size_t kMinEndsOfServed = 4;
 constexpr std::size_t kMinMoments = 3;
-constexpr std::size_t kMinEndsAtTwoMoments = 5;
+// As many, spread over a shorter time.
+constexpr std::size_t kMinEndsOfSeries = 5;
 // Longer than it takes to see that a target has served a prompt.
 constexpr milliseconds kMomentGap{800};
 // Ends closer than this may have a common cause, given the delays with which
@@ -61,6 +62,29 @@
       std::chrono::duration_cast<milliseconds>(now - at).count());
 }
 
+// Number of times that follow the one counted before by `gap` or more.
+std::size_t CountMoments(const std::vector<time_point>& sorted, duration gap) {
+  std::size_t moments = 0;
+  time_point last{};
+  for (const time_point at : sorted) {
+    if (at >= last + gap) {
+      ++moments;
+      last = at;
+    }
+  }
+  return moments;
+}
+
+// Whether ends of targets with a part that was served before are too many, and
+// too spread in time, to have another cause.
+bool Recurs(const std::vector<time_point>& sorted) {
+  const std::size_t moments = CountMoments(sorted, kMomentGap);
+  return (moments >= kMinMoments && sorted.size() >= kMinEndsOfServed) ||
+         (sorted.size() >= kMinEndsOfSeries &&
+          (moments > 1 ||
+           CountMoments(sorted, kCommonCauseGap) >= kMinEndsOfServed));
+}
+
 template <typename Visit>
 void ForEachShared(const targets::prompt& prompt, Visit visit) {
   for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
@@ -226,41 +250,31 @@
   const auto block = store_.blocked().find(key);
   const bool on_probation =
       block != store_.blocked().end() && !IsLifted(key, block->second);
-  const std::size_t needed = on_probation ? 1 : kMinEnds;
+  const time_point from =
+      on_probation ? block->second.at + BlockTime(block->second.strikes)
+                   : time_point{};
+  std::vector<time_point> blamed;
   std::size_t unexplained = 0;
-  std::size_t moments = 0;
-  std::size_t blamed = 0;
-  time_point last_moment{};
-  time_point first = kNever;
   for (const auto* end : ends) {
-    const bool counts =
-        !on_probation ||
-        end->at >= block->second.at + BlockTime(block->second.strikes);
-    if (!counts || IsCommonCause(*end, key.part)) {
+    if (end->at < from || IsCommonCause(*end, key.part)) {
       continue;
     }
     if (now < end->at + kMinEvidenceAge) {
       next_evaluation_ = std::min(next_evaluation_, end->at + kMinEvidenceAge);
       continue;
     }
-    ++blamed;
-    first = std::min(first, end->at);
+    blamed.push_back(end->at);
     unexplained += IsExplained(*end, key.part) ? 0 : 1;
-    if (end->at >= last_moment + kMomentGap) {
-      ++moments;
-      last_moment = end->at;
-    }
   }
-  const auto served = store_.LastServed(key);
-  const bool was_served = served && first - *served < kTrustTime;
-  const bool recurs = (moments >= kMinMoments && blamed >= kMinEndsOfServed) ||
-                      (moments > 1 && blamed >= kMinEndsAtTwoMoments);
-  const bool knows_others = now - in_contact_since_ >= kMinContactTime;
-  if (blamed < needed || (was_served && !(recurs && knows_others)) ||
-      (unexplained < blamed && unexplained < kMinUnexplainedEnds)) {
+  const std::size_t needed = on_probation ? 1 : kMinEnds;
+  if (blamed.size() < needed ||
+      (unexplained < blamed.size() && unexplained < kMinUnexplainedEnds)) {
     return 0;
   }
-  return blamed;
+  const auto served = store_.LastServed(key);
+  const bool was_served = served && blamed.front() - *served < kTrustTime;
+  const bool knows_others = now - in_contact_since_ >= kMinContactTime;
+  return was_served && !(knows_others && Recurs(blamed)) ? 0 : blamed.size();
 }
 
 void prompt_guard::Block(const candidate& found, time_point now) {
@@ -341,15 +355,7 @@
     }
   }
   std::sort(times.begin(), times.end());
-  std::size_t moments = 0;
-  time_point last{};
-  for (const time_point at : times) {
-    if (at >= last + kMomentGap) {
-      ++moments;
-      last = at;
-    }
-  }
-  return moments;
+  return CountMoments(times, kMomentGap);
 }
 
 evidence prompt_guard::TakeNews() {
--- a/src/routing/tests/crashing_part_unittest.cc
+++ b/src/routing/tests/crashing_part_unittest.cc
@@ -177,6 +177,20 @@
   }
 }
 
+TEST_CASE_METHOD(crashing_part_fixture,
+                 "crashing part: it was served before and all targets end "
+                 "within a second: it is kept from targets",
+                 "[.known-red]") {
+  for (const std::uint32_t seed : {117U, 238U}) {
+    INFO("seed " << seed);
+    crashing_fleet_options options = Draw(seed);
+    options.was_sound_before = true;
+    crashing_fleet fleet(options);
+    fleet.Run(kEnd);
+    CheckStopped(fleet);
+  }
+}
+
 TEST_CASE_METHOD(crashing_part_fixture,
                  "targets end in groups, all at once and alone: no prompt is "
                  "refused for it") {
