Keep the rate limit that a target names over all routers

Cause: the field of the answers was not read; nothing but slots and backlog held requests back. Class: a limit on what several senders do together that none keeps.

Without contact to control hosts a router uses half of its part. Customers' shares count a limited target with its rate. A router that knows no other one took all of the cold rate too; it takes a quarter now.

--- a/src/admission/types/fleet_load.h
+++ b/src/admission/types/fleet_load.h
@@ -2,18 +2,33 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "framework/types/ids.h"
 
 namespace burdocklock::admission {
 
+/// A target's limit on requests from all routers together, as its answers name
+/// it.
+struct named_rate {
+  /// Requests per second; absent if the latest answer names none.
+  std::optional<double> per_second;
+  /// Milliseconds since that answer.
+  std::uint64_t age_ms = 0;
+
+  friend bool operator==(const named_rate&, const named_rate&) = default;
+};
+
 /// Load of one target.
 struct target_load {
   target_id target;
   std::uint32_t in_flight = 0;
   /// Prompt tokens that the target has yet to process.
   std::uint64_t unread_tokens = 0;
+  /// What the target's answers say of its rate limit; absent if they never
+  /// named one.
+  std::optional<named_rate> rate_limit = std::nullopt;
 
   friend bool operator==(const target_load&, const target_load&) = default;
 };
--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -172,6 +172,17 @@
                   .Add("remaining_ms", ToMilliseconds(effect.remaining)));
 }
 
+void control_loop::Perform(const routing::rate_limit_changed& effect,
+                           time_point) {
+  log_record record("rate_limit");
+  record.Add("target", effect.target.value())
+      .Add("limited", effect.per_second.has_value());
+  if (effect.per_second) {
+    record.Add("per_second", *effect.per_second);
+  }
+  logger_.Log(record);
+}
+
 void control_loop::LogRefusal(const refusals::refusal& refusal) {
   ++metrics_.Counter(
       "burdocklock_refusals_total",
--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -24,6 +24,9 @@
 // Fraction of the fleet's retry budget that is distributed to the routers. The
 // rest covers restarted routers, which no longer know what they have spent.
 constexpr double kRetryBudgetFraction = 0.5;
+// Without contact to control hosts, routers on the other side may have taken
+// over this router's share of a target's rate limit.
+constexpr double kRateFractionAlone = 0.5;
 constexpr std::chrono::milliseconds kLoadReportInterval{200};
 // A prompt of this size delays the requests queued behind it unless the other
 // routers know of it.
@@ -59,6 +62,7 @@
       logger_(logger),
       run_(std::move(run)),
       links_(io, endpoint{}, logger) {
+  router_.mutable_directory().SetRateFraction(kRateFractionAlone);
   UpdateRetryBudget();
 }
 
@@ -293,6 +297,8 @@
 
 void operator_feed::OnContactChanged(bool in_contact) {
   in_contact_ = in_contact;
+  router_.mutable_directory().SetRateFraction(in_contact ? 1
+                                                         : kRateFractionAlone);
   router_.mutable_guard().SetContact(in_contact, now_);
   logger_.Log(log_record(in_contact ? "control_regained" : "control_lost",
                          in_contact ? log_level::kInfo : log_level::kWarning));
--- a/src/control/internal/load_collector.cc
+++ b/src/control/internal/load_collector.cc
@@ -12,6 +12,23 @@
 // Reports older than this are ignored.
 constexpr std::chrono::milliseconds kMaxReportAge{1500};
 
+// Keeps the latest of several routers' answers.
+void AddRate(const std::optional<admission::named_rate>& reported,
+             duration report_age,
+             std::optional<admission::named_rate>& latest) {
+  if (!reported) {
+    return;
+  }
+  const std::uint64_t age_ms =
+      reported->age_ms +
+      static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(report_age)
+              .count());
+  if (!latest || age_ms < latest->age_ms) {
+    latest = {.per_second = reported->per_second, .age_ms = age_ms};
+  }
+}
+
 }  // namespace
 
 void load_collector::OnReport(const daemon_id& router,
@@ -36,6 +53,7 @@
       sum.target = load.target;
       sum.in_flight += load.in_flight;
       sum.unread_tokens += load.unread_tokens;
+      AddRate(load.rate_limit, now - entry.reported, sum.rate_limit);
     }
     for (const admission::customer_flow& flow : entry.load.customers) {
       admission::customer_flow& sum = customers[{flow.pool, flow.customer}];
--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -18,11 +18,27 @@
 
 void to_json(json& j, const target_load& l) {
   j = json::array({l.target, l.in_flight, l.unread_tokens});
+  if (l.rate_limit) {
+    j.push_back(l.rate_limit->age_ms);
+    // Thousandths, as whole numbers are encoded shorter.
+    j.push_back(l.rate_limit->per_second
+                    ? json(std::llround(*l.rate_limit->per_second * 1000))
+                    : json());
+  }
 }
 void from_json(const json& j, target_load& l) {
   j.at(0).get_to(l.target);
   j.at(1).get_to(l.in_flight);
   j.at(2).get_to(l.unread_tokens);
+  constexpr std::size_t kSizeWithRate = 5;
+  if (j.size() < kSizeWithRate) {
+    return;
+  }
+  l.rate_limit.emplace();
+  j.at(3).get_to(l.rate_limit->age_ms);
+  if (!j.at(4).is_null()) {
+    l.rate_limit->per_second = j.at(4).get<std::uint64_t>() / 1000.0;
+  }
 }
 
 // Rounded to whole tokens, which is precise enough and encodes shorter.
--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -205,6 +205,26 @@
   CHECK_FALSE(views[0]->connected);
 }
 
+TEST_CASE_METHOD(control_fixture,
+                 "two routers heard different rate limits of a target: the "
+                 "third is told the later one") {
+  Leader();
+  const target_id target("t");
+  const auto report = [&](std::size_t router, double rate, std::uint64_t age) {
+    routers[router]->ReportLoad(
+        {.targets = {{.target = target,
+                      .rate_limit = admission::named_rate{.per_second = rate,
+                                                          .age_ms = age}}}});
+  };
+  report(0, 4, 900);
+  report(1, 6, 10);
+  RunFor(milliseconds(200));
+  REQUIRE(views[0]->others.targets.size() == 1);
+  CHECK(views[0]->others.targets[0].rate_limit->per_second == 6.0);
+  CHECK(views[1]->others.targets[0].rate_limit->per_second == 4.0);
+  CHECK(views[1]->others.targets[0].rate_limit->age_ms >= 900);
+}
+
 constexpr milliseconds kEvidenceTime{3000};
 
 TEST_CASE_METHOD(control_fixture,
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -127,6 +127,8 @@
       }
       continue;
     }
+    answered_ = true;
+    rate_limit_ = context_.dialect.ReadRateLimit(head.value());
     if (verdict == head_verdict::kFailure) {
       return SaveErrorResponse(head.value());
     }
@@ -187,7 +189,7 @@
 
 attempt_event attempt_runner::ReceiveResponse(
     const net::http_response_head& head) {
-  Report(routing::attempt_first_output{});
+  Report(routing::attempt_first_output{.rate_limit = rate_limit_});
   std::string body;
   if (auto failure = ReadBody(body)) {
     return *failure;
@@ -268,7 +270,7 @@
                                    std::uint32_t tokens) {
   const time_point now = std::chrono::steady_clock::now();
   if (!last_output_) {
-    Report(routing::attempt_first_output{});
+    Report(routing::attempt_first_output{.rate_limit = rate_limit_});
     if (!writer_.started() && !writer_.BeginStream(head)) {
       return false;
     }
@@ -308,7 +310,9 @@
           .sent = sent_,
           .delivered = writer_.started(),
           .step = std::move(step),
-          .detail = std::move(detail)};
+          .detail = std::move(detail),
+          .answered = answered_,
+          .rate_limit = rate_limit_};
 }
 
 attempt_failed attempt_runner::FailFrom(const error& error) const {
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -91,6 +91,9 @@
   bool sent_ = false;
   bool cancelled_ = false;
   bool reused_connection_ = false;
+  /// A response to this request has arrived; its rate limit, if it names one.
+  bool answered_ = false;
+  std::optional<double> rate_limit_;
   saved_response saved_response_;
   std::optional<time_point> last_output_;
 };
--- a/src/gateway/internal/openai_dialect.h
+++ b/src/gateway/internal/openai_dialect.h
@@ -11,6 +11,11 @@
                net::http_request& request) const override;
   [[nodiscard]] head_verdict Judge(const net::http_response_head& head,
                                    const outgoing_call& call) const override;
+  /// This protocol has no such field.
+  [[nodiscard]] std::optional<double> ReadRateLimit(
+      const net::http_response_head&) const override {
+    return std::nullopt;
+  }
   [[nodiscard]] std::unique_ptr<i_stream_scanner> MakeScanner(
       const outgoing_call& call,
       const std::optional<std::string>& resume_after) const override;
--- a/src/gateway/internal/routed_dialect.cc
+++ b/src/gateway/internal/routed_dialect.cc
@@ -2,7 +2,10 @@
 #include "gateway/routed_dialect.h"
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
+#include <cmath>
+#include <system_error>
 #include <utility>
 
 #include "gateway/forwarded_fields.h"
@@ -56,6 +59,18 @@
   }
 }
 
+std::optional<double> routed_dialect::ReadRateLimit(
+    const net::http_response_head& head) const {
+  const std::string_view text = head.fields[fields_.rate_limit];
+  double per_second = 0;
+  const auto [end, problem] =
+      std::from_chars(text.data(), text.data() + text.size(), per_second);
+  const bool is_valid = problem == std::errc() &&
+                        end == text.data() + text.size() &&
+                        std::isfinite(per_second) && per_second >= 0;
+  return is_valid ? std::optional(per_second) : std::nullopt;
+}
+
 std::unique_ptr<i_stream_scanner> routed_dialect::MakeScanner(
     const outgoing_call&,
     const std::optional<std::string>& resume_after) const {
--- a/src/gateway/routed_dialect.h
+++ b/src/gateway/routed_dialect.h
@@ -25,6 +25,9 @@
   const char* resume_after;
   /// Another target, as "ip:port", that has part of the prompt cached.
   const char* copy_from;
+  /// Requests per second that a target takes from all routers together, named
+  /// in its responses.
+  const char* rate_limit;
   /// Further fields that only routers may set; removed from callers' requests,
   /// as are `time_left`, `customer`, `target` and `copy_from`.
   std::vector<const char*> set_by_routers;
@@ -37,6 +40,9 @@
       const call_identity& identity) const override;
   void Prepare(const attempt_parameters& parameters,
                net::http_request& request) const override;
+  /// A limit that is not a number, or negative, is ignored.
+  [[nodiscard]] std::optional<double> ReadRateLimit(
+      const net::http_response_head& head) const override;
   /// Streams consist of numbered events.
   [[nodiscard]] std::unique_ptr<i_stream_scanner> MakeScanner(
       const outgoing_call& call,
--- a/src/route_interface/internal/route_dialect.cc
+++ b/src/route_interface/internal/route_dialect.cc
@@ -30,6 +30,8 @@
 constexpr char kTarget[] = "X-Target";
 // Another target that has part of the prompt cached, as "ip:port".
 constexpr char kCopyFrom[] = "X-Copy-From";
+// Requests per second that the target takes from all routers together.
+constexpr char kRateLimit[] = "X-Rate-Limit";
 constexpr char kLastEventId[] = "Last-Event-ID";
 // "no" in the response of a target that did not execute the request.
 constexpr char kAdmitted[] = "X-Admitted";
@@ -61,6 +63,7 @@
                       .target = kTarget,
                       .resume_after = kLastEventId,
                       .copy_from = kCopyFrom,
+                      .rate_limit = kRateLimit,
                       .set_by_routers = {}}) {}
 
 result<gateway::call_facts> route_dialect::ReadCall(
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -38,6 +38,7 @@
   const auto visitor = [&](const auto& value) {
     using event_type = std::decay_t<decltype(value)>;
     if constexpr (std::is_same_v<event_type, attempt_first_output>) {
+      ReportRateLimit(record, value.rate_limit, now, out);
       OnFirstOutput(record, now, out);
     } else if constexpr (std::is_same_v<event_type, attempt_progress>) {
       record.output_tokens += value.tokens;
@@ -53,6 +54,16 @@
   std::visit(visitor, event);
 }
 
+void request_router::ReportRateLimit(const record& record,
+                                     std::optional<double> per_second,
+                                     time_point now,
+                                     effects& out) {
+  if (directory_.ReportRateLimit(*record.grant, per_second, now)) {
+    out.emplace_back(rate_limit_changed{.target = record.grant->target,
+                                        .per_second = per_second});
+  }
+}
+
 void request_router::OnFirstOutput(record& record,
                                    time_point now,
                                    effects& out) {
@@ -110,6 +121,9 @@
         .shares.OnNotExecuted(record.spec.customer, record.share_cost, now);
   }
   --totals_.in_flight;
+  if (failure.answered && failure.kind != failure_kind::kOtherTarget) {
+    ReportRateLimit(record, failure.rate_limit, now, out);
+  }
   if (failure.kind == failure_kind::kOtherTarget) {
     directory_.MarkReplaced(*record.grant);
   }
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -15,6 +15,8 @@
 
 // Expected output length as a fraction of the requested maximum.
 constexpr double kExpectedOutputFraction = 0.5;
+// Weight of the newest request in the exponential average of their cost.
+constexpr double kCostAverageWeight = 0.02;
 
 double ShareCost(const targets::prompt& prompt) {
   return prompt.input_tokens * fairness::kUnitsPerPromptToken +
@@ -73,7 +75,10 @@
   }
   if (spec.prompt) {
     record.share_cost = ShareCost(*spec.prompt);
-    PoolOf(spec.pool).shares.OnArrival(spec.customer, record.share_cost, now);
+    pool_state& state = PoolOf(spec.pool);
+    state.average_cost +=
+        kCostAverageWeight * (record.share_cost - state.average_cost);
+    state.shares.OnArrival(spec.customer, record.share_cost, now);
   }
   if (const auto limit = QueueLimitReached(spec)) {
     Apply(record.lifecycle.Refuse(*limit), record, now, out);
--- a/src/routing/internal/router_load.cc
+++ b/src/routing/internal/router_load.cc
@@ -46,7 +46,7 @@
 }
 
 admission::fleet_load request_router::OwnLoad(time_point now) const {
-  admission::fleet_load load{.targets = directory_.LocalLoad()};
+  admission::fleet_load load{.targets = directory_.LocalLoad(now)};
   for (const auto& [pool, state] : pools_) {
     for (admission::customer_flow& flow : state.shares.LocalFlows(now)) {
       load.customers.push_back(std::move(flow));
@@ -58,7 +58,7 @@
 void request_router::SetOthersLoad(const admission::fleet_load& others,
                                    time_point now,
                                    effects& out) {
-  directory_.SetRemoteLoad(others.targets);
+  directory_.SetRemoteLoad(others.targets, now);
   double min_own_part = 1;
   for (auto& [pool, state] : pools_) {
     UpdateKnownCapacity(pool, state, now);
@@ -88,7 +88,8 @@
   // Without any usable target, calls are refused for that reason, not for their
   // customers' shares.
   if (slots > 0) {
-    state.shares.SetKnownCapacity(state.throughput * slots / state.most_slots);
+    state.shares.SetKnownCapacity(directory_.UsableThroughput(
+        pool, state.throughput / state.most_slots, state.average_cost, now));
   }
 }
 
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -186,6 +186,8 @@
     double throughput = 0;
     /// The most slots that usable targets have announced with that throughput.
     std::uint32_t most_slots = 0;
+    /// Exponential average of what requests cost, in tokens.
+    double average_cost = 0;
     /// Exponential average of the queue wait, for Retry-After.
     double average_wait_s = 0;
     /// When requests began to wait with no usable target.
@@ -260,6 +262,10 @@
                const attempt_event& event,
                time_point now,
                effects& out);
+  void ReportRateLimit(const record& record,
+                       std::optional<double> per_second,
+                       time_point now,
+                       effects& out);
   void OnFirstOutput(record& record, time_point now, effects& out);
   void OnAttemptCompleted(record& record,
                           const attempt_completed& completed,
--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -281,6 +281,9 @@
   }
 
   void ReceiveLoad(std::size_t router) {
+    if (cut_.contains(router)) {
+      return;
+    }
     const admission::fleet_load others =
         reports_.LoadOfOthers(RouterName(router), now_);
     Handle(router, [&](effects& out) {
@@ -411,7 +414,8 @@
     if (engines_[index].rate_limit) {
       engines_[index].told.emplace(request.router, now_);
     }
-    Report(id, attempt, attempt_first_output{});
+    Report(id, attempt,
+           attempt_first_output{.rate_limit = engines_[index].rate_limit});
     At(now_ + kOutputTime, [this, id, attempt, index] {
       open_request& ended = requests_.at(id);
       if (ended.engine == index && ended.attempt == attempt) {
--- a/src/routing/tests/target_rate_limit_unittest.cc
+++ b/src/routing/tests/target_rate_limit_unittest.cc
@@ -82,11 +82,24 @@
       CHECK(static_cast<double>(most) <= allowed);
     }
   }
+
+  // Requests that reached a target in the given time, in a second.
+  static double RateAt(const simulated_fleet& fleet,
+                       std::size_t engine,
+                       seconds from,
+                       seconds to) {
+    const auto count = std::count_if(
+        fleet.arrivals().begin(), fleet.arrivals().end(), [&](const auto& a) {
+          return a.engine == engine && a.at >= fleet.start() + from &&
+                 a.at < fleet.start() + to;
+        });
+    return static_cast<double>(count) /
+           static_cast<double>((to - from).count());
+  }
 };
 
 TEST_CASE_METHOD(limited_targets_fixture,
-                 "targets name a rate limit: all routers together keep it",
-                 "[.known-red]") {
+                 "targets name a rate limit: all routers together keep it") {
   for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
     INFO("seed " << seed);
     simulated_fleet fleet = Make(seed);
@@ -95,5 +108,43 @@
   }
 }
 
+TEST_CASE_METHOD(limited_targets_fixture,
+                 "targets name a rate limit: routers restart or do not hear of "
+                 "each other: all together keep it") {
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    simulated_fleet fleet = Make(seed);
+    for (std::size_t router = 0; router < 4; ++router) {
+      if (router % 2 == 0) {
+        fleet.CutRouter(router, seconds(8 + router), seconds(14 + router));
+      } else {
+        fleet.RestartRouter(router, seconds(9 + router));
+      }
+    }
+    fleet.Run(seconds(30));
+    CheckLimits(fleet);
+  }
+}
+
+TEST_CASE_METHOD(limited_targets_fixture,
+                 "targets name a rate limit: they get most of it, and their "
+                 "usual rate once they name none") {
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    simulated_fleet fleet = Make(seed);
+    fleet.Run(seconds(30));
+    double given = 0;
+    double allowed = 0;
+    for (const auto& [engine, limit] : limits) {
+      given += RateAt(fleet, engine, seconds(10), seconds(22));
+      allowed += limit;
+      INFO("seed " << seed << ", engine " << engine << ", limit " << limit);
+      CHECK(RateAt(fleet, engine, seconds(25), seconds(30)) >=
+            RateAt(fleet, engine, seconds(1), seconds(6)) / 2);
+    }
+    INFO("seed " << seed);
+    CHECK(given >= 0.7 * allowed);
+  }
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -67,7 +67,11 @@
 struct attempt_sending {};
 
 /// The first part of the response has arrived.
-struct attempt_first_output {};
+struct attempt_first_output {
+  /// Requests per second that the target takes from all routers together, if
+  /// the response names a limit.
+  std::optional<double> rate_limit = std::nullopt;
+};
 
 /// Output arrived since the last report, or the caller is reading slowly, in
 /// which case `tokens` may be zero.
@@ -91,6 +95,9 @@
   std::string detail;
   /// The target's error response was received and can be forwarded.
   bool has_answer = false;
+  /// A response to this request arrived, and the rate limit that it names.
+  bool answered = false;
+  std::optional<double> rate_limit = std::nullopt;
   /// The target's address refused a connection right after the failure.
   bool target_ended = false;
 };
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -137,6 +137,13 @@
   bool coordinates = false;
 };
 
+/// A target's answers name another rate limit than before, or none.
+struct rate_limit_changed {
+  target_id target;
+  /// Requests per second from all routers together.
+  std::optional<double> per_second;
+};
+
 /// Prompts with a part are refused from now on, or no longer.
 struct prompt_block_changed {
   pool_id pool;
@@ -159,7 +166,8 @@
                             ramp_changed,
                             lease_changed,
                             coordinator_changed,
-                            prompt_block_changed>;
+                            prompt_block_changed,
+                            rate_limit_changed>;
 using effects = std::vector<effect>;
 
 }  // namespace burdocklock::routing
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -83,6 +83,9 @@
   if (now < picked.cold_until) {
     picked.cold.TakeToken(ColdRate(picked), now);
   }
+  if (const auto rate = OwnRate(picked, now)) {
+    picked.limited.TakeToken(*rate, now);
+  }
   return {.grant = {.target = picked.announced.target,
                     .life = picked.announced.life,
                     .address = picked.announced.address,
@@ -160,7 +163,8 @@
 }
 
 void target_directory::SetRemoteLoad(
-    const std::vector<admission::target_load>& others) {
+    const std::vector<admission::target_load>& others,
+    time_point now) {
   for (auto& [target, entry] : entries_) {
     entry.remote_in_flight = 0;
     entry.remote_unread_tokens = 0;
@@ -170,17 +174,21 @@
     if (found != entries_.end()) {
       found->second.remote_in_flight = load.in_flight;
       found->second.remote_unread_tokens = load.unread_tokens;
+      AdoptRate(load.rate_limit, found->second.rate_limit, now);
     }
   }
 }
 
-std::vector<admission::target_load> target_directory::LocalLoad() const {
+std::vector<admission::target_load> target_directory::LocalLoad(
+    time_point now) const {
   std::vector<admission::target_load> own;
   for (const auto& [target, entry] : entries_) {
-    if (entry.in_flight > 0) {
+    const auto rate_limit = NamedRate(entry, now);
+    if (entry.in_flight > 0 || rate_limit) {
       own.push_back({.target = target,
                      .in_flight = entry.in_flight,
-                     .unread_tokens = entry.unread_tokens});
+                     .unread_tokens = entry.unread_tokens,
+                     .rate_limit = rate_limit});
     }
   }
   return own;
@@ -208,7 +216,7 @@
     const auto terms = cold_limits_.find(pool);
     rate = std::max(rate, terms == cold_limits_.end() ? 0 : terms->second.rate);
   }
-  return rate * ColdRateShare(entry.announced.target, options_.self, routers_);
+  return rate * RateShare(entry.announced.target, options_.self, routers_);
 }
 
 void target_directory::ApplyColdPeriod(entry& entry, time_point now) {
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -75,6 +75,7 @@
   known.unread_tokens = 0;
   known.prefixes.Clear();
   known.cold_until = {};
+  known.rate_limit = {};
   known.replaced = false;
   IndexPools(known);
 }
@@ -412,6 +413,10 @@
       entry.in_flight + entry.remote_in_flight >= entry.announced.slots) {
     return false;
   }
+  const auto rate = OwnRate(entry, now);
+  if (rate && !entry.limited.HasToken(*rate, now)) {
+    return false;
+  }
   return now >= entry.cold_until || entry.cold.HasToken(ColdRate(entry), now);
 }
 
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -18,6 +18,7 @@
 #include "targets/admission_ramp.h"
 #include "targets/cold_admission.h"
 #include "targets/prefix_memory.h"
+#include "targets/shared_rate.h"
 #include "targets/types/announcement.h"
 #include "targets/types/prompt.h"
 
@@ -172,13 +173,23 @@
   /// Sets the routers that share the targets, including this one.
   void SetRouters(std::vector<daemon_id> routers);
   /// Sets the load of the other routers at each target.
-  void SetRemoteLoad(const std::vector<admission::target_load>& others);
+  void SetRemoteLoad(const std::vector<admission::target_load>& others,
+                     time_point now);
+  /// An answer of the target names its rate limit, in requests per second from
+  /// all routers together, or none. Returns whether that is new.
+  bool ReportRateLimit(const slot_grant& grant,
+                       std::optional<double> per_second,
+                       time_point now);
+  /// Sets which part of its share of named rate limits this router uses, 0 to
+  /// 1.
+  void SetRateFraction(double part) { rate_fraction_ = part; }
   /// Sets this router's fraction of a target's maximum prompt backlog, 0 to 1.
   void SetLocalBacklogFraction(double part) { local_backlog_fraction_ = part; }
   /// Total number of prompt tokens sent to targets for processing.
   [[nodiscard]] std::uint64_t granted_tokens() const { return granted_tokens_; }
   /// Returns the load of this router at each target that it uses.
-  [[nodiscard]] std::vector<admission::target_load> LocalLoad() const;
+  [[nodiscard]] std::vector<admission::target_load> LocalLoad(
+      time_point now) const;
   /// Records that another process answers at the target's address.
   void MarkReplaced(const slot_grant& grant);
   /// Records that the target's address refuses connections. It is not used
@@ -267,6 +278,12 @@
   [[nodiscard]] std::uint32_t UsableSlots(const pool_id& pool,
                                           time_point now) const;
 
+  /// Returns the throughput of the usable targets of the pool, given that of a
+  /// slot, where a named rate limit admits requests of this cost.
+  [[nodiscard]] double UsableThroughput(const pool_id& pool,
+                                        double per_slot,
+                                        double request_cost,
+                                        time_point now) const;
   /// Returns the sum of the slots that usable targets of the pool announce.
   [[nodiscard]] std::uint32_t AnnouncedSlots(const pool_id& pool,
                                              time_point now) const;
@@ -280,6 +297,17 @@
     std::uint32_t tokens = 0;
     std::vector<prompt_part> parts;
   };
+  struct rate_state {
+    /// Requests per second from all routers together; absent if there is no
+    /// limit.
+    std::optional<double> per_second;
+    /// When the answer was received that says so; default if there was none.
+    time_point heard{};
+    /// This router received it.
+    bool own = false;
+    /// The target has named a limit.
+    bool was_named = false;
+  };
   struct entry {
     announcement announced;
     admission_ramp ramp;
@@ -294,7 +322,9 @@
     time_point lease_until{};
     /// The target is cold until this time.
     time_point cold_until{};
-    cold_bucket cold;
+    rate_bucket cold;
+    rate_state rate_limit;
+    rate_bucket limited;
     prefix_memory prefixes{0};
     /// Prompts that the target has yet to process, by grant number. Removed on
     /// first output.
@@ -377,6 +407,15 @@
                                    const slot_grant& grant,
                                    duration latency);
   [[nodiscard]] double ColdRate(const entry& entry) const;
+  /// This router's part of the target's named rate limit, in requests per
+  /// second; absent if there is none.
+  [[nodiscard]] std::optional<double> OwnRate(const entry& entry,
+                                              time_point now) const;
+  static void AdoptRate(const std::optional<admission::named_rate>& reported,
+                        rate_state& known,
+                        time_point now);
+  static std::optional<admission::named_rate> NamedRate(const entry& entry,
+                                                        time_point now);
   void ApplyColdPeriod(entry& entry, time_point now);
   void RemoveUnread(entry& entry, std::uint64_t grant);
 
@@ -416,6 +455,7 @@
   std::vector<daemon_id> routers_;
   std::uint64_t last_grant_ = 0;
   double local_backlog_fraction_ = 1;
+  double rate_fraction_ = 1;
   std::uint64_t granted_tokens_ = 0;
   std::vector<std::pair<data_centre_id, lease_evidence>> evidence_;
   /// Whether a revoked slot has become free since the last report.
--- a/src/targets/tests/prompt_placement_unittest.cc
+++ b/src/targets/tests/prompt_placement_unittest.cc
@@ -7,8 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include "framework/seeded_random.h"
-#include "targets/cold_admission.h"
 #include "targets/prefix_memory.h"
+#include "targets/shared_rate.h"
 #include "targets/target_directory.h"
 
 namespace burdocklock::targets {
@@ -96,8 +96,8 @@
                  "target is not taken to be slower") {
   directory.SetCacheCapacity(pool_id("llm"), 500'000);
   Announce("a");
-  directory.SetRemoteLoad(
-      {{.target = target_id("a"), .unread_tokens = 20'000}});
+  directory.SetRemoteLoad({{.target = target_id("a"), .unread_tokens = 20'000}},
+                          now);
   for (std::uint64_t session = 1; session <= 100; ++session) {
     const auto made = Choose(Prompt(session, 6000));
     REQUIRE(made.has_value());
@@ -156,12 +156,12 @@
     REQUIRE(free_choice.has_value());
     directory.ReleaseNeutral(free_choice->grant);
     directory.SetRemoteLoad(
-        {{.target = free_choice->grant.target, .unread_tokens = 40'000}});
+        {{.target = free_choice->grant.target, .unread_tokens = 40'000}}, now);
     const auto made = Choose(Prompt(session, 200));
     REQUIRE(made.has_value());
     CHECK(made->grant.target != free_choice->grant.target);
     directory.ReleaseNeutral(made->grant);
-    directory.SetRemoteLoad({});
+    directory.SetRemoteLoad({}, now);
   }
 }
 
@@ -171,7 +171,8 @@
   AnnounceThree();
   directory.SetRemoteLoad({{.target = target_id("a"), .unread_tokens = 9000},
                            {.target = target_id("b"), .unread_tokens = 9000},
-                           {.target = target_id("c"), .unread_tokens = 9000}});
+                           {.target = target_id("c"), .unread_tokens = 9000}},
+                          now);
   CHECK_FALSE(
       Choose(Prompt(7, 500), {.spare_capacity_only = true}).has_value());
   CHECK(Choose(Prompt(7, 500)).has_value());
@@ -220,13 +221,13 @@
     for (std::size_t i = 0; i < count; ++i) {
       routers.emplace_back("r" + std::to_string(i));
     }
-    std::vector<cold_bucket> buckets(count);
+    std::vector<rate_bucket> buckets(count);
     std::vector<time_point> admitted;
     for (int ms = 0; ms < 4000; ms += 5) {
       const time_point now{seconds(100) + milliseconds(ms)};
       for (std::size_t i = 0; i < count; ++i) {
         const double rate =
-            kRate * ColdRateShare(target_id("t"), routers[i], routers);
+            kRate * RateShare(target_id("t"), routers[i], routers);
         if (buckets[i].HasToken(rate, now)) {
           buckets[i].TakeToken(rate, now);
           admitted.push_back(now);
@@ -245,6 +246,11 @@
   }
 }
 
+TEST_CASE("shared rate: the other routers are not known: one share of many") {
+  CHECK(RateShare(target_id("t"), daemon_id("r"), {}) <= 0.25);
+  CHECK(RateShare(target_id("t"), daemon_id("r"), {daemon_id("r")}) == 1.0);
+}
+
 struct copying_fixture : prompt_fixture {
   copying_fixture() {
     AnnounceThree();
@@ -259,7 +265,7 @@
     return made->grant.target;
   }
   void Load(const target_id& target) {
-    directory.SetRemoteLoad({{.target = target, .unread_tokens = 40'000}});
+    directory.SetRemoteLoad({{.target = target, .unread_tokens = 40'000}}, now);
   }
 };
 
@@ -282,7 +288,7 @@
   Load(first);
   const target_id second = ProcessOnce(7);
   REQUIRE(second != first);
-  directory.SetRemoteLoad({});
+  directory.SetRemoteLoad({}, now);
   const auto made = Choose(Prompt(7, 500));
   REQUIRE(made.has_value());
   CHECK(made->copied_tokens == 0);
