Send no request to a third target after two ended with it

The same cause elsewhere: a request without a prompt, as services take, was sent on as often as the route's attempts allowed, whatever became of its targets. After two targets that ended before they served it, it is refused as perhaps run. The test failed before.

--- a/src/routing/internal/blocked_prompts.cc
+++ b/src/routing/internal/blocked_prompts.cc
@@ -30,7 +30,7 @@
 void request_router::RecordEvidence(record& record,
                                     const attempt_event& event,
                                     time_point now) {
-  if (!record.spec.prompt || record.served) {
+  if (record.served) {
     return;
   }
   if (std::holds_alternative<attempt_first_output>(event)) {
@@ -39,13 +39,12 @@
   record.served =
       std::holds_alternative<attempt_completed>(event) ||
       (record.output_began && now - *record.output_began >= kServedAfter);
-  if (record.served) {
+  if (record.served && record.spec.prompt) {
     guard_.OnServed(record.spec.pool, *record.spec.prompt,
                     record.output_began.value_or(now), now);
-    return;
   }
   const auto* failure = std::get_if<attempt_failed>(&event);
-  if (failure != nullptr && failure->target_ended) {
+  if (failure != nullptr && failure->target_ended && !record.served) {
     OnTargetEnded(record, now);
   }
 }
@@ -58,18 +57,21 @@
     return;
   }
   ++record.ended_targets;
-  guard_.OnTargetEnded(grant.target, grant.life, record.spec.pool,
-                       *record.spec.prompt, now);
+  if (record.spec.prompt) {
+    guard_.OnTargetEnded(grant.target, grant.life, record.spec.pool,
+                         *record.spec.prompt, now);
+  }
 }
 
 bool request_router::MayEndNextTarget(const record& record,
                                       const attempt_failed& failure,
                                       time_point now) const {
-  if (!failure.target_ended || !record.spec.prompt || record.served) {
+  if (!failure.target_ended || record.served) {
     return false;
   }
   return record.ended_targets >= kMaxEndedTargets ||
-         !guard_.IsTrusted(record.spec.pool, *record.spec.prompt, now);
+         (record.spec.prompt &&
+          !guard_.IsTrusted(record.spec.pool, *record.spec.prompt, now));
 }
 
 void request_router::OnEvidence(const crashes::evidence& received,
--- a/src/routing/tests/request_router_unittest.cc
+++ b/src/routing/tests/request_router_unittest.cc
@@ -155,6 +155,25 @@
   }
 };
 
+TEST_CASE_METHOD(router_fixture,
+                 "request without a prompt was at two targets when they ended: "
+                 "it is not sent to a third one") {
+  for (const char* name : {"a", "b", "c"}) {
+    Announce(Target(name));
+  }
+  const request_seq id = Request("c1");
+  for (int ended = 0; ended < 2; ++ended) {
+    REQUIRE(running.contains(id));
+    Report(id, attempt_sending{});
+    Report(id, attempt_failed{.kind = failure_kind::kBroken,
+                              .sent = true,
+                              .target_ended = true});
+  }
+  CHECK_FALSE(running.contains(id));
+  REQUIRE(refusals.size() == 1);
+  CHECK(refusals[0].run == run_state::kUnknown);
+}
+
 TEST_CASE_METHOD(router_fixture,
                  "router: cold target: gets no more than its cold slots") {
   Announce(Target("t1"));
