Take the later answer's word on a rate limit, not the later report's

Its log: a router that had heard the limit at 10.9 s lifts it at 15.43 s and at 19.08 s. An answer whose head had arrived before the limit was named broke off then, and its report, which carries what the head says, was taken for the target's word at that moment. Heads now carry the time of their arrival, and an older one changes nothing.

--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -127,8 +127,9 @@
       }
       continue;
     }
-    answered_ = true;
-    rate_limit_ = context_.dialect.ReadRateLimit(head.value());
+    head_ = routing::answer_head{
+        .received = std::chrono::steady_clock::now(),
+        .rate_limit = context_.dialect.ReadRateLimit(head.value())};
     if (verdict == head_verdict::kFailure) {
       return SaveErrorResponse(head.value());
     }
@@ -189,7 +190,7 @@
 
 attempt_event attempt_runner::ReceiveResponse(
     const net::http_response_head& head) {
-  Report(routing::attempt_first_output{.rate_limit = rate_limit_});
+  Report(routing::attempt_first_output{.head = *head_});
   std::string body;
   if (auto failure = ReadBody(body)) {
     return *failure;
@@ -270,7 +271,7 @@
                                    std::uint32_t tokens) {
   const time_point now = std::chrono::steady_clock::now();
   if (!last_output_) {
-    Report(routing::attempt_first_output{.rate_limit = rate_limit_});
+    Report(routing::attempt_first_output{.head = *head_});
     if (!writer_.started() && !writer_.BeginStream(head)) {
       return false;
     }
@@ -311,8 +312,7 @@
           .delivered = writer_.started(),
           .step = std::move(step),
           .detail = std::move(detail),
-          .answered = answered_,
-          .rate_limit = rate_limit_};
+          .head = head_};
 }
 
 attempt_failed attempt_runner::FailFrom(const error& error) const {
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -91,9 +91,8 @@
   bool sent_ = false;
   bool cancelled_ = false;
   bool reused_connection_ = false;
-  /// A response to this request has arrived; its rate limit, if it names one.
-  bool answered_ = false;
-  std::optional<double> rate_limit_;
+  /// Set once a response to this request has arrived.
+  std::optional<routing::answer_head> head_;
   saved_response saved_response_;
   std::optional<time_point> last_output_;
 };
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -38,7 +38,7 @@
   const auto visitor = [&](const auto& value) {
     using event_type = std::decay_t<decltype(value)>;
     if constexpr (std::is_same_v<event_type, attempt_first_output>) {
-      ReportRateLimit(record, value.rate_limit, now, out);
+      ReportRateLimit(record, value.head, out);
       OnFirstOutput(record, now, out);
     } else if constexpr (std::is_same_v<event_type, attempt_progress>) {
       record.output_tokens += value.tokens;
@@ -55,12 +55,12 @@
 }
 
 void request_router::ReportRateLimit(const record& record,
-                                     std::optional<double> per_second,
-                                     time_point now,
+                                     const answer_head& head,
                                      effects& out) {
-  if (directory_.ReportRateLimit(*record.grant, per_second, now)) {
+  if (directory_.ReportRateLimit(*record.grant, head.rate_limit,
+                                 head.received)) {
     out.emplace_back(rate_limit_changed{.target = record.grant->target,
-                                        .per_second = per_second});
+                                        .per_second = head.rate_limit});
   }
 }
 
@@ -121,8 +121,8 @@
         .shares.OnNotExecuted(record.spec.customer, record.share_cost, now);
   }
   --totals_.in_flight;
-  if (failure.answered && failure.kind != failure_kind::kOtherTarget) {
-    ReportRateLimit(record, failure.rate_limit, now, out);
+  if (failure.head && failure.kind != failure_kind::kOtherTarget) {
+    ReportRateLimit(record, *failure.head, out);
   }
   if (failure.kind == failure_kind::kOtherTarget) {
     directory_.MarkReplaced(*record.grant);
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -263,8 +263,7 @@
                time_point now,
                effects& out);
   void ReportRateLimit(const record& record,
-                       std::optional<double> per_second,
-                       time_point now,
+                       const answer_head& head,
                        effects& out);
   void OnFirstOutput(record& record, time_point now, effects& out);
   void OnAttemptCompleted(record& record,
--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -415,7 +415,9 @@
       engines_[index].told.emplace(request.router, now_);
     }
     Report(id, attempt,
-           attempt_first_output{.rate_limit = engines_[index].rate_limit});
+           attempt_first_output{
+               .head = {.received = now_,
+                        .rate_limit = engines_[index].rate_limit}});
     At(now_ + kOutputTime, [this, id, attempt, index] {
       open_request& ended = requests_.at(id);
       if (ended.engine == index && ended.attempt == attempt) {
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "framework/types/ids.h"
+#include "framework/types/time.h"
 
 namespace burdocklock::routing {
 
@@ -63,14 +64,21 @@
   std::uint32_t output_tokens = 0;
 };
 
+/// What the head of a target's response says of the target.
+struct answer_head {
+  /// The answer may have begun long before its end is reported.
+  time_point received{};
+  /// Requests per second that the target takes from all routers together, if
+  /// the response names a limit.
+  std::optional<double> rate_limit = std::nullopt;
+};
+
 /// The first byte of the request is about to be written to the target.
 struct attempt_sending {};
 
 /// The first part of the response has arrived.
 struct attempt_first_output {
-  /// Requests per second that the target takes from all routers together, if
-  /// the response names a limit.
-  std::optional<double> rate_limit = std::nullopt;
+  answer_head head = {};
 };
 
 /// Output arrived since the last report, or the caller is reading slowly, in
@@ -95,9 +103,8 @@
   std::string detail;
   /// The target's error response was received and can be forwarded.
   bool has_answer = false;
-  /// A response to this request arrived, and the rate limit that it names.
-  bool answered = false;
-  std::optional<double> rate_limit = std::nullopt;
+  /// Absent if no response to this request arrived.
+  std::optional<answer_head> head = std::nullopt;
   /// The target's address refused a connection right after the failure.
   bool target_ended = false;
 };
--- a/src/targets/internal/target_rates.cc
+++ b/src/targets/internal/target_rates.cc
@@ -17,14 +17,17 @@
 
 bool target_directory::ReportRateLimit(const slot_grant& grant,
                                        std::optional<double> per_second,
-                                       time_point now) {
+                                       time_point received) {
   entry* known = Find(grant.target, grant.life);
-  if (known == nullptr || (!per_second && !known->rate_limit.was_named)) {
+  if (known == nullptr || received < known->rate_limit.heard ||
+      (!per_second && !known->rate_limit.was_named)) {
     return false;
   }
   const bool changed = known->rate_limit.per_second != per_second;
-  known->rate_limit = {
-      .per_second = per_second, .heard = now, .own = true, .was_named = true};
+  known->rate_limit = {.per_second = per_second,
+                       .heard = received,
+                       .own = true,
+                       .was_named = true};
   return changed;
 }
 
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -175,11 +175,12 @@
   /// Sets the load of the other routers at each target.
   void SetRemoteLoad(const std::vector<admission::target_load>& others,
                      time_point now);
-  /// An answer of the target names its rate limit, in requests per second from
-  /// all routers together, or none. Returns whether that is new.
+  /// An answer of the target that arrived at `received` names its rate limit,
+  /// in requests per second from all routers together, or none. Returns whether
+  /// that is new. An answer older than one known already changes nothing.
   bool ReportRateLimit(const slot_grant& grant,
                        std::optional<double> per_second,
-                       time_point now);
+                       time_point received);
   /// Sets which part of its share of named rate limits this router uses, 0 to
   /// 1.
   void SetRateFraction(double part) { rate_fraction_ = part; }
--- a/src/targets/tests/prompt_placement_unittest.cc
+++ b/src/targets/tests/prompt_placement_unittest.cc
@@ -251,6 +251,22 @@
   CHECK(RateShare(target_id("t"), daemon_id("r"), {daemon_id("r")}) == 1.0);
 }
 
+TEST_CASE_METHOD(prompt_fixture,
+                 "an answer that began before the limit was named ends later: "
+                 "the limit holds") {
+  Announce("a");
+  directory.SetRouters({daemon_id("r")});
+  const auto made = directory.Choose(pool_id("llm"), {}, now);
+  REQUIRE(made.has_value());
+  CHECK(directory.ReportRateLimit(made->grant, 0.5, now));
+  CHECK_FALSE(
+      directory.ReportRateLimit(made->grant, std::nullopt, now - seconds(5)));
+  CHECK(directory.Choose(pool_id("llm"), {}, now).has_value());
+  CHECK_FALSE(directory.Choose(pool_id("llm"), {}, now).has_value());
+  CHECK(directory.ReportRateLimit(made->grant, std::nullopt, now));
+  CHECK(directory.Choose(pool_id("llm"), {}, now).has_value());
+}
+
 struct copying_fixture : prompt_fixture {
   copying_fixture() {
     AnnounceThree();
