Guard of prompts: drop what is too old before each decision, and end each one

Found by reading: old ends were dropped only on ticks, which may be far apart, and a block that the store does not take would have been decided again without end. Parts with too few ends are left out before their ends are compared. A narrowing conversion in the codec that the linter refuses is spelt out.

--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -37,7 +37,8 @@
   l.rate_limit.emplace();
   j.at(3).get_to(l.rate_limit->age_ms);
   if (!j.at(4).is_null()) {
-    l.rate_limit->per_second = j.at(4).get<std::uint64_t>() / 1000.0;
+    l.rate_limit->per_second =
+        static_cast<double>(j.at(4).get<std::uint64_t>()) / 1000;
   }
 }
 
--- a/src/crashes/internal/prompt_guard.cc
+++ b/src/crashes/internal/prompt_guard.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <set>
 
 #include "targets/rendezvous.h"
 
@@ -151,9 +150,6 @@
 }
 
 void prompt_guard::OnTick(time_point now) {
-  store_.Expire(now);
-  std::erase_if(trials_,
-                [now](const auto& trial) { return trial.second <= now; });
   Evaluate(now);
 }
 
@@ -204,6 +200,9 @@
 
 void prompt_guard::Evaluate(time_point now) {
   next_evaluation_ = kNever;
+  store_.Expire(now);
+  std::erase_if(trials_,
+                [now](const auto& trial) { return trial.second <= now; });
   for (std::vector<candidate> worst = WorstParts(now); !worst.empty();
        worst = WorstParts(now)) {
     if (worst.size() > 1 && worst.front().ends < kMinEndsOfTied) {
@@ -212,6 +211,9 @@
     for (const candidate& found : worst) {
       Block(found, now);
     }
+    if (!IsActive(worst.front().key, now)) {
+      return;
+    }
   }
 }
 
@@ -253,6 +255,10 @@
   const time_point from =
       on_probation ? block->second.at + BlockTime(block->second.strikes)
                    : time_point{};
+  const std::size_t needed = on_probation ? 1 : kMinEnds;
+  if (ends.size() < needed) {
+    return 0;
+  }
   std::vector<time_point> blamed;
   std::size_t unexplained = 0;
   for (const auto* end : ends) {
@@ -266,7 +272,6 @@
     blamed.push_back(end->at);
     unexplained += IsExplained(*end, key.part) ? 0 : 1;
   }
-  const std::size_t needed = on_probation ? 1 : kMinEnds;
   if (blamed.size() < needed ||
       (unexplained < blamed.size() && unexplained < kMinUnexplainedEnds)) {
     return 0;
