A failure noticed late is no proof that the target ran on

Found by reading: a router that was suspended between a prompt's first output and the end of its target saw both more than 0.5 s apart and took the target to have served the prompt, which clears its parts everywhere. Only progress and completion count now. An address that refuses connections after a broken attempt is left out at once, as after a refused connection.

--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -127,7 +127,7 @@
   if (failure.kind == failure_kind::kOtherTarget) {
     directory_.MarkReplaced(*record.grant);
   }
-  if (failure.kind == failure_kind::kConnectFailed) {
+  if (failure.kind == failure_kind::kConnectFailed || failure.target_ended) {
     directory_.MarkUnreachable(*record.grant);
   }
   if (IsNeutral(failure, record.lifecycle.cancel_reason())) {
--- a/src/routing/internal/blocked_prompts.cc
+++ b/src/routing/internal/blocked_prompts.cc
@@ -36,6 +36,14 @@
   if (std::holds_alternative<attempt_first_output>(event)) {
     record.output_began = now;
   }
+  if (const auto* failure = std::get_if<attempt_failed>(&event)) {
+    // A late report of the failure, as after a suspension of this process, must
+    // not pass for a target that ran on.
+    if (failure->target_ended) {
+      OnTargetEnded(record, now);
+    }
+    return;
+  }
   record.served =
       std::holds_alternative<attempt_completed>(event) ||
       (record.output_began && now - *record.output_began >= kServedAfter);
@@ -43,10 +51,6 @@
     guard_.OnServed(record.spec.pool, *record.spec.prompt,
                     record.output_began.value_or(now), now);
   }
-  const auto* failure = std::get_if<attempt_failed>(&event);
-  if (failure != nullptr && failure->target_ended && !record.served) {
-    OnTargetEnded(record, now);
-  }
 }
 
 void request_router::OnTargetEnded(record& record, time_point now) {
