Ignore rate limits and ages that no target or router means

Found by reading: a limit such as 1e300 passed the checks and does not fit the whole number in which it is reported; a huge age in a report would overflow.

--- a/src/gateway/internal/routed_dialect.cc
+++ b/src/gateway/internal/routed_dialect.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
-#include <cmath>
 #include <system_error>
 #include <utility>
 
@@ -17,6 +16,13 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// No target takes more requests per second; larger numbers are errors.
+constexpr double kMaxRateLimit = 1e9;
+
+}  // namespace
+
 routed_dialect::routed_dialect(call_fields fields)
     : fields_(std::move(fields)) {
   fields_.set_by_routers.insert(
@@ -66,8 +72,8 @@
   const auto [end, problem] =
       std::from_chars(text.data(), text.data() + text.size(), per_second);
   const bool is_valid = problem == std::errc() &&
-                        end == text.data() + text.size() &&
-                        std::isfinite(per_second) && per_second >= 0;
+                        end == text.data() + text.size() && per_second >= 0 &&
+                        per_second <= kMaxRateLimit;
   return is_valid ? std::optional(per_second) : std::nullopt;
 }
 
--- a/src/gateway/routed_dialect.h
+++ b/src/gateway/routed_dialect.h
@@ -40,7 +40,7 @@
       const call_identity& identity) const override;
   void Prepare(const attempt_parameters& parameters,
                net::http_request& request) const override;
-  /// A limit that is not a number, or negative, is ignored.
+  /// A limit that is not a number, negative or too large is ignored.
   [[nodiscard]] std::optional<double> ReadRateLimit(
       const net::http_response_head& head) const override;
   /// Streams consist of numbered events.
--- a/src/route_interface/tests/route_interface_unittest.cc
+++ b/src/route_interface/tests/route_interface_unittest.cc
@@ -222,5 +222,21 @@
   CHECK(dialect.Judge(head, call) == head_verdict::kOtherTarget);
 }
 
+TEST_CASE("rate limit in an answer: a number of requests per second") {
+  const route_dialect dialect;
+  const auto read = [&](const char* text) {
+    net::http_response_head head{.status = 200};
+    head.fields.set("X-Rate-Limit", text);
+    return dialect.ReadRateLimit(head);
+  };
+  CHECK(read("5.9") == 5.9);
+  CHECK(read("0") == 0.0);
+  for (const char* text : {"", "-1", "nan", "inf", "1e300", "5 a second"}) {
+    CAPTURE(text);
+    CHECK_FALSE(read(text).has_value());
+  }
+  CHECK_FALSE(dialect.ReadRateLimit({.status = 200}).has_value());
+}
+
 }  // namespace
 }  // namespace burdocklock::route_interface
--- a/src/targets/internal/target_rates.cc
+++ b/src/targets/internal/target_rates.cc
@@ -13,6 +13,9 @@
 // A router tells the others of an answer for this long.
 constexpr std::chrono::seconds kRateReportTime{10};
 
+// Larger ages are capped, so that they cannot overflow.
+constexpr std::uint64_t kMaxReportedAgeMs = 24ULL * 3600 * 1000;
+
 }  // namespace
 
 bool target_directory::ReportRateLimit(const slot_grant& grant,
@@ -38,7 +41,9 @@
   if (!reported) {
     return;
   }
-  const time_point heard = now - std::chrono::milliseconds(reported->age_ms);
+  const std::chrono::milliseconds age(
+      std::min<std::uint64_t>(reported->age_ms, kMaxReportedAgeMs));
+  const time_point heard = now - age;
   if (heard > known.heard) {
     known = {.per_second = reported->per_second,
              .heard = heard,
