Tell no list of routers before all can have found a control host

A control host that had just started told the routers a list of those that had reached it so far; the first took all of every shared rate (rate limits, cold targets). A host now waits 3 s, and routers keep the list they have. The test failed before.

--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -42,6 +42,9 @@
   /// Minimum interval between load summaries; grows with the number of routers.
   duration min_load_interval = std::chrono::milliseconds(30);
   std::size_t routers_per_load_interval = 8;
+  /// A host that has started tells no list of routers before all of them have
+  /// had this time to find it.
+  duration router_list_delay = std::chrono::seconds(3);
   /// New evidence about prompt parts is collected for this long.
   duration evidence_interval = std::chrono::milliseconds(20);
   /// Followers wait this long before they send a new state to routers, so that
@@ -167,6 +170,7 @@
   time_point next_evidence_send_ = kNever;
   time_point next_load_send_ = kNever;
   time_point last_load_send_{};
+  time_point started_;
   time_point now_;
 
   std::map<link_id, inbound_peer> inbound_;
--- a/src/control/internal/control_updates.cc
+++ b/src/control/internal/control_updates.cc
@@ -116,8 +116,10 @@
   for (const quorum::member& member : raft_.members()) {
     update.control_hosts.push_back(member.peer_endpoint);
   }
-  for (const auto& [daemon, last_seen] : routers_) {
-    update.routers.push_back(daemon);
+  if (now_ - started_ >= options_.router_list_delay) {
+    for (const auto& [daemon, last_seen] : routers_) {
+      update.routers.push_back(daemon);
+    }
   }
   const bool behind =
       router.last_introduction.applied_revision < state_.revision();
--- a/src/control/internal/router_client.cc
+++ b/src/control/internal/router_client.cc
@@ -110,7 +110,7 @@
       control_hosts_ = std::move(hosts);
       UpdateLinks(now);
     }
-    if (m.routers != routers_) {
+    if (!m.routers.empty() && m.routers != routers_) {
       routers_ = m.routers;
       view_.OnRouters(routers_);
     }
--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -126,7 +127,10 @@
                 time_point) override {
     targets[announcement.target] = announcement;
   }
-  void OnRouters(const std::vector<daemon_id>& ids) override { routers = ids; }
+  void OnRouters(const std::vector<daemon_id>& ids) override {
+    routers = ids;
+    fewest_routers = std::min(fewest_routers, ids.size());
+  }
   void OnContactChanged(bool in_contact) override { connected = in_contact; }
   void OnOthersLoad(const admission::fleet_load& load) override {
     others = load;
@@ -144,6 +148,7 @@
   state_contents state;
   std::map<target_id, targets::announcement> targets;
   std::vector<daemon_id> routers;
+  std::size_t fewest_routers = std::numeric_limits<std::size_t>::max();
   admission::fleet_load others;
   bool connected = false;
   bool revision_decreased = false;
--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -225,6 +225,26 @@
   CHECK(views[1]->others.targets[0].rate_limit->age_ms >= 900);
 }
 
+TEST_CASE_METHOD(control_fixture,
+                 "control hosts restart: no router is told a list that leaves "
+                 "out a router in contact") {
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    Isolate(host);
+    RunFor(milliseconds(300));
+    StartHost(host);
+    network.disconnected.clear();
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      views[i]->fewest_routers = kRouters;
+    }
+    RunFor(seconds(6));
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      INFO("host " << host << ", router " << i);
+      CHECK(views[i]->fewest_routers == kRouters);
+      CHECK(views[i]->routers.size() == kRouters);
+    }
+  }
+}
+
 constexpr milliseconds kEvidenceTime{3000};
 
 TEST_CASE_METHOD(control_fixture,
--- a/src/control/types/message.h
+++ b/src/control/types/message.h
@@ -53,6 +53,7 @@
   /// sent to it or are not due yet.
   std::optional<state_contents> contents;
   std::vector<endpoint> control_hosts;
+  /// Empty if the sender may not know all of them yet.
   std::vector<daemon_id> routers;
 };
 
