Split the guard of prompts: weighing of evidence, remembered parts, blocks

One job a file. The field's word for a block whose trial is due is half-open; times_blocked says what it counts.

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -168,7 +168,7 @@
                   .Add("pool", effect.pool.value())
                   .Add("part", HexNames({effect.part}).front())
                   .Add("target_ends", effect.target_ends)
-                  .Add("strikes", effect.strikes)
+                  .Add("times_blocked", effect.times_blocked)
                   .Add("remaining_ms", ToMilliseconds(effect.remaining)));
 }
 
--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -89,13 +89,13 @@
 }
 
 void to_json(json& j, const blocked_part& b) {
-  j = json::array({b.key.pool, b.key.part, b.age_ms, b.strikes});
+  j = json::array({b.key.pool, b.key.part, b.age_ms, b.times_blocked});
 }
 void from_json(const json& j, blocked_part& b) {
   j.at(0).get_to(b.key.pool);
   j.at(1).get_to(b.key.part);
   j.at(2).get_to(b.age_ms);
-  j.at(3).get_to(b.strikes);
+  j.at(3).get_to(b.times_blocked);
 }
 
 void to_json(json& j, const evidence& e) {
--- a/src/control/tests/message_codec_unittest.cc
+++ b/src/control/tests/message_codec_unittest.cc
@@ -16,7 +16,7 @@
                 .age_ms = 12,
                 .suspects = {1, 0xffffffffffffffff}}},
       .served = {{.key = key, .age_ms = 300}},
-      .blocked = {{.key = key, .age_ms = 60'000, .strikes = 2}}};
+      .blocked = {{.key = key, .age_ms = 60'000, .times_blocked = 2}}};
   const auto got = Decode(Encode(evidence_update{.contents = sent}));
   REQUIRE(got.has_value());
   CHECK(std::get<evidence_update>(got.value()).contents == sent);
--- a/src/crashes/evidence_store.h
+++ b/src/crashes/evidence_store.h
@@ -31,7 +31,7 @@
   };
   struct block_record {
     time_point at;
-    std::uint32_t strikes = 1;
+    std::uint32_t times_blocked = 1;
   };
   using end_key = std::pair<target_id, incarnation>;
 
--- a/src/crashes/internal/evidence_store.cc
+++ b/src/crashes/internal/evidence_store.cc
@@ -109,7 +109,7 @@
 bool evidence_store::MergeBlocked(const blocked_part& received,
                                   time_point now) {
   const block_record record{.at = At(received.age_ms, now),
-                            .strikes = received.strikes};
+                            .times_blocked = received.times_blocked};
   if (record.at + kMaxBlockAge <= now) {
     return false;
   }
@@ -140,7 +140,7 @@
   for (const auto& [key, record] : blocked_) {
     all.blocked.push_back({.key = key,
                            .age_ms = AgeMs(record.at, now),
-                           .strikes = record.strikes});
+                           .times_blocked = record.times_blocked});
   }
   return all;
 }
--- a/src/crashes/prompt_guard.h
+++ b/src/crashes/prompt_guard.h
@@ -4,11 +4,11 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "crashes/evidence_store.h"
+#include "crashes/served_parts.h"
 #include "crashes/types/evidence.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
@@ -22,7 +22,7 @@
   bool blocked = false;
   /// Target ends that are blamed on the part.
   std::size_t ends = 0;
-  std::uint32_t strikes = 0;
+  std::uint32_t times_blocked = 0;
   /// How long prompts with the part are refused.
   duration remaining{};
 };
@@ -96,6 +96,8 @@
   /// Reports when this router last saw the suspects served.
   void ReportServed(const target_end& end, time_point now);
   void Evaluate(time_point now);
+
+  // Weighing of the evidence (evidence_weighing.cc).
   /// The parts with the most ends that suffice to block them; empty if none.
   std::vector<candidate> WorstParts(time_point now);
   [[nodiscard]] std::size_t BlamedEnds(const pool_part& key,
@@ -118,14 +120,12 @@
   [[nodiscard]] time_point EndOf(
       const pool_part& key,
       const evidence_store::block_record& block) const;
-  void RememberServed(const pool_part& key, time_point began, time_point now);
 
   daemon_id self_;
   evidence_store store_;
   evidence news_;
   std::vector<block_change> changes_;
-  /// When this router last saw a part served. Bounded by kMaxRemembered.
-  std::unordered_map<pool_part, time_point> served_;
+  served_parts served_;
   /// Until when the outcome of a request with a part whose block has ended is
   /// awaited.
   std::map<pool_part, time_point> trials_;
--- a/src/crashes/types/evidence.h
+++ b/src/crashes/types/evidence.h
@@ -49,7 +49,7 @@
   pool_part key;
   std::uint64_t age_ms = 0;
   /// How many times in a row the part has been blocked; each time for longer.
-  std::uint32_t strikes = 1;
+  std::uint32_t times_blocked = 1;
 
   friend bool operator==(const blocked_part&, const blocked_part&) = default;
 };
--- a/src/routing/internal/blocked_prompts.cc
+++ b/src/routing/internal/blocked_prompts.cc
@@ -91,7 +91,7 @@
                                           .part = change.key.part,
                                           .blocked = change.blocked,
                                           .target_ends = change.ends,
-                                          .strikes = change.strikes,
+                                          .times_blocked = change.times_blocked,
                                           .remaining = change.remaining});
   }
   if (!guard_.HasBlocks() || totals_.waiting == 0) {
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -151,7 +151,7 @@
   bool blocked = false;
   /// Ends of targets that are blamed on the part; 0 if another router did.
   std::size_t target_ends = 0;
-  std::uint32_t strikes = 0;
+  std::uint32_t times_blocked = 0;
   duration remaining{};
 };
 
