Give the rate limit that a target names a class of its own

target_directory keeps only the sums over targets. A router's share of a target's rates is computed when the list of routers or a target is new, not for each candidate of each request.

--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -83,9 +83,7 @@
   if (now < picked.cold_until) {
     picked.cold.TakeToken(ColdRate(picked), now);
   }
-  if (const auto rate = OwnRate(picked, now)) {
-    picked.limited.TakeToken(*rate, now);
-  }
+  picked.rate_limit.OnSent(rate_fraction_ * picked.rate_share, now);
   return {.grant = {.target = picked.announced.target,
                     .life = picked.announced.life,
                     .address = picked.announced.address,
@@ -174,7 +172,9 @@
     if (found != entries_.end()) {
       found->second.remote_in_flight = load.in_flight;
       found->second.remote_unread_tokens = load.unread_tokens;
-      AdoptRate(load.rate_limit, found->second.rate_limit, now);
+      if (load.rate_limit) {
+        found->second.rate_limit.OnReport(*load.rate_limit, now);
+      }
     }
   }
 }
@@ -183,7 +183,7 @@
     time_point now) const {
   std::vector<admission::target_load> own;
   for (const auto& [target, entry] : entries_) {
-    const auto rate_limit = NamedRate(entry, now);
+    const auto rate_limit = entry.rate_limit.ToReport(now);
     if (entry.in_flight > 0 || rate_limit) {
       own.push_back({.target = target,
                      .in_flight = entry.in_flight,
@@ -208,6 +208,9 @@
 
 void target_directory::SetRouters(std::vector<daemon_id> routers) {
   routers_ = std::move(routers);
+  for (auto& [target, entry] : entries_) {
+    entry.rate_share = RateShare(target, options_.self, routers_);
+  }
 }
 
 double target_directory::ColdRate(const entry& entry) const {
@@ -216,7 +219,7 @@
     const auto terms = cold_limits_.find(pool);
     rate = std::max(rate, terms == cold_limits_.end() ? 0 : terms->second.rate);
   }
-  return rate * RateShare(entry.announced.target, options_.self, routers_);
+  return rate * entry.rate_share;
 }
 
 void target_directory::ApplyColdPeriod(entry& entry, time_point now) {
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -14,11 +14,13 @@
                                            time_point now) {
   const auto found = entries_.find(announcement.target);
   if (found == entries_.end()) {
-    entry fresh{.announced = announcement,
-                .ramp = admission_ramp(announcement.slots,
-                                       announcement.cold_slots, options_.ramp),
-                .last_heard = now,
-                .heard_since = now};
+    entry fresh{
+        .announced = announcement,
+        .ramp = admission_ramp(announcement.slots, announcement.cold_slots,
+                               options_.ramp),
+        .last_heard = now,
+        .heard_since = now,
+        .rate_share = RateShare(announcement.target, options_.self, routers_)};
     const auto [added, inserted] =
         entries_.emplace(announcement.target, std::move(fresh));
     IndexPools(added->second);
@@ -413,8 +415,7 @@
       entry.in_flight + entry.remote_in_flight >= entry.announced.slots) {
     return false;
   }
-  const auto rate = OwnRate(entry, now);
-  if (rate && !entry.limited.HasToken(*rate, now)) {
+  if (!entry.rate_limit.HasRoom(rate_fraction_ * entry.rate_share, now)) {
     return false;
   }
   return now >= entry.cold_until || entry.cold.HasToken(ColdRate(entry), now);
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -17,6 +17,7 @@
 #include "framework/types/time.h"
 #include "targets/admission_ramp.h"
 #include "targets/cold_admission.h"
+#include "targets/named_rate_limit.h"
 #include "targets/prefix_memory.h"
 #include "targets/shared_rate.h"
 #include "targets/types/announcement.h"
@@ -298,17 +299,6 @@
     std::uint32_t tokens = 0;
     std::vector<prompt_part> parts;
   };
-  struct rate_state {
-    /// Requests per second from all routers together; absent if there is no
-    /// limit.
-    std::optional<double> per_second;
-    /// When the answer was received that says so; default if there was none.
-    time_point heard{};
-    /// This router received it.
-    bool own = false;
-    /// The target has named a limit.
-    bool was_named = false;
-  };
   struct entry {
     announcement announced;
     admission_ramp ramp;
@@ -324,8 +314,9 @@
     /// The target is cold until this time.
     time_point cold_until{};
     rate_bucket cold;
-    rate_state rate_limit;
-    rate_bucket limited;
+    named_rate_limit rate_limit;
+    /// This router's share of the target's rates.
+    double rate_share = 0;
     prefix_memory prefixes{0};
     /// Prompts that the target has yet to process, by grant number. Removed on
     /// first output.
@@ -408,15 +399,6 @@
                                    const slot_grant& grant,
                                    duration latency);
   [[nodiscard]] double ColdRate(const entry& entry) const;
-  /// This router's part of the target's named rate limit, in requests per
-  /// second; absent if there is none.
-  [[nodiscard]] std::optional<double> OwnRate(const entry& entry,
-                                              time_point now) const;
-  static void AdoptRate(const std::optional<admission::named_rate>& reported,
-                        rate_state& known,
-                        time_point now);
-  static std::optional<admission::named_rate> NamedRate(const entry& entry,
-                                                        time_point now);
   void ApplyColdPeriod(entry& entry, time_point now);
   void RemoveUnread(entry& entry, std::uint64_t grant);
 
