--- a/src/admission/internal/share_limiter.cc
+++ b/src/admission/internal/share_limiter.cc
@@ -73,19 +73,18 @@
 void share_limiter::UpdateShare(time_point now) {
   updated_at_ = now;
   std::vector<double> demands;
-  double total_demand = 0;
-  double total_started = 0;
+  flow_ = {};
   for (auto& [customer, state] : customers_) {
     Refill(state, now);
     demands.push_back(state.demand.Rate(now) + state.remote_demand);
-    total_demand += demands.back();
-    total_started += state.started.Rate(now) + state.remote_started;
+    flow_.demand += demands.back();
+    flow_.started += state.started.Rate(now) + state.remote_started;
   }
-  const double capacity = options_.basis == capacity_basis::kKnown
-                              ? known_capacity_
-                              : std::max(total_started, known_capacity_);
-  share_ = total_demand > kOverloadFactor * capacity
-               ? MaxMinShare(std::move(demands), capacity)
+  flow_.capacity = options_.basis == capacity_basis::kKnown
+                       ? known_capacity_
+                       : std::max(flow_.started, known_capacity_);
+  share_ = flow_.demand > kOverloadFactor * flow_.capacity
+               ? MaxMinShare(std::move(demands), flow_.capacity)
                : kNoLimit;
 }
 
--- a/src/admission/share_limiter.h
+++ b/src/admission/share_limiter.h
@@ -23,6 +23,14 @@
   kKnown,
 };
 
+/// Token rates of a pool over all routers, in tokens per second.
+struct pool_flow {
+  double demand = 0;
+  double started = 0;
+  /// What the customers' shares are taken from.
+  double capacity = 0;
+};
+
 struct share_limiter_options {
   capacity_basis basis = capacity_basis::kStartedOrKnown;
   /// Over which demand and started work are averaged.
@@ -68,6 +76,8 @@
   /// A customer's share over all routers, in tokens per second; kNoLimit while
   /// the pool is not overloaded.
   [[nodiscard]] double share() const { return share_; }
+  /// What the share was last taken from, over all routers.
+  [[nodiscard]] const pool_flow& flow() const { return flow_; }
 
  private:
   struct customer_state {
@@ -96,6 +106,7 @@
   std::unordered_map<customer_id, customer_state> customers_;
   double known_capacity_ = 0;
   double share_ = kNoLimit;
+  pool_flow flow_;
   time_point updated_at_{};
 };
 
--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -35,6 +35,7 @@
 // Evidence is collected for this long, as all requests of a target that ends
 // fail at once.
 constexpr std::chrono::milliseconds kMinEvidenceInterval{20};
+constexpr std::chrono::seconds kContentionLogInterval{1};
 // How long the other routers' load stays valid after it was received.
 constexpr std::chrono::milliseconds kOthersLoadTimeout{1500};
 
@@ -134,6 +135,27 @@
   last_load_report_ = now;
   reported_tokens_ = router_.directory().granted_tokens();
   client_->ReportLoad(router_.OwnLoad(now));
+  if (now >= next_contention_log_) {
+    next_contention_log_ = now + kContentionLogInterval;
+    LogContention(now);
+  }
+}
+
+void operator_feed::LogContention(time_point now) {
+  for (const auto& load : router_.ContendedPools(now)) {
+    log_record record("contention");
+    record.Add("pool", load.pool.value())
+        .Add("demand", load.flow.demand)
+        .Add("started", load.flow.started)
+        .Add("capacity", load.flow.capacity)
+        .Add("waiting", load.waiting)
+        .Add("waiting_tokens", load.waiting_tokens)
+        .Add("demand_fraction", load.demand_fraction);
+    if (load.share) {
+      record.Add("share", *load.share);
+    }
+    logger_.Log(record);
+  }
 }
 
 void operator_feed::SendEvidence(time_point now) {
--- a/src/app/internal/operator_feed.h
+++ b/src/app/internal/operator_feed.h
@@ -76,6 +76,7 @@
   void UpdateRetryBudget();
   void ReportLoad(time_point now);
   void SendEvidence(time_point now);
+  void LogContention(time_point now);
 
   const config::settings& settings_;
   const routes::i_configuration_reader& reader_;
@@ -90,6 +91,7 @@
   time_point next_load_report_{};
   time_point last_load_report_{};
   time_point last_evidence_{};
+  time_point next_contention_log_{};
   time_point next_evidence_ = kNever;
   /// The directory's granted token count at the last load report.
   std::uint64_t reported_tokens_ = 0;
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -11,8 +11,6 @@
 
 // Weight of the newest sample in the exponential average of the queue wait.
 constexpr double kWaitAverageWeight = 0.1;
-// A generation waits for a target that has its shared prompt parts cached for
-// at most `latency_objective / kCachedTargetWaitDivisor`.
 constexpr int kCachedTargetWaitDivisor = 4;
 // Interval at which dispatch of waiting requests is retried without an event.
 constexpr std::chrono::milliseconds kDispatchRetryInterval{40};
@@ -175,17 +173,19 @@
   if (!record.spec.prompt) {
     return directory_.Choose(record.spec.pool, record.tried_targets, now);
   }
-  const duration cached_target_wait =
-      record.spec.latency_objective.value_or(duration::zero()) /
-      kCachedTargetWaitDivisor;
   const targets::placement_constraints constraints{
-      .preferred_only =
-          !over_share && now - record.lifecycle.arrived() < cached_target_wait,
+      .preferred_only = !over_share && now - record.lifecycle.arrived() <
+                                           CachedTargetWait(record.spec),
       .spare_capacity_only = over_share};
   return directory_.ChooseForPrompt(record.spec.pool, record.tried_targets,
                                     *record.spec.prompt, constraints, now);
 }
 
+duration request_router::CachedTargetWait(const request_spec& spec) {
+  return spec.latency_objective.value_or(duration::zero()) /
+         kCachedTargetWaitDivisor;
+}
+
 void request_router::RefuseOverShare(request_seq request,
                                      time_point now,
                                      effects& out) {
--- a/src/routing/internal/router_load.cc
+++ b/src/routing/internal/router_load.cc
@@ -45,6 +45,47 @@
   return list;
 }
 
+std::unordered_map<customer_id, double> request_router::WaitingWithinShare(
+    const pool_id& pool,
+    pool_state& state,
+    time_point now) {
+  std::unordered_map<customer_id, double> waiting;
+  if (state.queue.size() == 0) {
+    return waiting;
+  }
+  for (const auto& [id, record] : records_) {
+    const request_spec& spec = record.spec;
+    if (spec.pool == pool && spec.prompt && record.lifecycle.waiting() &&
+        now - record.lifecycle.arrived() >= CachedTargetWait(spec) &&
+        !state.shares.IsOverShare(spec.customer, now)) {
+      waiting[spec.customer] += record.share_cost;
+    }
+  }
+  return waiting;
+}
+
+std::vector<request_router::pool_load> request_router::ContendedPools(
+    time_point now) {
+  std::vector<pool_load> contended;
+  for (auto& [pool, state] : pools_) {
+    pool_load load{.pool = pool,
+                   .flow = state.shares.flow(),
+                   .waiting = state.queue.size(),
+                   .demand_fraction = state.shares.LocalDemandFraction(now)};
+    for (const auto& [customer, tokens] :
+         WaitingWithinShare(pool, state, now)) {
+      load.waiting_tokens += tokens;
+    }
+    if (state.shares.share() != admission::kNoLimit) {
+      load.share = state.shares.share();
+    }
+    if (load.share || load.waiting_tokens > 0) {
+      contended.push_back(std::move(load));
+    }
+  }
+  return contended;
+}
+
 admission::fleet_load request_router::OwnLoad(time_point now) const {
   admission::fleet_load load{.targets = directory_.LocalLoad(now)};
   for (const auto& [pool, state] : pools_) {
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -73,6 +73,22 @@
 
   /// Sets a customer's parameters; customers without any have share 1.
   void SetCustomer(const customer_id& customer, const customer_options& terms);
+  /// What the customers of a pool ask for and what their shares are taken from,
+  /// over all routers, and what waits at this one.
+  struct pool_load {
+    pool_id pool;
+    admission::pool_flow flow;
+    /// A customer's share in tokens per second; absent if there is no limit.
+    std::optional<double> share;
+    std::size_t waiting = 0;
+    /// Cost of the prompts that wait although their customers are within their
+    /// shares, in tokens.
+    double waiting_tokens = 0;
+    /// This router's part of the demand, 0 to 1.
+    double demand_fraction = 0;
+  };
+  /// Pools of prompts in which customers' shares are limited or prompts wait.
+  [[nodiscard]] std::vector<pool_load> ContendedPools(time_point now);
   /// Load of this router, to be reported to the others.
   [[nodiscard]] admission::fleet_load OwnLoad(time_point now) const;
   /// Sets the combined load of all other routers.
@@ -218,6 +234,10 @@
   void UpdateKnownCapacity(const pool_id& pool,
                            pool_state& state,
                            time_point now);
+  /// Cost of the waiting prompts of customers within their shares that have
+  /// found no room at any target, in tokens.
+  std::unordered_map<customer_id, double>
+  WaitingWithinShare(const pool_id& pool, pool_state& state, time_point now);
 
   // Dispatch (request_dispatch.cc).
   void Enqueue(record& record, time_point now, effects& out);
@@ -233,6 +253,8 @@
   std::optional<targets::choice> ChooseTarget(const record& record,
                                               bool over_share,
                                               time_point now);
+  /// How long a prompt waits for a target that has its shared parts cached.
+  [[nodiscard]] static duration CachedTargetWait(const request_spec& spec);
   /// Refuses the request if it still waits and its customer is over its share.
   void RefuseOverShare(request_seq request, time_point now, effects& out);
   void UpdateTargetAvailability(pool_state& state,
