--- a/src/routing/tests/fleet_fairness_unittest.cc
+++ b/src/routing/tests/fleet_fairness_unittest.cc
@@ -9,6 +9,7 @@
 namespace burdocklock::routing {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr std::int64_t kWindowSeconds = 6;
@@ -98,6 +99,60 @@
   }
 };
 
+struct one_router_fixture {
+  // All requests of one customer come to one router, those of another to all.
+  // Most engines slow down; one ends and returns cold, two are silent for a
+  // second.
+  static simulated_fleet Play(std::uint32_t seed) {
+    const std::size_t routers = seed % 2 == 0 ? 5 : 24;
+    const std::size_t engines = seed % 2 == 0 ? 9 : 24;
+    const double capacity = kReadingRate * static_cast<double>(engines);
+    simulated_fleet fleet({.routers = routers,
+                           .targets = engines,
+                           .reading_rate = kReadingRate,
+                           .seed = seed});
+    fleet.AddCustomer({.customer = customer_id("narrow"),
+                       .requests_per_second = 0.6 * capacity / kTokens,
+                       .tokens = kTokens,
+                       .router = 1,
+                       .begins = seconds(3)});
+    fleet.AddCustomer({.customer = customer_id("wide"),
+                       .requests_per_second = 1.2 * capacity / kTokens,
+                       .tokens = kTokens,
+                       .begins = seconds(3)});
+    for (std::size_t i = 0; i < kSmallCustomers; ++i) {
+      fleet.AddCustomer({.customer = customer_id("c" + std::to_string(i)),
+                         .requests_per_second = 0.03 * capacity / kSmallTokens,
+                         .tokens = kSmallTokens});
+    }
+    for (std::size_t engine = 0; engine < engines * 7 / 10; ++engine) {
+      fleet.SlowEngine(engine, 0.5, seconds(8));
+    }
+    fleet.StopEngine(engines - 1, seconds(10));
+    fleet.ReturnCold(engines - 1, milliseconds(12'500), seconds(3));
+    fleet.SilenceEngine(0, milliseconds(11'500), milliseconds(1100));
+    fleet.SilenceEngine(engines - 2, milliseconds(13'200), milliseconds(1100));
+    fleet.Run(seconds(22));
+    return fleet;
+  }
+
+ private:
+  static constexpr double kReadingRate = 55'000;
+  static constexpr std::uint32_t kTokens = 6000;
+  static constexpr std::uint32_t kSmallTokens = 2000;
+  static constexpr std::size_t kSmallCustomers = 8;
+};
+
+TEST_CASE_METHOD(one_router_fixture,
+                 "fleet: one customer's requests wait at one router, engines "
+                 "slow down: it is not starved",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    CheckNoneStarved(Play(seed), 6, 22);
+  }
+}
+
 TEST_CASE_METHOD(busy_fleet_fixture,
                  "fleet: two of five engines refuse connections: no customer "
                  "is starved") {
--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -39,6 +39,7 @@
  public:
   static constexpr duration kOutputTime = std::chrono::milliseconds(600);
   static constexpr std::uint32_t kSlots = 48;
+  static constexpr double kColdPerSecond = 12;
 
   explicit simulated_fleet(const simulated_fleet_options& options)
       : virtual_timeline(options.seed), options_(options) {
@@ -79,6 +80,30 @@
   void StopEngine(std::size_t engine, duration at) {
     At(start_ + at, [this, engine] { engines_[engine].stopped = true; });
   }
+  /// A stopped engine comes back empty, under a new incarnation, and is cold.
+  void ReturnCold(std::size_t engine, duration at, duration cold_for) {
+    At(start_ + at, [this, engine, cold_for] {
+      simulated_fleet::engine& returned = engines_[engine];
+      returned = {.life = returned.life + 1,
+                  .cold_until = now_ + cold_for,
+                  .rate = returned.rate};
+      Announce(engine);
+    });
+  }
+  /// The engine answers nothing and announces nothing for that time, and goes
+  /// on.
+  void SilenceEngine(std::size_t engine, duration at, duration time) {
+    At(start_ + at, [this, engine, time] {
+      simulated_fleet::engine& silent = engines_[engine];
+      silent.silent_until = now_ + time;
+      silent.read_until = std::max(silent.read_until, now_) + time;
+    });
+  }
+  /// From then on the engine reads at this fraction of the usual rate.
+  void SlowEngine(std::size_t engine, double fraction, duration at) {
+    At(start_ + at,
+       [this, engine, fraction] { engines_[engine].rate = fraction; });
+  }
   /// The engine names a limit in its answers, in requests per second.
   void LimitEngine(std::size_t engine,
                    double rate,
@@ -146,6 +171,13 @@
 
  private:
   struct engine {
+    std::uint64_t life = 1;
+    /// Until then the engine says that it is cold.
+    time_point cold_until{};
+    /// Until then the engine answers and announces nothing.
+    time_point silent_until{};
+    /// Fraction of the usual reading rate.
+    double rate = 1;
     bool stopped = false;
     std::uint64_t sequence = 0;
     std::uint32_t running = 0;
@@ -160,6 +192,7 @@
     bool is_retry = false;
     time_point arrived;
     std::optional<std::size_t> engine;
+    std::uint64_t engine_life = 0;
     attempt_number attempt;
     bool started = false;
     /// Its router has restarted.
@@ -192,6 +225,8 @@
         Pool(), options_.stated_throughput * options_.reading_rate *
                     static_cast<double>(options_.targets));
     router->mutable_directory().SetCacheCapacity(Pool(), 600'000);
+    router->mutable_directory().SetColdLimits(
+        Pool(), {.rate = kColdPerSecond, .time = std::chrono::seconds(3)});
     router->mutable_directory().SetLocalBacklogFraction(1 / routers);
     return router;
   }
@@ -205,9 +240,16 @@
     if (engine.stopped) {
       return;
     }
+    if (now_ < engine.silent_until) {
+      At(engine.silent_until,
+         [this, index, life = engine.life] { AnnounceAgain(index, life); });
+      return;
+    }
+    const duration cold_for =
+        std::max<duration>(engine.cold_until - now_, duration::zero());
     const targets::announcement announcement{
         .target = Name(index),
-        .life = incarnation(1),
+        .life = incarnation(engine.life),
         .data_centre = data_centre_id("z"),
         .address = {.port = static_cast<std::uint16_t>(index + 1)},
         .pools = {Pool()},
@@ -215,7 +257,8 @@
         .slots = kSlots,
         .cold_slots = kSlots / 4,
         .sequence = ++engine.sequence,
-        .cold_for = std::chrono::milliseconds(0)};
+        .cold_for =
+            std::chrono::duration_cast<std::chrono::milliseconds>(cold_for)};
     for (std::size_t i = 0; i < routers_.size(); ++i) {
       At(now_ + std::chrono::milliseconds(5 + random_.Below(500)),
          [this, i, announcement] {
@@ -225,7 +268,12 @@
          });
     }
     At(now_ + std::chrono::milliseconds(1200),
-       [this, index] { Announce(index); });
+       [this, index, life = engine.life] { AnnounceAgain(index, life); });
+  }
+  void AnnounceAgain(std::size_t index, std::uint64_t life) {
+    if (engines_[index].life == life) {
+      Announce(index);
+    }
   }
 
   void ReportLoad(std::size_t router) {
@@ -314,7 +362,8 @@
     const std::size_t index = order.address.port - 1U;
     open_request& request = requests_.at(order.request);
     request.attempt = order.attempt;
-    if (engines_[index].stopped) {
+    request.engine_life = order.life.value();
+    if (IsGone(request, index)) {
       Later(std::chrono::milliseconds(2), order.request, order.attempt,
             attempt_failed{.kind = failure_kind::kConnectFailed});
       return;
@@ -328,10 +377,11 @@
   void Arrive(request_seq id, attempt_number attempt, std::size_t index) {
     engine& engine = engines_[index];
     open_request& request = requests_.at(id);
-    if (engine.stopped || engine.running >= kSlots) {
+    const bool is_gone = IsGone(request, index);
+    if (is_gone || engine.running >= kSlots) {
       Report(id, attempt,
-             attempt_failed{.kind = engine.stopped ? failure_kind::kBroken
-                                                   : failure_kind::kNotAdmitted,
+             attempt_failed{.kind = is_gone ? failure_kind::kBroken
+                                            : failure_kind::kNotAdmitted,
                             .sent = true});
       return;
     }
@@ -350,7 +400,7 @@
     engine.read_until =
         std::max(engine.read_until, now_) +
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-            request.profile.tokens / options_.reading_rate));
+            request.profile.tokens / (options_.reading_rate * engine.rate)));
     At(engine.read_until,
        [this, id, attempt, index] { Begin(id, attempt, index); });
   }
@@ -360,12 +410,17 @@
     if (request.engine != index || request.attempt != attempt) {
       return;
     }
-    if (engines_[index].stopped) {
+    if (IsGone(request, index)) {
       Leave(request);
       Report(id, attempt,
              attempt_failed{.kind = failure_kind::kBroken, .sent = true});
       return;
     }
+    if (now_ < engines_[index].silent_until) {
+      At(engines_[index].silent_until,
+         [this, id, attempt, index] { Begin(id, attempt, index); });
+      return;
+    }
     if (!request.started) {
       request.started = true;
       second_account& account = AccountOf(request.profile.customer);
@@ -383,8 +438,9 @@
     At(now_ + kOutputTime, [this, id, attempt, index] {
       open_request& ended = requests_.at(id);
       if (ended.engine == index && ended.attempt == attempt) {
+        const bool is_gone = IsGone(ended, index);
         Leave(ended);
-        if (engines_[index].stopped) {
+        if (is_gone) {
           Report(id, attempt,
                  attempt_failed{.kind = failure_kind::kBroken,
                                 .sent = true,
@@ -402,9 +458,16 @@
           attempt_failed{.kind = failure_kind::kCancelled, .sent = true});
   }
 
+  /// Whether the life of the engine that the request was sent to has ended.
+  [[nodiscard]] bool IsGone(const open_request& request,
+                            std::size_t index) const {
+    return engines_[index].stopped ||
+           engines_[index].life != request.engine_life;
+  }
   void Leave(open_request& request) {
     if (request.engine) {
-      --engines_[*request.engine].running;
+      const bool is_gone = IsGone(request, *request.engine);
+      engines_[*request.engine].running -= is_gone ? 0 : 1;
       request.engine.reset();
     }
   }
