Divide a target's slots among routers while requests wait

Engines without a limit had 50 to 80 requests for 48 slots, 3 to 18 of them from the router at which goxa990's requests waited.

Cause: the router whose request ends sees the free slot first and takes it again. While requests wait at other routers and over four fifths of a target's slots are taken, a router takes no more than its part of them, rounded up at some targets and down at others.

--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -36,6 +36,7 @@
   if (pool_entries == by_pool_.end()) {
     return found;
   }
+  const pool_competition& competition = CompetitionFor(pool);
   bool other_usable = false;
   for (entry* candidate : pool_entries->second) {
     if (!IsUsable(*candidate, now)) {
@@ -45,7 +46,7 @@
         std::find(excluded.begin(), excluded.end(),
                   candidate->announced.target) != excluded.end();
     other_usable |= !is_excluded;
-    if (!HasRoom(*candidate, now)) {
+    if (!HasRoom(*candidate, now) || !HasSlotPart(*candidate, competition)) {
       continue;
     }
     if (is_excluded) {
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -93,7 +93,7 @@
 
 /// How a router shares the targets of a pool with the others.
 struct pool_competition {
-  /// This router's part of a target's backlog, 0 to 1.
+  /// This router's part of a target's backlog and slots, 0 to 1.
   double own_fraction = 1;
   /// Prompt tokens that wait at other routers for room that they are entitled
   /// to.
@@ -410,6 +410,10 @@
                                        double claimed) const;
   [[nodiscard]] const pool_competition& CompetitionFor(
       const pool_id& pool) const;
+  /// Whether this router may use one more slot of the target while requests
+  /// wait at others.
+  [[nodiscard]] bool HasSlotPart(const entry& entry,
+                                 const pool_competition& competition) const;
   /// Each usable target's part of the tokens that wait at other routers.
   [[nodiscard]] double ClaimedTokens(const pool_id& pool,
                                      const pool_competition& competition,
