A fiber's stack that is taken back leaves no marks for AddressSanitizer

Their layout (twelve variables; of one, two and sixteen bytes the same places) is that of one frame in the whole binary: boost::context::detail::fiber_entry, as SpawnFiber instantiates it. It leaves by a last switch and never returns, so its marks stay when its stack is unmapped; the prologue of a later frame writes only the marks it needs. A later stack mapped at another offset then has them in the middle. The report was false.

The allocator of fibers now clears the marks of a stack that it takes back, when no frame is left on it and it is about to be unmapped. This hides no fault: marks of stacks in use are not touched, and a use of an ended stack still meets unmapped memory.

--- a/src/framework/fiber/internal/fiber_thread.cc
+++ b/src/framework/fiber/internal/fiber_thread.cc
@@ -8,16 +8,14 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
-#include <boost/fiber/protected_fixedsize_stack.hpp>
 
 #include "framework/fiber/internal/asio_scheduler.h"
+#include "framework/fiber/internal/fiber_stack.h"
 
 namespace burdocklock {
 
 namespace {
 
-constexpr std::size_t kStackBytes = 256 * 1024;
-
 // Number of detached fibers of one thread; RunFiberThread waits until it is 0.
 struct fiber_count {
   std::size_t running = 0;
@@ -45,7 +43,7 @@
   fiber_count* count = current_count;
   ++count->running;
   boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
-                       boost::fibers::protected_fixedsize_stack(kStackBytes),
+                       fiber_stack(),
                        [count, body = std::move(body)] {
                          body();
                          if (--count->running == 0) {
