AddressSanitizer knows which fiber's stack a thread runs on

So an exception on a fiber

* cleared nothing if the fiber's stack lies above the thread's or more than 64 MB below: the marks of the frames it left stayed in use below, for false reports;
* else cleared all that lies between, the marks of other fibers' live frames too, whose overflows were then not seen.

The scheduler now tells it, at each switch, the stack of the fiber it picks. Both calls of the switch are made before Boost's code changes stacks: that code is not instrumented and throws nothing in between, and no code of ours runs at the arrival.

--- a/src/framework/fiber/internal/asio_scheduler.cc
+++ b/src/framework/fiber/internal/asio_scheduler.cc
@@ -23,6 +23,7 @@
   }
   boost::fibers::context* next = &ready_.front();
   ready_.pop_front();
+  stack_switch_.Announce(*next);
   return next;
 }
 
--- a/src/framework/fiber/internal/asio_scheduler.h
+++ b/src/framework/fiber/internal/asio_scheduler.h
@@ -12,6 +12,7 @@
 #include <boost/fiber/scheduler.hpp>
 
 #include "framework/fiber/fiber_thread.h"
+#include "framework/fiber/internal/fiber_stack.h"
 
 namespace burdocklock {
 
@@ -36,6 +37,7 @@
       work_;
   boost::fibers::scheduler::ready_queue_type ready_;
   turn_observer on_turn_;
+  stack_switch stack_switch_;
   /// When the thread last stopped waiting.
   std::chrono::steady_clock::time_point turn_started_{};
 };
--- a/src/framework/fiber/internal/fiber_stack.cc
+++ b/src/framework/fiber/internal/fiber_stack.cc
@@ -2,6 +2,8 @@
 #include "framework/fiber/internal/fiber_stack.h"
 
 #include <sanitizer/asan_interface.h>
+#include <sanitizer/common_interface_defs.h>
+#include <boost/fiber/type.hpp>
 
 namespace burdocklock {
 
@@ -11,4 +13,37 @@
   stacks_.deallocate(stack);
 }
 
+// GCC's macro; Clang builds the fuzzers alone, which run no fibers.
+#if defined(__SANITIZE_ADDRESS__)
+
+void stack_switch::Announce(const boost::fibers::context& next) {
+  using boost::fibers::type;
+  const bool to_thread = next.is_context(type::main_context);
+  if (to_thread && thread_stack_ == nullptr) {
+    return;
+  }
+  // The context of a fiber lies on its stack, above all frames.
+  const std::size_t bytes = next.is_context(type::dispatcher_context)
+                                ? fiber_stack::traits_type::default_size()
+                                : kFiberStackBytes;
+  const char* top = reinterpret_cast<const char*>(&next);
+  void* fake_stack = nullptr;
+  const void* left = nullptr;
+  std::size_t left_bytes = 0;
+  __sanitizer_start_switch_fiber(&fake_stack,
+                                 to_thread ? thread_stack_ : top - bytes,
+                                 to_thread ? thread_stack_bytes_ : bytes);
+  __sanitizer_finish_switch_fiber(fake_stack, &left, &left_bytes);
+  if (thread_stack_ == nullptr) {
+    thread_stack_ = left;
+    thread_stack_bytes_ = left_bytes;
+  }
+}
+
+#else
+
+void stack_switch::Announce(const boost::fibers::context&) {}
+
+#endif
+
 }  // namespace burdocklock
--- a/src/framework/fiber/internal/fiber_stack.h
+++ b/src/framework/fiber/internal/fiber_stack.h
@@ -2,7 +2,9 @@
 // sanitizer nothing is added to Boost's stacks.
 //
 // Boost's entry frame of a fiber never returns, so its marks outlive the stack
-// and would count against whatever is mapped there next.
+// and would count against whatever is mapped there next. An exception makes the
+// sanitizer clear the marks of the frames it may leave, from the stack pointer
+// to the top of the stack it takes the thread to run on.
 #pragma once
 
 #include <cstddef>
@@ -10,6 +12,7 @@
 #include <boost/context/protected_fixedsize_stack.hpp>
 #include <boost/context/stack_context.hpp>
 #include <boost/context/stack_traits.hpp>
+#include <boost/fiber/context.hpp>
 
 namespace burdocklock {
 
@@ -28,4 +31,17 @@
   boost::context::protected_fixedsize_stack stacks_{kFiberStackBytes};
 };
 
+/// Tells the sanitizer which stack the thread runs on from here on.
+class stack_switch {
+ public:
+  /// Must be called last before `next` is resumed.
+  void Announce(const boost::fibers::context& next);
+
+ private:
+  /// Bounds of the thread's own stack; known after the first switch from it.
+  /// Without the sanitizer they are not used.
+  [[maybe_unused]] const void* thread_stack_ = nullptr;
+  [[maybe_unused]] std::size_t thread_stack_bytes_ = 0;
+};
+
 }  // namespace burdocklock
