The guard's limit begins at the rate of a second, not of 150 ms

Streams that begin together end together, and their callers return together.

The rate that the limit is taken from is now the window's or, if higher, the mean of about the last second. After a pause it is the window's, as before.

--- a/src/admission/internal/processor_guard.cc
+++ b/src/admission/internal/processor_guard.cc
@@ -23,6 +23,8 @@
 constexpr double kDecrease = 0.95;
 constexpr double kIncrease = 1.05;
 constexpr double kMinLimit = 10;
+// Weight of all earlier windows, for a mean over about a second.
+constexpr double kPastWeight = 0.85;
 // The limit ends when it exceeds the demand by this factor.
 constexpr double kEndFactor = 1.5;
 // Fraction of the demand whose refusal counts as heavy overload.
@@ -58,7 +60,7 @@
 
 void processor_guard::EndWindow(time_point now) {
   const double seconds = ToSeconds(now - window_started_);
-  UpdateLimit(ToSeconds(busy_) / seconds, admitted_cost_ / seconds);
+  UpdateLimit(ToSeconds(busy_) / seconds, AdmittedRate(seconds));
   UpdateOverload(now);
   window_started_ = now;
   busy_ = {};
@@ -85,6 +87,12 @@
   shares_.SetKnownCapacity(limit_);
 }
 
+double processor_guard::AdmittedRate(double window_seconds) {
+  past_cost_ = kPastWeight * past_cost_ + admitted_cost_;
+  past_seconds_ = kPastWeight * past_seconds_ + window_seconds;
+  return std::max(admitted_cost_ / window_seconds, past_cost_ / past_seconds_);
+}
+
 void processor_guard::UpdateOverload(time_point now) {
   const bool refuses_much =
       refused_cost_ > kMuchRefused * (refused_cost_ + admitted_cost_);
--- a/src/admission/processor_guard.h
+++ b/src/admission/processor_guard.h
@@ -32,6 +32,9 @@
  private:
   void EndWindow(time_point now);
   void UpdateLimit(double utilisation, double admitted_rate);
+  /// The rate at which work was admitted in the window or, if higher, over the
+  /// last second: callers whose answers end together return together.
+  double AdmittedRate(double window_seconds);
   void UpdateOverload(time_point now);
 
   share_limiter shares_{pool_id("processor"),
@@ -40,6 +43,9 @@
   /// Cost per second that is admitted; kNoLimit while there is time left.
   double limit_ = kNoLimit;
   int busy_windows_ = 0;
+  /// Sums over windows in which earlier ones count less.
+  double past_cost_ = 0;
+  double past_seconds_ = 0;
   // Of the current window.
   time_point window_started_{};
   duration busy_{};
--- a/src/admission/tests/processor_guard_unittest.cc
+++ b/src/admission/tests/processor_guard_unittest.cc
@@ -143,6 +143,27 @@
   }
 }
 
+TEST_CASE(
+    "processor guard: calls come in waves: no more is refused than admitted "
+    "when the limit begins") {
+  constexpr milliseconds kTurn{60};
+  processor_guard guard;
+  time_point now{seconds(100)};
+  int admitted = 0;
+  int refused = 0;
+  for (int wave = 0; wave < 8; ++wave) {
+    for (int call = 0; call < 100; ++call) {
+      ++(guard.Admit(customer_id("large"), 1, now) ? admitted : refused);
+    }
+    for (int turn = 0; turn < 5; ++turn) {
+      now += kTurn;
+      guard.OnTurn(kTurn, now);
+    }
+  }
+  CHECK(refused > 0);
+  CHECK(admitted >= refused);
+}
+
 TEST_CASE_METHOD(busy_routers_fixture,
                  "processor guard: refused callers return at once: two fifths "
                  "of the processor go to calls that are served",
