Sum the targets' claims only for work beyond shares

Each choice of a target walked all targets of the pool to divide what waits elsewhere among them, also where nothing waits and for work within shares, which does not use it. Same choices: bl_targets and bl_routing pass.

--- a/src/targets/internal/prompt_placement.cc
+++ b/src/targets/internal/prompt_placement.cc
@@ -80,7 +80,9 @@
                               holders[0].target == nullptr &&
                               SharedTokens(prompt) >= kMinTokensWorthWaiting;
   const pool_competition& competition = CompetitionFor(pool);
-  const double claimed = ClaimedTokens(pool, competition, now);
+  const double claimed = constraints.spare_capacity_only
+                             ? ClaimedTokens(pool, competition, now)
+                             : 0;
   placement best;
   placement second;
   for (entry* candidate : all) {
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -372,6 +372,9 @@
 double target_directory::ClaimedTokens(const pool_id& pool,
                                        const pool_competition& competition,
                                        time_point now) const {
+  if (competition.waiting_elsewhere <= 0) {
+    return 0;
+  }
   const std::uint32_t usable =
       SumUsable(pool, now, [](const entry&) { return 1U; });
   return competition.waiting_elsewhere / std::max(1U, usable);
