--- a/src/routing/tests/fleet_fairness_unittest.cc
+++ b/src/routing/tests/fleet_fairness_unittest.cc
@@ -1,5 +1,6 @@
 // Fair shares of customers over several routers, in virtual time.
 #include <algorithm>
+#include <optional>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -103,7 +104,7 @@
   // All requests of one customer come to one router, those of another to all.
   // Most engines slow down; one ends and returns cold, two are silent for a
   // second.
-  static simulated_fleet Play(std::uint32_t seed) {
+  static simulated_fleet Play(std::uint32_t seed, int leader_changes = 0) {
     const std::size_t routers = seed % 2 == 0 ? 5 : 24;
     const std::size_t engines = seed % 2 == 0 ? 9 : 24;
     const double capacity = kReadingRate * static_cast<double>(engines);
@@ -132,6 +133,9 @@
     fleet.ReturnCold(engines - 1, milliseconds(12'500), seconds(3));
     fleet.SilenceEngine(0, milliseconds(11'500), milliseconds(1100));
     fleet.SilenceEngine(engines - 2, milliseconds(13'200), milliseconds(1100));
+    for (int i = 0; i < leader_changes; ++i) {
+      fleet.ChangeLeader(seconds(8 + 3 * i));
+    }
     fleet.Run(seconds(22));
     return fleet;
   }
@@ -187,6 +191,17 @@
   static constexpr std::size_t kSmallCustomers = 8;
 };
 
+// The new leader's sums lack the routers that have not reported to it yet.
+TEST_CASE_METHOD(one_router_fixture,
+                 "fleet: engines slow down and the leader changes four times: "
+                 "no customer is starved",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    CheckNoneStarved(Play(seed, 4), 6, 22);
+  }
+}
+
 TEST_CASE_METHOD(one_router_slots_fixture,
                  "fleet: engines name limits and one customer waits at one "
                  "router: it is not starved") {
@@ -196,6 +211,89 @@
   }
 }
 
+// All engines name a limit of half of what their slots serve.
+struct limited_fleet_fixture {
+  static constexpr double kLimit = 12;
+  static constexpr std::size_t kEngines = 24;
+  static constexpr std::uint32_t kTokens = 2000;
+
+  // One customer asks for three times what the limits allow, at all routers;
+  // eight small ones for a third of it.
+  static simulated_fleet PlayOneWide(std::uint32_t seed) {
+    return Play(seed, {});
+  }
+  // Another one's requests come to one router.
+  static simulated_fleet PlayOneNarrow(std::uint32_t seed) {
+    return Play(seed, 1.0);
+  }
+
+  static double StartedPerSecond(const simulated_fleet& fleet,
+                                 std::int64_t from,
+                                 std::int64_t to) {
+    double started = 0;
+    for (const auto& [customer, seconds] : fleet.accounts()) {
+      for (std::int64_t at = from; at < to; ++at) {
+        started += At(seconds, at).started;
+      }
+    }
+    return started / static_cast<double>(to - from);
+  }
+
+ private:
+  static simulated_fleet Play(std::uint32_t seed,
+                              std::optional<double> narrow_part) {
+    constexpr double kAllowed = kLimit * kEngines;
+    simulated_fleet fleet({.routers = 24,
+                           .targets = kEngines,
+                           .reading_rate = 55'000,
+                           .output_time = seconds(2),
+                           .seed = seed});
+    if (narrow_part) {
+      fleet.AddCustomer({.customer = customer_id("narrow"),
+                         .requests_per_second = *narrow_part * kAllowed,
+                         .tokens = kTokens,
+                         .router = 1,
+                         .begins = seconds(3)});
+    }
+    fleet.AddCustomer({.customer = customer_id("wide"),
+                       .requests_per_second = 3 * kAllowed,
+                       .tokens = kTokens,
+                       .begins = seconds(3)});
+    for (std::size_t i = 0; i < 8; ++i) {
+      fleet.AddCustomer({.customer = customer_id("c" + std::to_string(i)),
+                         .requests_per_second = 0.04 * kAllowed,
+                         .tokens = kTokens});
+    }
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      fleet.LimitEngine(engine, kLimit, seconds(6), seconds(24));
+    }
+    fleet.Run(seconds(24));
+    return fleet;
+  }
+};
+
+// What nobody else may use must not be kept free for those who wait elsewhere.
+TEST_CASE_METHOD(limited_fleet_fixture,
+                 "fleet: all engines name limits and a customer asks for three "
+                 "times as much: three quarters of the limits are used",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= 6; ++seed) {
+    INFO("seed " << seed);
+    CHECK(StartedPerSecond(PlayOneWide(seed), 9, 24) >=
+          0.75 * kLimit * kEngines * kTokens);
+  }
+}
+
+TEST_CASE_METHOD(limited_fleet_fixture,
+                 "fleet: all engines name limits and one customer waits at one "
+                 "router: it is not starved",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= 6; ++seed) {
+    INFO("seed " << seed);
+    CheckNoneStarved(PlayOneNarrow(seed), 9, 24);
+  }
+}
+
 TEST_CASE_METHOD(busy_fleet_fixture,
                  "fleet: two of five engines refuse connections: no customer "
                  "is starved") {
--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -114,6 +114,10 @@
        [this, engine, rate] { engines_[engine].rate_limit = rate; });
     At(start_ + to, [this, engine] { engines_[engine].rate_limit.reset(); });
   }
+  /// The new leader knows no load until routers report theirs.
+  void ChangeLeader(duration at) {
+    At(start_ + at, [this] { reports_ = control::load_collector(); });
+  }
   /// No load reports from or to the router.
   void CutRouter(std::size_t router, duration from, duration to) {
     At(start_ + from, [this, router] { cut_.insert(router); });
