--- a/src/routing/tests/fleet_fairness_unittest.cc
+++ b/src/routing/tests/fleet_fairness_unittest.cc
@@ -105,8 +105,13 @@
   // Most engines slow down; one ends and returns cold, two are silent for a
   // second.
   static simulated_fleet Play(std::uint32_t seed, int leader_changes = 0) {
-    const std::size_t routers = seed % 2 == 0 ? 5 : 24;
-    const std::size_t engines = seed % 2 == 0 ? 9 : 24;
+    return seed % 2 == 0 ? Play(seed, 5, 9, leader_changes)
+                         : Play(seed, 24, 24, leader_changes);
+  }
+  static simulated_fleet Play(std::uint32_t seed,
+                              std::size_t routers,
+                              std::size_t engines,
+                              int leader_changes) {
     const double capacity = kReadingRate * static_cast<double>(engines);
     simulated_fleet fleet({.routers = routers,
                            .targets = engines,
@@ -202,6 +207,17 @@
   }
 }
 
+// A router's part of a backlog is less than one prompt.
+TEST_CASE_METHOD(one_router_fixture,
+                 "fleet: engines slow down before 120 routers: no customer is "
+                 "starved",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+    INFO("seed " << seed);
+    CheckNoneStarved(Play(seed, 120, 24, 0), 6, 22);
+  }
+}
+
 TEST_CASE_METHOD(one_router_slots_fixture,
                  "fleet: engines name limits and one customer waits at one "
                  "router: it is not starved") {
@@ -211,6 +227,16 @@
   }
 }
 
+TEST_CASE_METHOD(one_router_slots_fixture,
+                 "fleet: engines begin to name limits and one customer waits "
+                 "at one router: it is not starved in the first seconds",
+                 "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    CheckNoneStarved(Play(seed), 6, 14);
+  }
+}
+
 // All engines name a limit of half of what their slots serve.
 struct limited_fleet_fixture {
   static constexpr double kLimit = 12;
