--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -110,6 +110,10 @@
     record.Add("target_ended", true)
         .Add("output_began", effect.output_began)
         .Add("shared_parts", HexNames(effect.shared_parts));
+    if (effect.fingerprint) {
+      record.Add("fingerprint",
+                 HexNames({effect.fingerprint->value()}).front());
+    }
   }
   logger_.Log(record);
 }
--- a/src/framework/types/ids.h
+++ b/src/framework/types/ids.h
@@ -25,6 +25,10 @@
 using incarnation = strong_type<struct incarnation_tag, std::uint64_t>;
 /// Request sequence number within one daemon incarnation.
 using request_seq = strong_type<struct request_seq_tag, std::uint64_t>;
+/// Hash of what a request asks for and of its customer; the same each time the
+/// request is repeated whole.
+using request_fingerprint =
+    strong_type<struct request_fingerprint_tag, std::uint64_t>;
 /// Dispatch attempt number within one request, starting at 1.
 using attempt_number = strong_type<struct attempt_number_tag, std::uint32_t>;
 /// Refusal sequence number within one daemon incarnation, without gaps.
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gateway/internal/caller_exchange.h"
+#include "gateway/request_fingerprint.h"
 
 namespace burdocklock::gateway {
 
@@ -54,6 +55,12 @@
                    .reason = refusal_reason::kRouterBusy,
                    .retry_after = BusyRetryAfter(call.spec.id)});
   }
+  call.spec.fingerprint = FingerprintOf(
+      call.spec.customer,
+      {.method = request.method_string(),
+       .path = request.target(),
+       .body = request.body(),
+       .prompt = call.spec.prompt ? &*call.spec.prompt : nullptr});
   const bool keep = request.keep_alive() && !drain;
   response_writer writer(connection, request, call.request_name, keep,
                          context_.dialect);
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -113,6 +113,7 @@
         .will_retry = retry_allowed,
         .shared_parts = record->spec.prompt ? SharedParts(*record->spec.prompt)
                                             : std::vector<std::uint64_t>(),
+        .fingerprint = record->spec.fingerprint,
         .output_began = record->output_began.has_value(),
         .target_ended = failure->target_ended});
   }
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -95,6 +95,7 @@
   bool will_retry = false;
   /// Parts of the prompt that other prompts may share.
   std::vector<std::uint64_t> shared_parts;
+  std::optional<request_fingerprint> fingerprint;
   /// Part of the response had arrived.
   bool output_began = false;
   /// The target's address refuses connections since.
--- a/src/routing/types/request.h
+++ b/src/routing/types/request.h
@@ -39,6 +39,8 @@
   /// An interrupted stream may be resumed at another target.
   bool resumable = false;
   std::optional<targets::prompt> prompt;
+  /// Absent if a repetition of the request cannot be recognised.
+  std::optional<request_fingerprint> fingerprint;
 };
 
 }  // namespace burdocklock::routing
