Requests repeated whole that end targets are refused

Cause: a request that its caller repeats whole left no evidence when it ended its target. Class: failure containment keyed by one property of requests, where a fault may be tied to another. So each router found out anew, two targets a time.

Change: the fingerprint of a request (customer, method, path, body, prompt) is one more suspect beside the parts, in a key space and with bounds of its own; ends, served and blocked are shared as for parts. It is refused as not run (503 request_blocked, Retry-After), also in the queue, and while no target is there to try it. Not sent to a second target if another one ended with it. A plain call counts as served from its sending, as its answer does not tell when it ran. Messages: members added at the end, absent ones accepted.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -127,7 +127,7 @@
   void Perform(const routing::ramp_changed& effect, time_point now);
   void Perform(const routing::lease_changed& effect, time_point now);
   void Perform(const routing::coordinator_changed& effect, time_point now);
-  void Perform(const routing::prompt_block_changed& effect, time_point now);
+  void Perform(const routing::suspect_block_changed& effect, time_point now);
   void Perform(const routing::rate_limit_changed& effect, time_point now);
   // Runs `handle` immediately and performs the resulting effects.
   void Process(const handler& handle);
--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -161,16 +161,19 @@
                   .Add("coordinates", effect.coordinates));
 }
 
-void control_loop::Perform(const routing::prompt_block_changed& effect,
+void control_loop::Perform(const routing::suspect_block_changed& effect,
                            time_point) {
+  const bool is_part = effect.suspect.kind == crashes::suspect_kind::kPart;
   if (effect.blocked) {
-    ++metrics_.Counter("burdocklock_prompt_blocks_total");
+    ++metrics_.Counter(is_part ? "burdocklock_prompt_blocks_total"
+                               : "burdocklock_request_blocks_total");
   }
-  logger_.Log(log_record(effect.blocked ? "prompt_part_blocked"
-                                        : "prompt_part_released",
-                         log_level::kWarning)
-                  .Add("pool", effect.pool.value())
-                  .Add("part", HexNames({effect.part}).front())
+  const std::string event = std::string(is_part ? "prompt_part_" : "request_") +
+                            (effect.blocked ? "blocked" : "released");
+  logger_.Log(log_record(event, log_level::kWarning)
+                  .Add("pool", effect.suspect.pool.value())
+                  .Add(is_part ? "part" : "fingerprint",
+                       HexNames({effect.suspect.id}).front())
                   .Add("target_ends", effect.target_ends)
                   .Add("times_blocked", effect.times_blocked)
                   .Add("remaining_ms", ToMilliseconds(effect.remaining)));
--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -2,9 +2,12 @@
 // the message type.
 #include "control/message_codec.h"
 
+#include <algorithm>
 #include <cmath>
 #include <exception>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -76,43 +79,78 @@
 
 using nlohmann::json;
 
+namespace {
+
+// Daemons that know no suspects but parts send and read as many elements.
+constexpr std::size_t kFieldsOfEarlierEnd = 5;
+constexpr std::size_t kFieldsOfEarlierEvidence = 3;
+
+template <typename Entry>
+std::vector<Entry> OfKind(const std::vector<Entry>& entries,
+                          suspect_kind kind) {
+  std::vector<Entry> found;
+  std::copy_if(entries.begin(), entries.end(), std::back_inserter(found),
+               [kind](const Entry& entry) { return entry.key.kind == kind; });
+  return found;
+}
+
+template <typename Entry>
+void AppendRequests(const json& j, std::vector<Entry>& entries) {
+  for (Entry& entry : j.get<std::vector<Entry>>()) {
+    entry.key.kind = suspect_kind::kRequest;
+    entries.push_back(std::move(entry));
+  }
+}
+
+}  // namespace
+
 void to_json(json& j, const target_end& e) {
-  j = json::array({e.target, e.life, e.pool, e.age_ms, e.suspects});
+  j = json::array({e.target, e.life, e.pool, e.age_ms, e.parts, e.requests});
 }
 void from_json(const json& j, target_end& e) {
   j.at(0).get_to(e.target);
   j.at(1).get_to(e.life);
   j.at(2).get_to(e.pool);
   j.at(3).get_to(e.age_ms);
-  j.at(4).get_to(e.suspects);
+  j.at(4).get_to(e.parts);
+  if (j.size() > kFieldsOfEarlierEnd) {
+    j.at(kFieldsOfEarlierEnd).get_to(e.requests);
+  }
 }
 
-void to_json(json& j, const served_part& s) {
-  j = json::array({s.key.pool, s.key.part, s.age_ms});
+void to_json(json& j, const served_suspect& s) {
+  j = json::array({s.key.pool, s.key.id, s.age_ms});
 }
-void from_json(const json& j, served_part& s) {
+void from_json(const json& j, served_suspect& s) {
   j.at(0).get_to(s.key.pool);
-  j.at(1).get_to(s.key.part);
+  j.at(1).get_to(s.key.id);
   j.at(2).get_to(s.age_ms);
 }
 
-void to_json(json& j, const blocked_part& b) {
-  j = json::array({b.key.pool, b.key.part, b.age_ms, b.times_blocked});
+void to_json(json& j, const blocked_suspect& b) {
+  j = json::array({b.key.pool, b.key.id, b.age_ms, b.times_blocked});
 }
-void from_json(const json& j, blocked_part& b) {
+void from_json(const json& j, blocked_suspect& b) {
   j.at(0).get_to(b.key.pool);
-  j.at(1).get_to(b.key.part);
+  j.at(1).get_to(b.key.id);
   j.at(2).get_to(b.age_ms);
   j.at(3).get_to(b.times_blocked);
 }
 
 void to_json(json& j, const evidence& e) {
-  j = json::array({e.ends, e.served, e.blocked});
+  j = json::array({e.ends, OfKind(e.served, suspect_kind::kPart),
+                   OfKind(e.blocked, suspect_kind::kPart),
+                   OfKind(e.served, suspect_kind::kRequest),
+                   OfKind(e.blocked, suspect_kind::kRequest)});
 }
 void from_json(const json& j, evidence& e) {
   j.at(0).get_to(e.ends);
   j.at(1).get_to(e.served);
   j.at(2).get_to(e.blocked);
+  if (j.size() > kFieldsOfEarlierEvidence) {
+    AppendRequests(j.at(kFieldsOfEarlierEvidence), e.served);
+    AppendRequests(j.at(kFieldsOfEarlierEvidence + 1), e.blocked);
+  }
 }
 
 }  // namespace burdocklock::crashes
--- a/src/crashes/evidence_store.h
+++ b/src/crashes/evidence_store.h
@@ -1,4 +1,4 @@
-// Evidence about prompt parts that end targets, merged from all routers.
+// Evidence about what ends targets, merged from all routers.
 #pragma once
 
 #include <cstddef>
@@ -14,7 +14,8 @@
 
 namespace burdocklock::crashes {
 
-/// Upper bounds; the oldest entries are dropped first.
+/// Upper bounds; the oldest entries are dropped first. Those of suspects,
+/// served and blocked ones hold for each kind of suspect.
 inline constexpr std::size_t kMaxEnds = 256;
 inline constexpr std::size_t kMaxSuspects = 256;
 inline constexpr std::size_t kMaxServed = 1024;
@@ -27,7 +28,17 @@
   struct end_record {
     pool_id pool;
     time_point at;
-    std::set<std::uint64_t> suspects;
+    std::set<std::uint64_t> parts;
+    std::set<std::uint64_t> requests;
+
+    [[nodiscard]] const std::set<std::uint64_t>& Suspects(
+        suspect_kind kind) const {
+      return kind == suspect_kind::kPart ? parts : requests;
+    }
+    /// Whether it was in a request of the target.
+    [[nodiscard]] bool Contains(const pool_suspect& key) const {
+      return pool == key.pool && Suspects(key.kind).contains(key.id);
+    }
   };
   struct block_record {
     time_point at;
@@ -45,23 +56,23 @@
   [[nodiscard]] const std::map<end_key, end_record>& ends() const {
     return ends_;
   }
-  [[nodiscard]] const std::map<pool_part, block_record>& blocked() const {
+  [[nodiscard]] const std::map<pool_suspect, block_record>& blocked() const {
     return blocked_;
   }
-  /// When a target last served a prompt with the part, as far as reported.
+  /// When a target last served a request with it, as far as reported.
   [[nodiscard]] std::optional<time_point> LastServed(
-      const pool_part& key) const;
+      const pool_suspect& key) const;
 
  private:
   bool MergeEnd(const target_end& received, time_point now, target_end& news);
-  bool MergeServed(const served_part& received, time_point now);
-  bool MergeBlocked(const blocked_part& received, time_point now);
+  bool MergeServed(const served_suspect& received, time_point now);
+  bool MergeBlocked(const blocked_suspect& received, time_point now);
   void DropExcess();
 
   // Invariant: no container exceeds its upper bound after a call.
   std::map<end_key, end_record> ends_;
-  std::map<pool_part, time_point> served_;
-  std::map<pool_part, block_record> blocked_;
+  std::map<pool_suspect, time_point> served_;
+  std::map<pool_suspect, block_record> blocked_;
 };
 
 }  // namespace burdocklock::crashes
--- a/src/crashes/internal/evidence_store.cc
+++ b/src/crashes/internal/evidence_store.cc
@@ -1,9 +1,10 @@
-// Merges evidence by target incarnation and by prompt part, and drops old and
+// Merges evidence by target incarnation and by suspect, and drops old and
 // excess entries.
 #include "crashes/evidence_store.h"
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace burdocklock::crashes {
 
@@ -40,6 +41,25 @@
   }
 }
 
+// Each kind has a limit of its own, so that the many requests do not push out
+// parts.
+template <typename Map, typename TimeOf>
+void DropOldestOfEachKind(Map& entries, std::size_t limit, TimeOf time_of) {
+  for (const suspect_kind kind :
+       {suspect_kind::kPart, suspect_kind::kRequest}) {
+    auto excess = std::count_if(
+        entries.begin(), entries.end(),
+        [kind](const auto& entry) { return entry.first.kind == kind; });
+    for (; excess > static_cast<std::ptrdiff_t>(limit); --excess) {
+      entries.erase(std::min_element(
+          entries.begin(), entries.end(), [&](const auto& a, const auto& b) {
+            return std::pair(a.first.kind != kind, time_of(a.second)) <
+                   std::pair(b.first.kind != kind, time_of(b.second));
+          }));
+    }
+  }
+}
+
 }  // namespace
 
 evidence evidence_store::Merge(const evidence& received, time_point now) {
@@ -50,12 +70,12 @@
       news.ends.push_back(std::move(changed));
     }
   }
-  for (const served_part& served : received.served) {
+  for (const served_suspect& served : received.served) {
     if (MergeServed(served, now)) {
       news.served.push_back(served);
     }
   }
-  for (const blocked_part& blocked : received.blocked) {
+  for (const blocked_suspect& blocked : received.blocked) {
     if (MergeBlocked(blocked, now)) {
       news.blocked.push_back(blocked);
     }
@@ -70,27 +90,31 @@
   if (At(received.age_ms, now) + kMaxEndAge <= now) {
     return false;
   }
-  const auto [found, added] =
-      ends_.try_emplace({received.target, received.life},
-                        end_record{.pool = received.pool,
-                                   .at = At(received.age_ms, now),
-                                   .suspects = {}});
+  const auto [found, added] = ends_.try_emplace(
+      {received.target, received.life},
+      end_record{.pool = received.pool, .at = At(received.age_ms, now)});
   end_record& record = found->second;
   news = {.target = received.target,
           .life = received.life,
           .pool = record.pool,
-          .age_ms = AgeMs(record.at, now),
-          .suspects = {}};
-  for (const std::uint64_t part : received.suspects) {
-    if (record.suspects.size() < kMaxSuspects &&
-        record.suspects.insert(part).second) {
-      news.suspects.push_back(part);
+          .age_ms = AgeMs(record.at, now)};
+  for (const std::uint64_t part : received.parts) {
+    if (record.parts.size() < kMaxSuspects &&
+        record.parts.insert(part).second) {
+      news.parts.push_back(part);
+    }
+  }
+  for (const request_fingerprint request : received.requests) {
+    if (record.requests.size() < kMaxSuspects &&
+        record.requests.insert(request.value()).second) {
+      news.requests.push_back(request);
     }
   }
-  return added || !news.suspects.empty();
+  return added || !news.parts.empty() || !news.requests.empty();
 }
 
-bool evidence_store::MergeServed(const served_part& received, time_point now) {
+bool evidence_store::MergeServed(const served_suspect& received,
+                                 time_point now) {
   const time_point at = At(received.age_ms, now);
   if (at + kMaxServedAge <= now) {
     return false;
@@ -106,7 +130,7 @@
   return true;
 }
 
-bool evidence_store::MergeBlocked(const blocked_part& received,
+bool evidence_store::MergeBlocked(const blocked_suspect& received,
                                   time_point now) {
   const block_record record{.at = At(received.age_ms, now),
                             .times_blocked = received.times_blocked};
@@ -127,12 +151,15 @@
 evidence evidence_store::All(time_point now) const {
   evidence all;
   for (const auto& [key, record] : ends_) {
-    all.ends.push_back(
-        {.target = key.first,
-         .life = key.second,
-         .pool = record.pool,
-         .age_ms = AgeMs(record.at, now),
-         .suspects = {record.suspects.begin(), record.suspects.end()}});
+    target_end end{.target = key.first,
+                   .life = key.second,
+                   .pool = record.pool,
+                   .age_ms = AgeMs(record.at, now),
+                   .parts = {record.parts.begin(), record.parts.end()}};
+    for (const std::uint64_t request : record.requests) {
+      end.requests.emplace_back(request);
+    }
+    all.ends.push_back(std::move(end));
   }
   for (const auto& [key, at] : served_) {
     all.served.push_back({.key = key, .age_ms = AgeMs(at, now)});
@@ -146,7 +173,7 @@
 }
 
 std::optional<time_point> evidence_store::LastServed(
-    const pool_part& key) const {
+    const pool_suspect& key) const {
   const auto found = served_.find(key);
   return found == served_.end() ? std::nullopt : std::optional(found->second);
 }
@@ -165,9 +192,9 @@
 
 void evidence_store::DropExcess() {
   DropOldest(ends_, kMaxEnds, [](const auto& record) { return record.at; });
-  DropOldest(served_, kMaxServed, [](const auto& at) { return at; });
-  DropOldest(blocked_, kMaxBlocked,
-             [](const auto& record) { return record.at; });
+  DropOldestOfEachKind(served_, kMaxServed, [](const auto& at) { return at; });
+  DropOldestOfEachKind(blocked_, kMaxBlocked,
+                       [](const auto& record) { return record.at; });
 }
 
 }  // namespace burdocklock::crashes
--- a/src/crashes/internal/prompt_guard.cc
+++ b/src/crashes/internal/prompt_guard.cc
@@ -19,6 +19,7 @@
 // Routers end a block one after the other within this fraction of it, so that
 // the first one tries alone.
 constexpr double kReleaseSpread = 0.5;
+constexpr double kReleaseSpreadOfShort = 1;
 // How long the outcome of a trial is awaited.
 constexpr seconds kTrialTime{15};
 
@@ -27,43 +28,33 @@
       std::chrono::duration_cast<milliseconds>(now - at).count());
 }
 
-template <typename Visit>
-void ForEachShared(const targets::prompt& prompt, Visit visit) {
-  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-    visit(prompt.parts[i].id);
-  }
-}
-
 }  // namespace
 
 void prompt_guard::OnTargetEnded(const target_id& target,
                                  incarnation life,
-                                 const pool_id& pool,
-                                 const targets::prompt& suspect,
+                                 const request_suspects& request,
                                  time_point now) {
   target_end end{.target = target,
                  .life = life,
-                 .pool = pool,
-                 .suspects = SharedParts(suspect)};
+                 .pool = request.pool,
+                 .parts = request.shared_parts};
+  if (request.fingerprint) {
+    end.requests.push_back(*request.fingerprint);
+  }
   news_.Append(Learn({.ends = {std::move(end)}}, now));
 }
 
-void prompt_guard::OnServed(const pool_id& pool,
-                            const targets::prompt& prompt,
+void prompt_guard::OnServed(const request_suspects& request,
                             time_point began,
                             time_point now) {
   evidence own;
-  ForEachShared(prompt, [&](std::uint64_t part) {
-    const pool_part key{.pool = pool, .part = part};
-    served_.Remember(key, began);
-    const bool is_suspect = std::any_of(
-        store_.ends().begin(), store_.ends().end(), [&](const auto& entry) {
-          const auto& end = entry.second;
-          return end.pool == pool && end.suspects.contains(part) &&
-                 store_.LastServed(key).value_or(time_point{}) < end.at;
-        });
+  request.ForEach([&](const pool_suspect& key) {
+    ServedOf(key.kind).Remember(key, began);
+    // Of a request that is in one end alone others hear when the next target
+    // ends with it.
+    const std::size_t few = key.kind == suspect_kind::kPart ? 0 : 1;
     const auto block = store_.blocked().find(key);
-    if (is_suspect ||
+    if (EndsSinceServed(key) > few ||
         (block != store_.blocked().end() && !IsLifted(key, block->second))) {
       own.served.push_back({.key = key, .age_ms = AgeMs(began, now)});
     }
@@ -73,14 +64,11 @@
   }
 }
 
-void prompt_guard::OnSent(const pool_id& pool,
-                          const targets::prompt& prompt,
-                          time_point now) {
+void prompt_guard::OnSent(const request_suspects& request, time_point now) {
   if (store_.blocked().empty()) {
     return;
   }
-  ForEachShared(prompt, [&](std::uint64_t part) {
-    const pool_part key{.pool = pool, .part = part};
+  request.ForEach([&](const pool_suspect& key) {
     const auto block = store_.blocked().find(key);
     if (block != store_.blocked().end() && !IsLifted(key, block->second)) {
       trials_[key] = now + kTrialTime;
@@ -101,7 +89,7 @@
 }
 
 evidence prompt_guard::Learn(const evidence& received, time_point now) {
-  std::vector<pool_part> active;
+  std::vector<pool_suspect> active;
   for (const auto& [key, block] : store_.blocked()) {
     if (IsActive(key, now)) {
       active.push_back(key);
@@ -111,12 +99,12 @@
   for (const target_end& end : learned.ends) {
     ReportServed(end, now);
   }
-  for (const blocked_part& block : learned.blocked) {
+  for (const blocked_suspect& block : learned.blocked) {
     if (IsActive(block.key, now)) {
       NoteBlocked(block.key, 0, now);
     }
   }
-  for (const pool_part& key : active) {
+  for (const pool_suspect& key : active) {
     if (!IsActive(key, now)) {
       trials_.erase(key);
       changes_.push_back({.key = key, .blocked = false});
@@ -130,12 +118,19 @@
 
 void prompt_guard::ReportServed(const target_end& end, time_point now) {
   evidence own;
-  for (const std::uint64_t part : end.suspects) {
-    const pool_part key{.pool = end.pool, .part = part};
-    const auto remembered = served_.Find(key);
+  const auto report = [&](const pool_suspect& key) {
+    const auto remembered = ServedOf(key.kind).Find(key);
     if (remembered && now - *remembered < kTrustTime) {
       own.served.push_back({.key = key, .age_ms = AgeMs(*remembered, now)});
     }
+  };
+  for (const std::uint64_t part : end.parts) {
+    report({.pool = end.pool, .id = part});
+  }
+  for (const request_fingerprint request : end.requests) {
+    report({.pool = end.pool,
+            .id = request.value(),
+            .kind = suspect_kind::kRequest});
   }
   news_.Append(store_.Merge(own, now));
 }
@@ -145,6 +140,19 @@
   store_.Expire(now);
   std::erase_if(trials_,
                 [now](const auto& trial) { return trial.second <= now; });
+  // A blocked request explains ends that its rare parts would be blamed for,
+  // and refuses less.
+  BlockRequests(now);
+  BlockParts(now);
+}
+
+void prompt_guard::BlockRequests(time_point now) {
+  for (const candidate& found : FindCandidates(suspect_kind::kRequest, now)) {
+    Block(found, now);
+  }
+}
+
+void prompt_guard::BlockParts(time_point now) {
   for (std::vector<candidate> worst = WorstParts(now); !worst.empty();
        worst = WorstParts(now)) {
     if (worst.size() > 1 && worst.front().ends < kMinEndsOfTied) {
@@ -177,7 +185,7 @@
   NoteBlocked(found.key, found.ends, now);
 }
 
-void prompt_guard::NoteBlocked(const pool_part& key,
+void prompt_guard::NoteBlocked(const pool_suspect& key,
                                std::size_t ends,
                                time_point now) {
   const evidence_store::block_record& block = store_.blocked().at(key);
@@ -188,15 +196,14 @@
                       .remaining = EndOf(key, block) - now});
 }
 
-std::optional<duration> prompt_guard::BlockedFor(const pool_id& pool,
-                                                 const targets::prompt& prompt,
-                                                 time_point now) const {
+std::optional<active_block> prompt_guard::BlockedFor(
+    const request_suspects& request,
+    time_point now) const {
   if (store_.blocked().empty()) {
     return std::nullopt;
   }
-  std::optional<duration> longest;
-  ForEachShared(prompt, [&](std::uint64_t part) {
-    const pool_part key{.pool = pool, .part = part};
+  std::optional<active_block> longest;
+  request.ForEach([&](const pool_suspect& key) {
     const auto block = store_.blocked().find(key);
     if (block == store_.blocked().end() || IsLifted(key, block->second)) {
       return;
@@ -205,35 +212,55 @@
     const auto trial = trials_.find(key);
     const time_point until =
         trial == trials_.end() ? end : std::max(end, trial->second);
-    if (until > now) {
-      longest = std::max(longest.value_or(duration::zero()), until - now);
+    if (until > now && (!longest || until - now > longest->remaining)) {
+      longest = {.remaining = until - now, .kind = key.kind};
     }
   });
   return longest;
 }
 
-bool prompt_guard::IsTrusted(const pool_id& pool,
-                             const targets::prompt& prompt,
+bool prompt_guard::AwaitsTrial(const request_suspects& request,
+                               time_point now) const {
+  bool awaits = false;
+  if (!store_.blocked().empty()) {
+    request.ForEach(
+        [&](const pool_suspect& key) { awaits |= IsHalfOpen(key, now); });
+  }
+  return awaits;
+}
+
+bool prompt_guard::IsTrusted(const request_suspects& request,
                              time_point now) const {
   bool trusted = true;
-  ForEachShared(prompt, [&](std::uint64_t part) {
-    const pool_part key{.pool = pool, .part = part};
-    const time_point last =
-        std::max(store_.LastServed(key).value_or(time_point{}),
-                 served_.Find(key).value_or(time_point{}));
-    trusted &= last != time_point{} && now - last < kTrustTime &&
-               MomentsSince(key, last) < 2;
-  });
+  for (const std::uint64_t part : request.shared_parts) {
+    const pool_suspect key{.pool = request.pool, .id = part};
+    const auto last = LastServed(key);
+    trusted &= last && now - *last < kTrustTime && MomentsSince(key, *last) < 2;
+  }
   return trusted;
 }
 
+bool prompt_guard::HasEndedSeveral(const request_suspects& request) const {
+  return request.fingerprint &&
+         EndsSinceServed({.pool = request.pool,
+                          .id = request.fingerprint->value(),
+                          .kind = suspect_kind::kRequest}) > 1;
+}
+
+std::optional<time_point> prompt_guard::LastServed(
+    const pool_suspect& key) const {
+  const auto& own =
+      key.kind == suspect_kind::kPart ? served_parts_ : served_requests_;
+  return std::max(store_.LastServed(key), own.Find(key));
+}
+
 evidence prompt_guard::TakeNews() {
   return std::exchange(news_, {});
 }
 
 evidence prompt_guard::KnownEvidence(time_point now) const {
   evidence known = store_.All(now);
-  std::erase_if(known.blocked, [](const blocked_part& block) {
+  std::erase_if(known.blocked, [](const blocked_suspect& block) {
     return block.times_blocked == 1;
   });
   return known;
@@ -249,13 +276,19 @@
       [&](const auto& entry) { return IsActive(entry.first, now); }));
 }
 
-bool prompt_guard::IsActive(const pool_part& key, time_point now) const {
+bool prompt_guard::IsActive(const pool_suspect& key, time_point now) const {
   const auto block = store_.blocked().find(key);
   return block != store_.blocked().end() && !IsLifted(key, block->second) &&
          EndOf(key, block->second) > now;
 }
 
-bool prompt_guard::IsLifted(const pool_part& key,
+bool prompt_guard::IsHalfOpen(const pool_suspect& key, time_point now) const {
+  const auto block = store_.blocked().find(key);
+  return block != store_.blocked().end() && !IsLifted(key, block->second) &&
+         EndOf(key, block->second) <= now;
+}
+
+bool prompt_guard::IsLifted(const pool_suspect& key,
                             const evidence_store::block_record& block) const {
   const auto served = store_.LastServed(key);
   // All blamed ends were older than the evidence age.
@@ -263,16 +296,18 @@
 }
 
 time_point prompt_guard::EndOf(
-    const pool_part& key,
+    const pool_suspect& key,
     const evidence_store::block_record& block) const {
   constexpr std::uint64_t kSteps = 1024;
   const double place =
-      static_cast<double>(targets::RendezvousWeight(key.part, self_.value()) %
+      static_cast<double>(targets::RendezvousWeight(key.id, self_.value()) %
                           kSteps) /
       kSteps;
-  const duration time = BlockTime(block.times_blocked);
+  const duration time = BlockTime(key.kind, block.times_blocked);
+  const bool is_short = time < kFirstBlock;
+  const double spread = is_short ? kReleaseSpreadOfShort : kReleaseSpread;
   return block.at + time +
-         std::chrono::duration_cast<duration>(time * (kReleaseSpread * place));
+         std::chrono::duration_cast<duration>(time * (spread * place));
 }
 
 }  // namespace burdocklock::crashes
--- a/src/crashes/types/evidence.h
+++ b/src/crashes/types/evidence.h
@@ -1,5 +1,5 @@
-// What routers know about targets that ended while they processed prompts, as
-// it is exchanged between routers and control hosts.
+// What routers know about targets that ended while they ran requests, as it is
+// exchanged between routers and control hosts.
 #pragma once
 
 #include <algorithm>
@@ -14,13 +14,22 @@
 
 namespace burdocklock::crashes {
 
-/// A prompt part, as seen by the targets of one pool.
-struct pool_part {
+enum class suspect_kind : std::uint8_t {
+  /// A part that several prompts share.
+  kPart,
+  /// A request that may be repeated whole; its id is the fingerprint.
+  kRequest,
+};
+
+/// What may end the targets of a pool that process it. Each kind has a key
+/// space of its own.
+struct pool_suspect {
   pool_id pool;
-  std::uint64_t part = 0;
+  std::uint64_t id = 0;
+  suspect_kind kind = suspect_kind::kPart;
 
-  friend bool operator==(const pool_part&, const pool_part&) = default;
-  friend auto operator<=>(const pool_part&, const pool_part&) = default;
+  friend bool operator==(const pool_suspect&, const pool_suspect&) = default;
+  friend auto operator<=>(const pool_suspect&, const pool_suspect&) = default;
 };
 
 /// A target that ended while it ran requests.
@@ -31,33 +40,37 @@
   /// Milliseconds since the end was noticed.
   std::uint64_t age_ms = 0;
   /// Shared parts of the prompts that may have ended the target.
-  std::vector<std::uint64_t> suspects;
+  std::vector<std::uint64_t> parts;
+  /// Requests that may have ended the target.
+  std::vector<request_fingerprint> requests;
 
   friend bool operator==(const target_end&, const target_end&) = default;
 };
 
-/// A target processed a prompt with this part and continued to run.
-struct served_part {
-  pool_part key;
+/// A target processed this and continued to run.
+struct served_suspect {
+  pool_suspect key;
   std::uint64_t age_ms = 0;
 
-  friend bool operator==(const served_part&, const served_part&) = default;
+  friend bool operator==(const served_suspect&,
+                         const served_suspect&) = default;
 };
 
-/// Prompts with this part are refused.
-struct blocked_part {
-  pool_part key;
+/// Requests with this are refused.
+struct blocked_suspect {
+  pool_suspect key;
   std::uint64_t age_ms = 0;
-  /// How many times in a row the part has been blocked; each time for longer.
+  /// How many times in a row it has been blocked; each time for longer.
   std::uint32_t times_blocked = 1;
 
-  friend bool operator==(const blocked_part&, const blocked_part&) = default;
+  friend bool operator==(const blocked_suspect&,
+                         const blocked_suspect&) = default;
 };
 
 struct evidence {
   std::vector<target_end> ends;
-  std::vector<served_part> served;
-  std::vector<blocked_part> blocked;
+  std::vector<served_suspect> served;
+  std::vector<blocked_suspect> blocked;
 
   [[nodiscard]] bool empty() const {
     return ends.empty() && served.empty() && blocked.empty();
@@ -76,9 +89,9 @@
 }  // namespace burdocklock::crashes
 
 template <>
-struct std::hash<burdocklock::crashes::pool_part> {
+struct std::hash<burdocklock::crashes::pool_suspect> {
   std::size_t operator()(
-      const burdocklock::crashes::pool_part& key) const noexcept {
-    return std::hash<burdocklock::pool_id>{}(key.pool) ^ key.part;
+      const burdocklock::crashes::pool_suspect& key) const noexcept {
+    return std::hash<burdocklock::pool_id>{}(key.pool) ^ key.id;
   }
 };
--- a/src/refusals/internal/refusal.cc
+++ b/src/refusals/internal/refusal.cc
@@ -37,6 +37,8 @@
         {"deadline", 504, "The request exceeded its total time."},
         {"prompt_blocked", 503,
          "Targets end when they process a part of this prompt."},
+        {"request_blocked", 503,
+         "Targets end when they run this request, which was repeated."},
     }};
 
 const reason_entry& EntryOf(refusal_reason reason) {
--- a/src/refusals/types/refusal.h
+++ b/src/refusals/types/refusal.h
@@ -30,10 +30,12 @@
   kDeadline,
   /// A part of the prompt ends targets that process it.
   kPromptBlocked,
+  /// The request ends targets each time it is repeated.
+  kRequestBlocked,
 };
 
 inline constexpr refusal_reason kLastRefusalReason =
-    refusal_reason::kPromptBlocked;
+    refusal_reason::kRequestBlocked;
 
 /// Whether a target may have started executing the request.
 enum class run_state {
--- a/src/routing/internal/blocked_prompts.cc
+++ b/src/routing/internal/blocked_requests.cc
@@ -1,6 +1,7 @@
-// Part of request_router: evidence about prompts that end their targets, and
+// Part of request_router: evidence about requests that end their targets, and
 // refusal of those that do.
 #include <algorithm>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -12,19 +13,37 @@
 
 namespace {
 
-// A target that still runs this long after it began to answer a prompt was not
+// A target that still runs this long after it began to answer a request was not
 // ended by it.
 constexpr std::chrono::milliseconds kServedAfter{500};
 // A request that was at this many targets when they ended is not sent to
 // another one.
 constexpr std::uint32_t kMaxEndedTargets = 2;
+// Without a usable target no trial can be made.
+constexpr std::chrono::seconds kTrialWait{1};
 
 }  // namespace
 
-std::optional<duration> request_router::BlockedFor(const request_spec& spec,
-                                                   time_point now) const {
-  return spec.prompt ? guard_.BlockedFor(spec.pool, *spec.prompt, now)
-                     : std::nullopt;
+std::optional<crashes::active_block> request_router::BlockedFor(
+    const record& record,
+    time_point now) const {
+  auto block = guard_.BlockedFor(record.suspects, now);
+  // Requests that wait at all routers would reach the first target that comes
+  // back, before the outcome of one of them is known.
+  if (!block && guard_.AwaitsTrial(record.suspects, now) &&
+      !directory_.HasUsable(record.spec.pool, now)) {
+    block = {.remaining = kTrialWait,
+             .kind = record.suspects.fingerprint
+                         ? crashes::suspect_kind::kRequest
+                         : crashes::suspect_kind::kPart};
+  }
+  return block;
+}
+
+refusal_reason request_router::ReasonOf(const crashes::active_block& block) {
+  return block.kind == crashes::suspect_kind::kPart
+             ? refusal_reason::kPromptBlocked
+             : refusal_reason::kRequestBlocked;
 }
 
 void request_router::RecordEvidence(record& record,
@@ -47,12 +66,18 @@
   record.served =
       std::holds_alternative<attempt_completed>(event) ||
       (record.output_began && now - *record.output_began >= kServedAfter);
-  if (record.served && record.spec.prompt) {
-    guard_.OnServed(record.spec.pool, *record.spec.prompt,
-                    record.output_began.value_or(now), now);
+  if (record.served) {
+    guard_.OnServed(record.suspects, ServedSince(record, now), now);
   }
 }
 
+time_point request_router::ServedSince(const record& record, time_point now) {
+  // The answer of a plain call does not tell when it began to run: it may have
+  // been before another target ended with the same request.
+  return record.output_began.value_or(
+      record.spec.kind == call_kind::kServiceCall ? record.dispatched : now);
+}
+
 void request_router::OnTargetEnded(record& record, time_point now) {
   const targets::slot_grant& grant = *record.grant;
   const targets::announcement* known =
@@ -61,10 +86,7 @@
     return;
   }
   ++record.ended_targets;
-  if (record.spec.prompt) {
-    guard_.OnTargetEnded(grant.target, grant.life, record.spec.pool,
-                         *record.spec.prompt, now);
-  }
+  guard_.OnTargetEnded(grant.target, grant.life, record.suspects, now);
 }
 
 bool request_router::MayEndNextTarget(const record& record,
@@ -74,8 +96,8 @@
     return false;
   }
   return record.ended_targets >= kMaxEndedTargets ||
-         (record.spec.prompt &&
-          !guard_.IsTrusted(record.spec.pool, *record.spec.prompt, now));
+         guard_.HasEndedSeveral(record.suspects) ||
+         (record.spec.prompt && !guard_.IsTrusted(record.suspects, now));
 }
 
 void request_router::OnEvidence(const crashes::evidence& received,
@@ -87,27 +109,29 @@
 
 void request_router::ApplyBlocks(time_point now, effects& out) {
   for (const crashes::block_change& change : guard_.TakeChanges()) {
-    out.emplace_back(prompt_block_changed{.pool = change.key.pool,
-                                          .part = change.key.part,
-                                          .blocked = change.blocked,
-                                          .target_ends = change.ends,
-                                          .times_blocked = change.times_blocked,
-                                          .remaining = change.remaining});
+    out.emplace_back(
+        suspect_block_changed{.suspect = change.key,
+                              .blocked = change.blocked,
+                              .target_ends = change.ends,
+                              .times_blocked = change.times_blocked,
+                              .remaining = change.remaining});
   }
   if (!guard_.HasBlocks() || totals_.waiting == 0) {
     return;
   }
-  std::vector<request_seq> blocked;
+  std::vector<std::pair<request_seq, refusal_reason>> blocked;
   for (const auto& [id, record] : records_) {
-    if (record.lifecycle.waiting() && BlockedFor(record.spec, now)) {
-      blocked.push_back(id);
+    if (!record.lifecycle.waiting()) {
+      continue;
+    }
+    if (const auto block = BlockedFor(record, now)) {
+      blocked.emplace_back(id, ReasonOf(*block));
     }
   }
   std::sort(blocked.begin(), blocked.end());
-  for (const request_seq id : blocked) {
+  for (const auto& [id, reason] : blocked) {
     record& record = *Find(id);
-    Apply(record.lifecycle.Refuse(refusal_reason::kPromptBlocked), record, now,
-          out);
+    Apply(record.lifecycle.Refuse(reason), record, now, out);
     EraseIfDone(id);
   }
 }
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -99,7 +99,7 @@
                                  time_point now,
                                  effects& out) {
   record& record = *Find(request);
-  if (BlockedFor(record.spec, now)) {
+  if (BlockedFor(record, now)) {
     return false;
   }
   const bool over_share =
@@ -114,12 +114,11 @@
   record.lifecycle.Dispatch(now);
   record.tried_targets.push_back(choice->grant.target);
   record.grant = choice->grant;
+  record.dispatched = now;
   record.output_tokens = 0;
   record.output_began.reset();
   record.served = false;
-  if (record.spec.prompt) {
-    guard_.OnSent(record.spec.pool, *record.spec.prompt, now);
-  }
+  guard_.OnSent(record.suspects, now);
   record.charged_prompt_cost =
       record.spec.kind == call_kind::kServiceCall
           ? fairness::kUnitsPerServiceCall
--- a/src/routing/internal/request_outcome.cc
+++ b/src/routing/internal/request_outcome.cc
@@ -97,9 +97,12 @@
   if (run == run_state::kUnknown && !record.spec.repeatable) {
     return std::nullopt;
   }
-  if (reason == refusal_reason::kPromptBlocked) {
-    return std::chrono::ceil<std::chrono::milliseconds>(
-        BlockedFor(record.spec, now).value_or(kMinRetryAfter));
+  if (reason == refusal_reason::kPromptBlocked ||
+      reason == refusal_reason::kRequestBlocked) {
+    const auto block = BlockedFor(record, now);
+    return block
+               ? std::chrono::ceil<std::chrono::milliseconds>(block->remaining)
+               : kMinRetryAfter;
   }
   if (record.spec.prompt && run == run_state::kNotRun) {
     return kMinOverloadRetryAfter + std::chrono::milliseconds(random_.Below(
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -64,12 +64,13 @@
   RetryBudgetOf(spec.pool, now).OnRequest(now);
   auto [added, inserted] = records_.emplace(
       spec.id, record{.spec = spec,
+                      .suspects = crashes::SuspectsOf(spec.pool, spec.prompt,
+                                                      spec.fingerprint),
                       .lifecycle = request_lifecycle(
                           spec, OptionsFor(spec, options_.lifecycle), now)});
   record& record = added->second;
-  if (BlockedFor(spec, now)) {
-    Apply(record.lifecycle.Refuse(refusal_reason::kPromptBlocked), record, now,
-          out);
+  if (const auto block = BlockedFor(record, now)) {
+    Apply(record.lifecycle.Refuse(ReasonOf(*block)), record, now, out);
     EraseIfDone(spec.id);
     return;
   }
@@ -103,19 +104,18 @@
   const bool retry_allowed = ConsumeRetry(*record, event, now);
   Account(*record, event, now, out);
   if (const auto* failure = std::get_if<attempt_failed>(&event)) {
-    out.emplace_back(attempt_failure_report{
-        .request = request,
-        .attempt = attempt,
-        .target = record->tried_targets.back(),
-        .kind = failure->kind,
-        .step = failure->step,
-        .detail = failure->detail,
-        .will_retry = retry_allowed,
-        .shared_parts = record->spec.prompt ? SharedParts(*record->spec.prompt)
-                                            : std::vector<std::uint64_t>(),
-        .fingerprint = record->spec.fingerprint,
-        .output_began = record->output_began.has_value(),
-        .target_ended = failure->target_ended});
+    out.emplace_back(
+        attempt_failure_report{.request = request,
+                               .attempt = attempt,
+                               .target = record->tried_targets.back(),
+                               .kind = failure->kind,
+                               .step = failure->step,
+                               .detail = failure->detail,
+                               .will_retry = retry_allowed,
+                               .shared_parts = record->suspects.shared_parts,
+                               .fingerprint = record->spec.fingerprint,
+                               .output_began = record->output_began.has_value(),
+                               .target_ended = failure->target_ended});
   }
   const bool slot_freed = !record->grant.has_value();
   Apply(record->lifecycle.OnAttempt(event, retry_allowed, now), *record, now,
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -15,6 +15,7 @@
 #include "admission/share_limiter.h"
 #include "admission/types/fleet_load.h"
 #include "crashes/prompt_guard.h"
+#include "crashes/types/request_suspects.h"
 #include "fairness/fair_queue.h"
 #include "framework/i_random.h"
 #include "framework/types/ids.h"
@@ -115,7 +116,7 @@
                  time_point now,
                  effects& out);
   void OnCallerLeft(request_seq request, time_point now, effects& out);
-  /// Evidence of other routers about prompt parts that end targets.
+  /// Evidence of other routers about what ends targets.
   void OnEvidence(const crashes::evidence& received,
                   time_point now,
                   effects& out);
@@ -172,6 +173,7 @@
  private:
   struct record {
     request_spec spec;
+    crashes::request_suspects suspects;
     request_lifecycle lifecycle;
     std::optional<targets::slot_grant> grant;
     /// Targets of all attempts so far, in order.
@@ -184,11 +186,13 @@
     bool share_charged = false;
     std::uint32_t output_tokens = 0;
     std::optional<duration> first_output;
+    /// When the current attempt began.
+    time_point dispatched{};
     /// When the output of the current attempt began.
     std::optional<time_point> output_began;
-    /// The current attempt's target has served the prompt.
+    /// The current attempt's target has served the request.
     bool served = false;
-    /// Targets that ended before they had served the prompt.
+    /// Targets that ended before they had served the request.
     std::uint32_t ended_targets = 0;
     time_point scheduled_deadline = kNever;
   };
@@ -264,19 +268,23 @@
   std::optional<refusals::refusal_reason> QueueLimitReached(
       const request_spec& spec);
 
-  // Prompts that end targets (blocked_prompts.cc).
-  [[nodiscard]] std::optional<duration> BlockedFor(const request_spec& spec,
-                                                   time_point now) const;
-  /// Records what the event says about the prompt's effect on its target.
+  // Requests that end targets (blocked_requests.cc).
+  [[nodiscard]] std::optional<crashes::active_block> BlockedFor(
+      const record& record,
+      time_point now) const;
+  static refusals::refusal_reason ReasonOf(const crashes::active_block& block);
+  /// Records what the event says about the request's effect on its target.
   void RecordEvidence(record& record,
                       const attempt_event& event,
                       time_point now);
+  /// When the target of a served request began to run it.
+  static time_point ServedSince(const record& record, time_point now);
   void OnTargetEnded(record& record, time_point now);
   /// Whether another target might end if the request were sent there.
   [[nodiscard]] bool MayEndNextTarget(const record& record,
                                       const attempt_failed& failure,
                                       time_point now) const;
-  /// Logs changed blocks and refuses waiting requests with blocked parts.
+  /// Logs changed blocks and refuses waiting requests that are blocked.
   void ApplyBlocks(time_point now, effects& out);
 
   // Accounting of attempt events (attempt_accounting.cc).
--- a/src/routing/tests/ended_target_unittest.cc
+++ b/src/routing/tests/ended_target_unittest.cc
@@ -63,5 +63,68 @@
   CHECK(refusals[0].run == run_state::kUnknown);
 }
 
+struct repeated_call_fixture : router_fixture {
+  request_seq Repeat() {
+    const request_seq id(++last_request);
+    request_spec spec{.id = id,
+                      .customer = customer_id("c1"),
+                      .pool = pool_id("lamp-llm"),
+                      .kind = call_kind::kServiceCall};
+    spec.fingerprint = request_fingerprint(9);
+    effects out;
+    router.OnRequest(spec, now, out);
+    Record(out);
+    return id;
+  }
+  void EndTarget(request_seq id) {
+    REQUIRE(running.contains(id));
+    Report(id, attempt_sending{});
+    Report(id, attempt_failed{.kind = failure_kind::kBroken,
+                              .sent = true,
+                              .target_ended = true});
+  }
+  void Pass(duration time) {
+    now += time;
+    effects out;
+    router.OnTick(now, out);
+    Record(out);
+  }
+};
+
+TEST_CASE_METHOD(repeated_call_fixture,
+                 "request repeated whole ended a target before: it is not sent "
+                 "to a second one") {
+  for (const char* name : {"a", "b", "c"}) {
+    Announce(Target(name));
+  }
+  const request_seq first = Repeat();
+  EndTarget(first);
+  REQUIRE(running.contains(first));
+  const request_seq again = Repeat();
+  EndTarget(again);
+  CHECK_FALSE(running.contains(again));
+}
+
+TEST_CASE_METHOD(repeated_call_fixture,
+                 "request repeated whole ended three targets: it is refused as "
+                 "not run") {
+  router.mutable_guard().SetContact(true, now);
+  for (const char* name : {"a", "b", "c", "d"}) {
+    Announce(Target(name));
+  }
+  const request_seq first = Repeat();
+  EndTarget(first);
+  EndTarget(first);
+  EndTarget(Repeat());
+  Pass(seconds(1));
+  refusals.clear();
+  const request_seq id = Repeat();
+  CHECK_FALSE(running.contains(id));
+  REQUIRE(refusals.size() == 1);
+  CHECK(refusals[0].reason == refusals::refusal_reason::kRequestBlocked);
+  CHECK(refusals[0].run == run_state::kNotRun);
+  CHECK(refusals[0].retry_after.has_value());
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "crashes/types/evidence.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
@@ -145,12 +146,11 @@
   std::optional<double> per_second;
 };
 
-/// Prompts with a part are refused from now on, or no longer.
-struct prompt_block_changed {
-  pool_id pool;
-  std::uint64_t part = 0;
+/// Requests with a suspect are refused from now on, or no longer.
+struct suspect_block_changed {
+  crashes::pool_suspect suspect;
   bool blocked = false;
-  /// Ends of targets that are blamed on the part; 0 if another router did.
+  /// Ends of targets that are blamed on it; 0 if another router did.
   std::size_t target_ends = 0;
   std::uint32_t times_blocked = 0;
   duration remaining{};
@@ -167,7 +167,7 @@
                             ramp_changed,
                             lease_changed,
                             coordinator_changed,
-                            prompt_block_changed,
+                            suspect_block_changed,
                             rate_limit_changed>;
 using effects = std::vector<effect>;
 
