--- a/src/route_interface/tests/ended_answer_unittest.cc
+++ b/src/route_interface/tests/ended_answer_unittest.cc
@@ -131,5 +131,25 @@
   CHECK(Talk("1:10,2:10,c3:80").status == 200);
 }
 
+TEST_CASE_METHOD(ending_targets_fixture,
+                 "three targets end with one prompt that is repeated whole: it "
+                 "is refused at once as not run and others are served") {
+  while (CrashingCalls() < 3) {
+    const int before = CrashingCalls();
+    REQUIRE(Talk("1:10,9:80").status == 502);
+    REQUIRE(CrashingCalls() > before);
+    std::this_thread::sleep_for(milliseconds(500));
+  }
+  CHECK(CrashingCalls() == 3);
+  const auto sent = steady_clock::now();
+  const net::http_reply refused = Talk("1:10,9:80");
+  CHECK(steady_clock::now() - sent < milliseconds(200));
+  CHECK(refused.status == 503);
+  CHECK(refused.body.find("request_blocked") != std::string::npos);
+  CHECK(!refused.fields["Retry-After"].empty());
+  CHECK(CrashingCalls() == 3);
+  CHECK(Talk("1:10,8:80").status == 200);
+}
+
 }  // namespace
 }  // namespace burdocklock::route_interface
