A request that awaits a trial is refused for what awaits it

While no target is in service, a prompt of which a part awaited its trial was refused as request_blocked if it had a fingerprint, that is always. The guard now says which kind of suspect it is.

--- a/src/crashes/internal/prompt_guard.cc
+++ b/src/crashes/internal/prompt_guard.cc
@@ -219,14 +219,18 @@
   return longest;
 }
 
-bool prompt_guard::AwaitsTrial(const request_suspects& request,
-                               time_point now) const {
-  bool awaits = false;
+std::optional<suspect_kind> prompt_guard::AwaitsTrial(
+    const request_suspects& request,
+    time_point now) const {
+  std::optional<suspect_kind> kind;
   if (!store_.blocked().empty()) {
-    request.ForEach(
-        [&](const pool_suspect& key) { awaits |= IsHalfOpen(key, now); });
+    request.ForEach([&](const pool_suspect& key) {
+      if (IsHalfOpen(key, now)) {
+        kind = key.kind;
+      }
+    });
   }
-  return awaits;
+  return kind;
 }
 
 bool prompt_guard::IsTrusted(const request_suspects& request,
--- a/src/crashes/prompt_guard.h
+++ b/src/crashes/prompt_guard.h
@@ -67,9 +67,11 @@
   [[nodiscard]] std::optional<active_block> BlockedFor(
       const request_suspects& request,
       time_point now) const;
-  /// Whether a block of it has ended and no outcome of a trial is known yet.
-  [[nodiscard]] bool AwaitsTrial(const request_suspects& request,
-                                 time_point now) const;
+  /// The kind of suspect whose block has ended while no outcome of a trial is
+  /// known yet, if the request has one.
+  [[nodiscard]] std::optional<suspect_kind> AwaitsTrial(
+      const request_suspects& request,
+      time_point now) const;
   /// Whether targets have recently served every shared part of the prompt, so
   /// that another target's end says little about it.
   [[nodiscard]] bool IsTrusted(const request_suspects& request,
--- a/src/crashes/tests/prompt_guard_unittest.cc
+++ b/src/crashes/tests/prompt_guard_unittest.cc
@@ -317,13 +317,13 @@
   EndQuickly(3, Repeated(9));
   Pass(seconds(11));
   REQUIRE_FALSE(IsRefused(Repeated(9)));
-  CHECK(guard.AwaitsTrial(Repeated(9), now));
+  CHECK(guard.AwaitsTrial(Repeated(9), now) == suspect_kind::kRequest);
   guard.OnSent(Repeated(9), now);
   CHECK(IsRefused(Repeated(9)));
   SECTION("a target serves it") {
     guard.OnServed(Repeated(9), now, now);
     CHECK_FALSE(IsRefused(Repeated(9)));
-    CHECK_FALSE(guard.AwaitsTrial(Repeated(9), now));
+    CHECK_FALSE(guard.AwaitsTrial(Repeated(9), now).has_value());
   }
   SECTION("a target ends") {
     EndWith(Repeated(9));
--- a/src/routing/internal/blocked_requests.cc
+++ b/src/routing/internal/blocked_requests.cc
@@ -27,17 +27,16 @@
 std::optional<crashes::active_block> request_router::BlockedFor(
     const record& record,
     time_point now) const {
-  auto block = guard_.BlockedFor(record.suspects, now);
+  if (const auto block = guard_.BlockedFor(record.suspects, now)) {
+    return block;
+  }
+  const auto kind = guard_.AwaitsTrial(record.suspects, now);
+  if (!kind || directory_.HasUsable(record.spec.pool, now)) {
+    return std::nullopt;
+  }
   // Requests that wait at all routers would reach the first target that comes
   // back, before the outcome of one of them is known.
-  if (!block && guard_.AwaitsTrial(record.suspects, now) &&
-      !directory_.HasUsable(record.spec.pool, now)) {
-    block = {.remaining = kTrialWait,
-             .kind = record.suspects.fingerprint
-                         ? crashes::suspect_kind::kRequest
-                         : crashes::suspect_kind::kPart};
-  }
-  return block;
+  return crashes::active_block{.remaining = kTrialWait, .kind = *kind};
 }
 
 refusal_reason request_router::ReasonOf(const crashes::active_block& block) {
