--- a/src/app/internal/caller_monitor.cc
+++ b/src/app/internal/caller_monitor.cc
@@ -27,6 +27,9 @@
   gauge("burdocklock_callers_accepted", callers.accepted);
   gauge("burdocklock_callers_evicted", callers.evicted);
   gauge("burdocklock_callers_accept_failures", callers.accept_failures);
+  gauge("burdocklock_callers_idle_timeouts", callers.idle_timeouts);
+  gauge("burdocklock_callers_read_timeouts", callers.read_timeouts);
+  gauge("burdocklock_requests_unanswered", traffic.unanswered);
   metrics.Gauge("burdocklock_takes_callers",
                 [this] { return traffic_.TakesCallers() ? 1.0 : 0.0; });
   metrics.Gauge("burdocklock_event_loop_longest_turn_seconds",
@@ -69,6 +72,7 @@
                     .Add("accept_failures",
                          accept_failures - reported_accept_failures_));
   }
+  LogClosed();
   period_started_ = now;
   last_longest_turn_ = longest_turn_;
   longest_turn_ = {};
@@ -77,4 +81,23 @@
   reported_accept_failures_ = accept_failures;
 }
 
+void caller_monitor::LogClosed() {
+  const std::uint64_t idle = traffic_.callers.idle_timeouts;
+  const std::uint64_t read = traffic_.callers.read_timeouts;
+  const std::uint64_t unanswered = traffic_.unanswered;
+  if (idle > reported_idle_timeouts_ || read > reported_read_timeouts_ ||
+      unanswered > reported_unanswered_) {
+    logger_.Log(
+        log_record("callers_closed", unanswered > reported_unanswered_
+                                         ? log_level::kWarning
+                                         : log_level::kInfo)
+            .Add("idle_timeouts", idle - reported_idle_timeouts_)
+            .Add("read_timeouts", read - reported_read_timeouts_)
+            .Add("requests_unanswered", unanswered - reported_unanswered_));
+  }
+  reported_idle_timeouts_ = idle;
+  reported_read_timeouts_ = read;
+  reported_unanswered_ = unanswered;
+}
+
 }  // namespace burdocklock::app
--- a/src/app/internal/caller_monitor.h
+++ b/src/app/internal/caller_monitor.h
@@ -23,6 +23,7 @@
 
  private:
   void EndPeriod(time_point now);
+  void LogClosed();
   void LogReadiness();
 
   const gateway::traffic_state& traffic_;
@@ -35,6 +36,9 @@
   std::uint64_t reported_accepted_ = 0;
   std::uint64_t reported_evicted_ = 0;
   std::uint64_t reported_accept_failures_ = 0;
+  std::uint64_t reported_idle_timeouts_ = 0;
+  std::uint64_t reported_read_timeouts_ = 0;
+  std::uint64_t reported_unanswered_ = 0;
 };
 
 }  // namespace burdocklock::app
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -352,6 +352,7 @@
         connection.buffer.prepare(limits.max_header_bytes), use_fiber);
     // Bytes that crossed an eviction belong to a request that is not read.
     if (first.ec || first.value == 0 || connection.evicted) {
+      counters().idle_timeouts += first.ec == beast::error::timeout ? 1 : 0;
       return std::nullopt;
     }
     connection.buffer.commit(first.value);
@@ -394,6 +395,7 @@
 void http_server::state::ReportReadError(http_connection& connection,
                                          const beast::error_code& ec) {
   connection.stream.expires_never();
+  counters().read_timeouts += ec == beast::error::timeout ? 1 : 0;
   if (IsTooLarge(ec)) {
     handler.OnBadRequest(connection, error_code::kTooLarge);
   } else if (IsMalformed(ec)) {
--- a/src/framework/net/listener_counters.h
+++ b/src/framework/net/listener_counters.h
@@ -12,6 +12,10 @@
   std::atomic<std::uint64_t> accepted{0};
   /// Idle connections that were closed to make room for new ones.
   std::atomic<std::uint64_t> evicted{0};
+  /// Connections that were closed because no request came in time.
+  std::atomic<std::uint64_t> idle_timeouts{0};
+  /// Connections that were closed because a request did not come whole in time.
+  std::atomic<std::uint64_t> read_timeouts{0};
   /// Failed calls of accept, for example without free file descriptors.
   std::atomic<std::uint64_t> accept_failures{0};
   /// Listeners that cannot accept at present: the limit on open connections or
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -13,6 +13,7 @@
 #include "gateway/internal/response_writer.h"
 #include "gateway/progress_reporter.h"
 #include "gateway/target_connections.h"
+#include "gateway/types/traffic_state.h"
 #include "routing/types/attempt.h"
 #include "routing/types/effect.h"
 #include "routing/types/request.h"
@@ -27,6 +28,7 @@
   target_connections& idle_connections;
   progress_reporter& progress;
   admission::processor_guard& guard;
+  traffic_state& shared;
   std::uint32_t max_answer_bytes = 0;
 };
 
--- a/src/gateway/internal/caller_exchange.cc
+++ b/src/gateway/internal/caller_exchange.cc
@@ -46,6 +46,9 @@
       ReportNotStarted(*start, failure_kind::kCallerLost);
     }
   }
+  if (!writer_.started() && !caller_lost_) {
+    ++context_.shared.unanswered;
+  }
   boost::system::error_code ignored;
   connection_.stream.socket().cancel(ignored);
 }
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -53,6 +53,7 @@
             .idle_connections = idle_connections,
             .progress = progress,
             .guard = guard,
+            .shared = shared,
             .max_answer_bytes = options.max_answer_bytes},
         handler(MakeHandler(call_dialect)),
         server(
--- a/src/gateway/types/traffic_state.h
+++ b/src/gateway/types/traffic_state.h
@@ -10,6 +10,8 @@
 
 struct traffic_state {
   net::listener_counters callers;
+  /// Requests that ended with nothing written although the caller was there.
+  std::atomic<std::uint64_t> unanswered{0};
   /// Threads whose processor time is so short that they refuse most requests.
   std::atomic<std::uint32_t> overloaded_threads{0};
 
