--- /dev/null
+++ b/src/framework/net/tests/waiting_connection_unittest.cc
@@ -0,0 +1,316 @@
+// Connections that wait for a request while limits change, time passes or the
+// server wants them closed, over loopback.
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "framework/fiber/fiber_thread.h"
+#include "framework/fiber/use_fiber.h"
+#include "framework/net/http_server.h"
+
+namespace burdocklock::net {
+namespace {
+
+using std::chrono::milliseconds;
+
+// More than one turn of the event loop takes from its sockets.
+constexpr std::size_t kManyCallers = 300;
+// Passes while the server's thread is occupied.
+constexpr int kTimeoutMs = 1000;
+constexpr milliseconds kSlowTime{1500};
+// Long enough for what was sent to arrive over loopback, and for the server to
+// wait again.
+constexpr milliseconds kArrival{50};
+constexpr std::uint32_t kSmallBody = 1000;
+
+struct waiting_connection_fixture : i_http_handler {
+  std::atomic<int> idle_ms{60'000};
+  std::atomic<int> read_ms{60'000};
+  std::atomic<std::uint32_t> max_body{kSmallBody};
+  std::promise<endpoint> bound;
+  std::promise<void> slow_started;
+  listener_counters counters;
+  asio::io_context io{1};
+  fiber_event stop;
+  http_server* running = nullptr;
+  std::thread server;
+  endpoint address;
+
+  waiting_connection_fixture() {
+    server = std::thread([this] { RunFiberThread(io, [this] { Serve(); }); });
+    address = bound.get_future().get();
+  }
+  ~waiting_connection_fixture() override {
+    asio::post(io, [this] { stop.Set(); });
+    server.join();
+  }
+
+  void Serve() {
+    http_server subject(io,
+                        {.current_limits =
+                             [this] {
+                               return http_limits{
+                                   .max_body_bytes = max_body,
+                                   .idle_timeout = milliseconds(idle_ms),
+                                   .read_timeout = milliseconds(read_ms)};
+                             },
+                         .counters = &counters},
+                        *this);
+    running = &subject;
+    bound.set_value(subject.Start().value());
+    stop.Wait();
+    subject.Stop();
+  }
+  keep_alive Handle(http_connection& connection,
+                    http_request& request) override {
+    if (request.target() == "/slow") {
+      slow_started.set_value();
+      std::this_thread::sleep_for(kSlowTime);
+    }
+    http_response response(http::status::ok, 11);
+    return connection.Write(response) ? keep_alive::kYes : keep_alive::kNo;
+  }
+  void OnBadRequest(http_connection& connection, error_code) override {
+    http_response response(http::status::payload_too_large, 11);
+    connection.Write(response);
+  }
+  static bool Reaches(const std::atomic<std::uint64_t>& counter,
+                      std::uint64_t value) {
+    const auto end = std::chrono::steady_clock::now() + milliseconds(5000);
+    while (counter != value && std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return counter == value;
+  }
+  // Occupies the server's thread for `kSlowTime`.
+  void Occupy(asio::ip::tcp::socket& socket) {
+    asio::write(socket,
+                asio::buffer(std::string("GET /slow HTTP/1.1\r\n\r\n")));
+    slow_started.get_future().get();
+  }
+};
+
+struct waiting_caller {
+  asio::io_context io;
+  asio::ip::tcp::socket socket{io};
+  std::string unread;
+
+  explicit waiting_caller(const endpoint& server) {
+    socket.connect(ToTcp(server));
+  }
+  void Send(const std::string& bytes) {
+    beast::error_code ignored;
+    asio::write(socket, asio::buffer(bytes), ignored);
+  }
+  // Returns the status of the next answer, 0 if there is none.
+  int ReadStatus() {
+    beast::error_code ec;
+    const std::size_t size =
+        asio::read_until(socket, asio::dynamic_buffer(unread), "\r\n\r\n", ec);
+    if (ec) {
+      return 0;
+    }
+    const int status = std::stoi(unread.substr(sizeof("HTTP/1.1"), 3));
+    unread.erase(0, size);
+    return status;
+  }
+  int Ask(const std::string& bytes = "GET / HTTP/1.1\r\n\r\n") {
+    Send(bytes);
+    return ReadStatus();
+  }
+};
+
+std::vector<std::unique_ptr<waiting_caller>> ManyCallers(
+    const endpoint& server) {
+  std::vector<std::unique_ptr<waiting_caller>> callers;
+  for (std::size_t i = 0; i < kManyCallers; ++i) {
+    callers.push_back(std::make_unique<waiting_caller>(server));
+  }
+  return callers;
+}
+
+std::size_t CountAnswered(
+    const std::vector<std::unique_ptr<waiting_caller>>& callers) {
+  std::size_t answered = 0;
+  for (const auto& caller : callers) {
+    answered += caller->ReadStatus() == 200 ? 1 : 0;
+  }
+  return answered;
+}
+
+// A request on a reused connection got no answer after a longer idle time-out.
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connection: the idle time-out becomes longer: it is "
+                 "open for the longer one",
+                 "[.known-red]") {
+  idle_ms = 300;
+  waiting_caller caller(address);
+  REQUIRE(caller.Ask() == 200);
+  std::this_thread::sleep_for(kArrival);
+  idle_ms = 60'000;
+  std::this_thread::sleep_for(milliseconds(600));
+  CHECK(caller.Ask() == 200);
+}
+
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connection: the idle time-out becomes shorter: it is "
+                 "closed after the shorter one",
+                 "[.known-red]") {
+  waiting_caller caller(address);
+  REQUIRE(caller.Ask() == 200);
+  std::this_thread::sleep_for(kArrival);
+  idle_ms = 100;
+  const auto changed = std::chrono::steady_clock::now();
+  CHECK(caller.ReadStatus() == 0);
+  CHECK(std::chrono::steady_clock::now() - changed < std::chrono::seconds(20));
+  CHECK(Reaches(counters.idle_timeouts, 1));
+}
+
+// A configuration that allowed larger requests held for new connections alone.
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connection: larger requests become allowed: the next "
+                 "one may be larger",
+                 "[.known-red]") {
+  waiting_caller caller(address);
+  REQUIRE(caller.Ask() == 200);
+  std::this_thread::sleep_for(kArrival);
+  max_body = 2 * kSmallBody;
+  CHECK(caller.Ask("POST / HTTP/1.1\r\nContent-Length: 1500\r\n\r\n" +
+                   std::string(1500, 'x')) == 200);
+}
+
+// Requests that had arrived whole were dropped by the idle time-out.
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connections: the idle time-out passes in a turn in "
+                 "which their requests arrive: all are answered",
+                 "[.known-red]") {
+  const int after_ms = GENERATE(0, kTimeoutMs + 200);
+  auto callers = ManyCallers(address);
+  for (const auto& caller : callers) {
+    REQUIRE(caller->Ask() == 200);
+  }
+  waiting_caller slow(address);
+  REQUIRE(slow.Ask() == 200);
+  idle_ms = kTimeoutMs;
+  for (const auto& caller : callers) {
+    REQUIRE(caller->Ask() == 200);
+  }
+  Occupy(slow.socket);
+  std::this_thread::sleep_for(milliseconds(after_ms));
+  for (const auto& caller : callers) {
+    caller->Send("GET / HTTP/1.1\r\n\r\n");
+  }
+  CHECK(CountAnswered(callers) == kManyCallers);
+}
+
+// Requests that had arrived whole were dropped by the read time-out.
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "requests in part: the read time-out passes in a turn in "
+                 "which their ends arrive: all are answered") {
+  const int after_ms = GENERATE(0, kTimeoutMs + 200);
+  auto callers = ManyCallers(address);
+  waiting_caller slow(address);
+  REQUIRE(slow.Ask() == 200);
+  read_ms = kTimeoutMs;
+  for (const auto& caller : callers) {
+    caller->Send("GET / HTTP/1.1\r\n");
+  }
+  std::this_thread::sleep_for(kArrival);
+  Occupy(slow.socket);
+  std::this_thread::sleep_for(milliseconds(after_ms));
+  for (const auto& caller : callers) {
+    caller->Send("\r\n");
+  }
+  CHECK(CountAnswered(callers) == kManyCallers);
+}
+
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "request in part: the rest does not come: closed after the "
+                 "read time-out") {
+  read_ms = 100;
+  waiting_caller caller(address);
+  caller.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nx");
+  CHECK(caller.ReadStatus() == 0);
+  CHECK(Reaches(counters.read_timeouts, 1));
+}
+
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "request whose caller waits for 100 Continue: told to go on, "
+                 "answered") {
+  waiting_caller caller(address);
+  CHECK(caller.Ask("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+                   "Content-Length: 3\r\n\r\n") == 100);
+  CHECK(caller.Ask("abc") == 200);
+}
+
+// A request in the socket was dropped when idle connections were closed.
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connection: idle ones are closed after its request "
+                 "arrived: it is answered",
+                 "[.known-red]") {
+  waiting_caller caller(address);
+  REQUIRE(caller.Ask() == 200);
+  waiting_caller slow(address);
+  Occupy(slow.socket);
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  std::this_thread::sleep_for(kArrival);
+  asio::post(io, [this] { running->CloseIdle(); });
+  CHECK(caller.ReadStatus() == 200);
+}
+
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connection: the server stops after its request "
+                 "arrived: it is answered",
+                 "[.known-red]") {
+  waiting_caller caller(address);
+  REQUIRE(caller.Ask() == 200);
+  waiting_caller slow(address);
+  Occupy(slow.socket);
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  std::this_thread::sleep_for(kArrival);
+  asio::post(io, [this] { running->Stop(); });
+  CHECK(caller.ReadStatus() == 200);
+}
+
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "request behind one that is being answered: the server stops: "
+                 "both are answered",
+                 "[.known-red]") {
+  waiting_caller caller(address);
+  Occupy(caller.socket);
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  std::this_thread::sleep_for(kArrival);
+  asio::post(io, [this] { running->Stop(); });
+  CHECK(caller.ReadStatus() == 200);
+  CHECK(caller.ReadStatus() == 200);
+}
+
+// A caller that sent on lost the refusal to the reset of its connection.
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "request that is too large: the caller sends it whole: it "
+                 "reads the refusal",
+                 "[.known-red]") {
+  constexpr std::size_t kLargeBody = 8'000'000;
+  waiting_caller caller(address);
+  caller.Send("POST / HTTP/1.1\r\nContent-Length: " +
+              std::to_string(kLargeBody) + "\r\n\r\n");
+  std::this_thread::sleep_for(kArrival);
+  beast::error_code ec;
+  asio::write(caller.socket, asio::buffer(std::string(kLargeBody, 'x')), ec);
+  CHECK(!ec);
+  CHECK(caller.ReadStatus() == 413);
+}
+
+}  // namespace
+}  // namespace burdocklock::net
