Failing test: a pausing stream without an attempt left is cut before its time limit

A resumable stream whose target pauses for the time between tokens is cancelled so that it can go on at another target, even if no attempt is left: the router cuts an answer that its target would have ended. Fails on this code in both cases (listed): the deadline is 5 s after the last output, or half the time limit after the resumed attempt was sent, where the time limit of 60 s is due.

--- a/src/routing/tests/request_lifecycle_unittest.cc
+++ b/src/routing/tests/request_lifecycle_unittest.cc
@@ -282,6 +282,35 @@
   }
 }
 
+// Streams were cut by the router for a pause of their only target.
+TEST_CASE_METHOD(lifecycle_fixture,
+                 "lifecycle: resumable stream pauses, no attempt is left: "
+                 "waits for its time limit",
+                 "[.known-red]") {
+  spec.resumable = true;
+  spec.time_limit = seconds(60);
+  spec.max_attempts = GENERATE(1U, 2U);
+  options = OptionsFor(spec, options);
+  auto lifecycle = Make();
+  const time_point arrived = now;
+  for (std::uint32_t attempt = 1; attempt <= *spec.max_attempts; ++attempt) {
+    lifecycle.Dispatch(now);
+    lifecycle.OnAttempt(attempt_sending{}, true, now);
+    if (attempt == *spec.max_attempts) {
+      break;
+    }
+    lifecycle.OnAttempt(attempt_first_output{}, true, now);
+    CHECK(lifecycle.deadline() == now + options.between_tokens_timeout);
+    REQUIRE(std::holds_alternative<step_retry>(lifecycle.OnAttempt(
+        Failure(failure_kind::kBroken, true, true), true, now)));
+  }
+  if (*spec.max_attempts > 1) {
+    CHECK(lifecycle.deadline() == arrived + seconds(60));
+  }
+  lifecycle.OnAttempt(attempt_first_output{}, true, now);
+  CHECK(lifecycle.deadline() == arrived + seconds(60));
+}
+
 TEST_CASE_METHOD(
     lifecycle_fixture,
     "lifecycle: resumed stream finds no target: cut, not refused") {
