--- a/src/route_interface/tests/changing_configuration_unittest.cc
+++ b/src/route_interface/tests/changing_configuration_unittest.cc
@@ -390,6 +390,7 @@
   const std::uint32_t seed = GENERATE(range(1, kSeeds + 1));
   INFO("seed " << seed);
   std::vector<std::thread> changers;
+  changers.reserve(kChangers);
   for (int i = 0; i < kChangers; ++i) {
     changers.emplace_back(
         [this, seed, i] { ChangeUntilOver(seed * kChangers + i); });
