--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -45,6 +45,9 @@
   }
 }
 
+// Tokens; more are a fault of the sender.
+constexpr double kMaxWaiting = 1e12;
+
 // Rounded to whole tokens, which is precise enough and encodes shorter.
 void to_json(json& j, const customer_flow& f) {
   j = json::array(
@@ -62,6 +65,10 @@
   constexpr std::size_t kSizeWithWaiting = 5;
   if (j.size() >= kSizeWithWaiting) {
     j.at(4).get_to(f.waiting);
+    // Also false for what is not a number.
+    if (!(f.waiting >= 0 && f.waiting <= kMaxWaiting)) {
+      f.waiting = 0;
+    }
   }
 }
 
--- a/src/control/tests/message_codec_unittest.cc
+++ b/src/control/tests/message_codec_unittest.cc
@@ -85,6 +85,16 @@
   CHECK(std::get<load_summary>(got.value()).others == sent);
 }
 
+TEST_CASE("load of a customer with waiting tokens below zero: none wait") {
+  // ["v", [[], [["p", "c", 1, 1, -10]]]]
+  const auto got = Decode(
+      std::string("\x82\x61\x76\x82\x80\x81\x85\x61\x70\x61\x63\x01\x01\x29"));
+  REQUIRE(got.has_value());
+  const auto& customers = std::get<load_summary>(got.value()).others.customers;
+  REQUIRE(customers.size() == 1);
+  CHECK(customers[0].waiting == 0);
+}
+
 TEST_CASE("evidence with a member missing: refused as malformed") {
   // ["e", [[], []]]
   const auto got = Decode("\x82\x61\x65\x82\x80\x80");
