Virtual fleets whose targets end share their routers; two more repeated requests

crashing_fleet and crashing_service had the same routers, announcements and exchange of evidence; these are in simulated_routers now.

--- a/src/routing/tests/crashing_fleet.h
+++ b/src/routing/tests/crashing_fleet.h
@@ -1,25 +1,19 @@
 // Several routers before engines that end while they process prompts, in
-// virtual time. Engines end because of one prompt part, alone or in groups, and
-// come back as new incarnations; routers lose contact or restart empty.
+// virtual time. Engines end because of one prompt part, alone or in groups.
 #pragma once
 
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <utility>
-#include <variant>
 #include <vector>
 
-#include "crashes/evidence_store.h"
-#include "crashes/types/evidence.h"
 #include "routing/request_router.h"
-#include "routing/tests/virtual_timeline.h"
+#include "routing/tests/simulated_routers.h"
 
 namespace burdocklock::routing {
 
@@ -40,11 +34,10 @@
 
 /// Prompts consist of a part of the customer's application, a part of one of
 /// its documents and a part of their own.
-class crashing_fleet : public virtual_timeline {
+class crashing_fleet : public simulated_routers {
  public:
   static constexpr std::uint32_t kSlots = 64;
   static constexpr std::uint64_t kCrashingPart = 0xbad;
-  static constexpr duration kContactTime = std::chrono::seconds(3);
 
   /// A request that reached an engine, or did not.
   struct request_account {
@@ -57,83 +50,24 @@
     bool begun = false;
     std::optional<refusals::refusal> refused;
   };
-  struct arrival {
-    time_point sent;
-    request_seq request;
-    /// The router has been in contact for the contact time.
-    bool in_contact = false;
-  };
-
   explicit crashing_fleet(const crashing_fleet_options& options)
-      : virtual_timeline(options.seed), options_(options) {
-    for (std::size_t i = 0; i < options.routers; ++i) {
-      names_.push_back(daemon_id("router" + std::to_string(i)));
-    }
-    routers_.resize(options.routers);
-    for (std::size_t i = 0; i < options.routers; ++i) {
-      StartRouter(i);
-      At(start_, [this, i] { Tick(i); });
-    }
+      : simulated_routers({.routers = options.routers,
+                           .targets = options.engines,
+                           .pool = Pool(),
+                           .slots = kSlots,
+                           .cold_slots = kSlots / 4,
+                           .seed = options.seed}),
+        options_(options) {
     engines_.resize(options.engines);
-    for (std::size_t i = 0; i < options.engines; ++i) {
-      At(start_, [this, i] { StartEngine(i); });
-    }
     At(start_ + std::chrono::seconds(1), [this] { GenerateSound(); });
     if (options.crashing_from) {
       At(start_ + *options.crashing_from, [this] { GenerateCrashing(); });
     }
   }
 
-  /// Engines end at one moment, whatever they run.
-  void EndEngines(std::size_t first, std::size_t count, duration at) {
-    At(start_ + at, [this, first, count] {
-      for (std::size_t i = first; i < first + count; ++i) {
-        EndEngine(i % engines_.size());
-      }
-    });
-  }
-  void EndEngineAtRandomTimes(double per_second, duration from) {
-    At(start_ + from + RandomGap(per_second), [this, per_second] {
-      EndEngine(random_.Below(static_cast<std::uint32_t>(engines_.size())));
-      EndEngineAtRandomTimes(per_second, now_ - start_);
-    });
-  }
-  /// The router loses all that it knows, and its requests.
-  void RestartRouter(std::size_t router, duration at) {
-    At(start_ + at, [this, router] {
-      ++routers_[router].life;
-      StartRouter(router);
-      routers_[router].disturbed_until = now_ + kContactTime;
-      AnnounceAllTo(router);
-      ExchangeAllEvidence(router);
-    });
-  }
-  /// No control host is reached by the router; engines and callers are.
-  void CutRouter(std::size_t router, duration from, duration to) {
-    At(start_ + from, [this, router] {
-      routers_[router].in_contact = false;
-      routers_[router].router->mutable_guard().SetContact(false, now_);
-      routers_[router].disturbed_until = kNever;
-    });
-    At(start_ + to, [this, router] {
-      routers_[router].in_contact = true;
-      routers_[router].router->mutable_guard().SetContact(true, now_);
-      routers_[router].disturbed_until = now_ + kContactTime;
-      ExchangeAllEvidence(router);
-    });
-  }
-
   [[nodiscard]] const std::map<request_seq, request_account>& accounts() const {
     return accounts_;
   }
-  /// Times at which the crashing part ended an engine.
-  [[nodiscard]] const std::vector<time_point>& crashes() const {
-    return crashes_;
-  }
-  /// Arrivals with the crashing part at engines.
-  [[nodiscard]] const std::vector<arrival>& crashing_arrivals() const {
-    return crashing_arrivals_;
-  }
 
  private:
   static constexpr std::size_t kDocuments = 10;
@@ -141,121 +75,21 @@
   static constexpr duration kRestartTime = std::chrono::milliseconds(3100);
 
   struct engine {
-    bool up = false;
-    std::uint64_t life = 0;
     time_point read_until{};
     std::set<std::pair<request_seq, attempt_number>> running;
   };
-  struct router_slot {
-    std::unique_ptr<request_router> router;
-    std::uint64_t life = 0;
-    bool in_contact = true;
-    /// The router counts as out of contact until then.
-    time_point disturbed_until{};
-  };
-  struct open_request {
-    request_spec spec;
-    std::size_t router = 0;
-    std::uint64_t router_life = 0;
-    bool is_retry = false;
-    bool began = false;
-  };
 
   static pool_id Pool() { return pool_id("llm"); }
 
-  void StartRouter(std::size_t index) {
-    router_options options;
-    options.lifecycle.max_attempts = 2;
-    options.lifecycle.max_tries = 4;
-    options.directory = {.local_data_centre = data_centre_id("z"),
-                         .silence = std::chrono::seconds(8),
-                         .self = names_[index]};
-    options.no_target_wait = std::chrono::milliseconds(300);
-    router_slot& slot = routers_[index];
-    slot.router = std::make_unique<request_router>(options, random_, observer_);
-    request_router& router = *slot.router;
-    router.mutable_guard().SetContact(slot.in_contact, now_);
-    router.SetRetryOptions({.ratio = 0.1, .per_second = 0, .burst = 20});
-    router.mutable_directory().SetRouters(names_);
-    router.mutable_directory().SetCacheCapacity(Pool(), 500'000);
-    router.mutable_directory().SetUnknownCompetition(
-        1.0 / static_cast<double>(options_.routers));
-  }
-
-  [[nodiscard]] targets::announcement AnnouncementOf(std::size_t index) {
-    return {.target = target_id("t" + std::to_string(index) + "-" +
-                                std::to_string(engines_[index].life)),
-            .life = incarnation(engines_[index].life),
-            .data_centre = data_centre_id("z"),
-            .address = {.port = static_cast<std::uint16_t>(index + 1)},
-            .pools = {Pool()},
-            .state = targets::target_state::kReady,
-            .slots = kSlots,
-            .cold_slots = kSlots / 4,
-            .sequence = ++last_sequence_,
-            .cold_for = std::chrono::milliseconds(0)};
-  }
-  void StartEngine(std::size_t index) {
-    engine& engine = engines_[index];
-    engine.up = true;
-    ++engine.life;
-    engine.read_until = now_;
-    for (std::size_t i = 0; i < routers_.size(); ++i) {
-      Announce(index, i, Milliseconds(5, 60));
-    }
-    Heartbeat(index, engine.life);
-  }
-  void Heartbeat(std::size_t index, std::uint64_t life) {
-    At(now_ + std::chrono::milliseconds(1200), [this, index, life] {
-      if (!engines_[index].up || engines_[index].life != life) {
-        return;
-      }
-      for (std::size_t i = 0; i < routers_.size(); ++i) {
-        Announce(index, i, Milliseconds(5, 500));
-      }
-      Heartbeat(index, life);
-    });
-  }
-  void Announce(std::size_t engine, std::size_t router, duration delay) {
-    const targets::announcement announcement = AnnouncementOf(engine);
-    At(now_ + delay, [this, router, announcement] {
-      Handle(router, [&](effects& out) {
-        routers_[router].router->OnAnnouncement(announcement, now_, out);
-      });
-    });
-  }
-  void AnnounceAllTo(std::size_t router) {
-    for (std::size_t i = 0; i < engines_.size(); ++i) {
-      if (engines_[i].up) {
-        Announce(i, router, Milliseconds(5, 20));
-      }
-    }
-  }
-
-  void EndEngine(std::size_t index) {
-    engine& engine = engines_[index];
-    if (!engine.up) {
-      return;
-    }
-    engine.up = false;
-    for (const auto& [id, attempt] : std::exchange(engine.running, {})) {
-      const bool began = requests_.at(id).began;
-      Later(Milliseconds(1, 5), id, attempt,
-            attempt_failed{.kind = failure_kind::kBroken,
-                           .sent = true,
-                           .delivered = began,
-                           .step = "read answer",
-                           .target_ended = true});
-    }
-    At(now_ + kRestartTime, [this, index] { StartEngine(index); });
+  void OnTargetStarted(std::size_t index) override {
+    engines_[index].read_until = now_;
   }
-
-  void Tick(std::size_t router) {
-    At(now_ + std::chrono::milliseconds(20), [this, router] { Tick(router); });
-    if (routers_[router].router->NextDeadline() <= now_) {
-      Handle(router,
-             [&](effects& out) { routers_[router].router->OnTick(now_, out); });
+  void OnTargetEnded(std::size_t index) override {
+    for (const auto& [id, attempt] :
+         std::exchange(engines_[index].running, {})) {
+      FailWithTarget(id, attempt);
     }
+    At(now_ + kRestartTime, [this, index] { StartTarget(index); });
   }
 
   targets::prompt DrawPrompt(std::size_t customer) {
@@ -300,15 +134,11 @@
         prompt.parts.begin(), prompt.parts.end(),
         [](const auto& part) { return part.id == kCrashingPart; });
   }
-  std::size_t RandomRouter() {
-    return random_.Below(static_cast<std::uint32_t>(options_.routers));
-  }
-
   void Send(std::size_t customer,
             const targets::prompt& prompt,
             std::size_t router,
             bool is_retry) {
-    const request_seq id(++last_request_);
+    const request_seq id = NextRequest();
     request_spec spec{.id = id,
                       .customer = customer_id("c" + std::to_string(customer)),
                       .pool = Pool(),
@@ -321,96 +151,26 @@
     spec.prompt = prompt;
     // Callers that come back send the same prompt.
     spec.fingerprint = request_fingerprint(prompt.parts.back().id);
-    requests_[id] = {.spec = spec,
-                     .router = router,
-                     .router_life = routers_[router].life,
-                     .is_retry = is_retry};
     accounts_[id] = {.sent = now_,
                      .router = router,
                      .customer = spec.customer,
                      .first_part = prompt.parts.front().id,
                      .has_crashing_part = HasCrashingPart(prompt),
                      .is_retry = is_retry};
-    Handle(router, [&](effects& out) {
-      routers_[router].router->OnRequest(spec, now_, out);
-    });
-  }
-
-  void Handle(std::size_t router, const std::function<void(effects&)>& call) {
-    effects out;
-    call(out);
-    for (const effect& effect : out) {
-      if (const auto* start = std::get_if<start_attempt>(&effect)) {
-        Start(*start);
-      } else if (const auto* cancel = std::get_if<cancel_attempt>(&effect)) {
-        Cancel(*cancel);
-      } else if (const auto* refused = std::get_if<refuse_request>(&effect)) {
-        Refused(router, refused->refusal);
-      }
-    }
-    SendEvidence(router);
-  }
-
-  // As the control hosts do.
-  void SendEvidence(std::size_t router) {
-    crashes::prompt_guard& guard = routers_[router].router->mutable_guard();
-    if (routers_[router].in_contact && guard.has_news()) {
-      ToHosts(guard.TakeNews());
-    }
-  }
-  void ToHosts(const crashes::evidence& sent) {
-    At(now_ + Milliseconds(1, 30), [this, sent] {
-      const crashes::evidence news = evidence_.Merge(sent, now_);
-      for (std::size_t i = 0; i < routers_.size() && !news.empty(); ++i) {
-        ToRouter(i, news);
-      }
-    });
-  }
-  void ToRouter(std::size_t router, const crashes::evidence& news) {
-    At(now_ + Milliseconds(1, 60), [this, router, news] {
-      if (routers_[router].in_contact) {
-        Handle(router, [&](effects& out) {
-          routers_[router].router->OnEvidence(news, now_, out);
-        });
-      }
-    });
-  }
-  void ExchangeAllEvidence(std::size_t router) {
-    if (routers_[router].in_contact) {
-      ToHosts(routers_[router].router->guard().KnownEvidence(now_));
-      ToRouter(router, evidence_.All(now_));
-    }
+    Submit(spec, router, is_retry);
   }
 
-  void Start(const start_attempt& order) {
-    const std::size_t index = order.address.port - 1U;
+  void OnArrival(const start_attempt& order, std::size_t index) override {
     engine& engine = engines_[index];
-    const bool is_other = incarnation(engine.life) != order.life;
-    if (!engine.up) {
-      Later(std::chrono::milliseconds(2), order.request, order.attempt,
-            attempt_failed{.kind = failure_kind::kConnectFailed});
-      return;
-    }
-    Later(std::chrono::milliseconds(1), order.request, order.attempt,
-          attempt_sending{});
-    if (is_other) {
-      Later(std::chrono::milliseconds(3), order.request, order.attempt,
-            attempt_failed{.kind = failure_kind::kOtherTarget, .sent = true});
-      return;
-    }
-    open_request& request = requests_.at(order.request);
-    request.began = false;
+    const request_spec& spec = RequestOf(order.request).spec;
     engine.running.emplace(order.request, order.attempt);
-    if (HasCrashingPart(*request.spec.prompt)) {
-      crashing_arrivals_.push_back(
-          {.sent = now_,
-           .request = order.request,
-           .in_contact = routers_[request.router].disturbed_until <= now_});
+    if (HasCrashingPart(*spec.prompt)) {
+      RecordCrashingArrival(order.request);
     }
     engine.read_until = std::max(engine.read_until, now_) +
                         std::chrono::duration_cast<duration>(
                             std::chrono::duration<double, std::milli>(
-                                request.spec.prompt_tokens / kTokensPerMs));
+                                spec.prompt_tokens / kTokensPerMs));
     At(engine.read_until, [this, order, index] { Begin(order, index); });
   }
 
@@ -422,18 +182,12 @@
     if (!IsRunning(order, index)) {
       return;
     }
-    open_request& request = requests_.at(order.request);
+    open_request& request = RequestOf(order.request);
     const bool crashes = HasCrashingPart(*request.spec.prompt) &&
                          options_.crashing_from &&
                          now_ >= start_ + *options_.crashing_from;
     if (crashes) {
-      At(now_ + Milliseconds(1, 40),
-         [this, index, life = engines_[index].life] {
-           if (engines_[index].up && engines_[index].life == life) {
-             crashes_.push_back(now_);
-             EndEngine(index);
-           }
-         });
+      EndByRequest(index);
       // Part of its output may arrive before the engine ends.
       if (random_.Below(2) == 0) {
         return;
@@ -459,16 +213,15 @@
     });
   }
 
-  void Cancel(const cancel_attempt& order) {
+  void OnCancelled(const cancel_attempt& order) override {
     for (engine& engine : engines_) {
       engine.running.erase({order.request, order.attempt});
     }
-    Later(duration::zero(), order.request, order.attempt,
-          attempt_failed{.kind = failure_kind::kCancelled, .sent = true});
   }
 
-  void Refused(std::size_t router, const refusals::refusal& refusal) {
-    const open_request& request = requests_.at(*refusal.request);
+  void OnRefused(std::size_t router,
+                 const refusals::refusal& refusal) override {
+    const open_request& request = RequestOf(*refusal.request);
     accounts_.at(*refusal.request).refused = refusal;
     if (request.is_retry) {
       return;
@@ -481,44 +234,15 @@
     }
     const auto customer = static_cast<std::size_t>(
         std::stoul(request.spec.customer.value().substr(1)));
-    At(now_ + wait, [this, customer, prompt = *request.spec.prompt,
-                     next = (router + 1) % options_.routers] {
-      Send(customer, prompt, next, true);
-    });
-  }
-
-  void Later(duration delay,
-             request_seq id,
-             attempt_number attempt,
-             const attempt_event& event) {
-    At(now_ + delay,
-       [this, id, attempt, event] { Report(id, attempt, event); });
-  }
-  void Report(request_seq id,
-              attempt_number attempt,
-              const attempt_event& event) {
-    const open_request& request = requests_.at(id);
-    if (routers_[request.router].life != request.router_life) {
-      return;
-    }
-    Handle(request.router, [&](effects& out) {
-      routers_[request.router].router->OnAttempt(id, attempt, event, now_, out);
-    });
+    At(now_ + wait,
+       [this, customer, prompt = *request.spec.prompt,
+        next = NextRouter(router)] { Send(customer, prompt, next, true); });
   }
 
   crashing_fleet_options options_;
-  null_routing_observer observer_;
-  std::vector<daemon_id> names_;
-  std::vector<router_slot> routers_;
   std::vector<engine> engines_;
-  crashes::evidence_store evidence_;
-  std::map<request_seq, open_request> requests_;
   std::map<request_seq, request_account> accounts_;
-  std::vector<time_point> crashes_;
-  std::vector<arrival> crashing_arrivals_;
-  std::uint64_t last_request_ = 0;
   std::uint64_t last_part_ = 0;
-  std::uint64_t last_sequence_ = 0;
 };
 
 }  // namespace burdocklock::routing
--- a/src/routing/tests/crashing_part_unittest.cc
+++ b/src/routing/tests/crashing_part_unittest.cc
@@ -166,8 +166,8 @@
                  "crashing part: targets also end for other reasons: it is "
                  "kept from targets and sound requests are served") {
   CheckEachSeed([](crashing_fleet& fleet) {
-    fleet.EndEngineAtRandomTimes(0.7, seconds(6));
-    fleet.EndEngines(0, 4, milliseconds(8000 + fleet.random().Below(3000)));
+    fleet.EndTargetAtRandomTimes(0.7, seconds(6));
+    fleet.EndTargets(0, 4, milliseconds(8000 + fleet.random().Below(3000)));
   });
 }
 
@@ -200,11 +200,11 @@
     crashing_fleet_options options = Draw(seed);
     options.crashing_from.reset();
     crashing_fleet fleet(options);
-    fleet.EndEngineAtRandomTimes(0.7, seconds(3));
-    fleet.EndEngines(0, 4, seconds(6));
-    fleet.EndEngines(0, options.engines, seconds(12));
-    fleet.EndEngines(2, 5, seconds(18));
-    fleet.EndEngines(0, options.engines, seconds(24));
+    fleet.EndTargetAtRandomTimes(0.7, seconds(3));
+    fleet.EndTargets(0, 4, seconds(6));
+    fleet.EndTargets(0, options.engines, seconds(12));
+    fleet.EndTargets(2, 5, seconds(18));
+    fleet.EndTargets(0, options.engines, seconds(24));
     fleet.Run(kEnd);
     CHECK(BlockedRequests(fleet, false) == 0);
   }
--- a/src/routing/tests/repeated_request_unittest.cc
+++ b/src/routing/tests/repeated_request_unittest.cc
@@ -116,6 +116,24 @@
   CheckEachSeed({}, {});
 }
 
+TEST_CASE_METHOD(repeated_request_fixture,
+                 "repeated request: each may run at most once: it is kept from "
+                 "targets and sound requests are served") {
+  CheckEachSeed(
+      [](crashing_service_options& options) { options.repeatable = false; },
+      {});
+}
+
+TEST_CASE_METHOD(repeated_request_fixture,
+                 "repeated request: it names no customer: it is kept from "
+                 "targets and sound requests are served") {
+  CheckEachSeed(
+      [](crashing_service_options& options) {
+        options.customer = customer_id();
+      },
+      {});
+}
+
 TEST_CASE_METHOD(repeated_request_fixture,
                  "repeated request: a prompt with its own last part: it is "
                  "kept from targets and sound requests are served") {
@@ -183,8 +201,8 @@
     options.crashing_burst = 0;
     options.has_new_hot_request = false;
     crashing_service service(options);
-    service.EndAllTargets(seconds(6));
-    service.EndAllTargets(seconds(14));
+    service.EndTargets(0, options.targets, seconds(6));
+    service.EndTargets(0, options.targets, seconds(14));
     service.EndTargetAtRandomTimes(0.1, seconds(15));
     service.Run(kEnd);
     CHECK(ServedShare(service, request_class::kHot,
