--- a/src/app/tests/fake_target.h
+++ b/src/app/tests/fake_target.h
@@ -4,17 +4,13 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
-#include <future>
-#include <mutex>
 #include <string>
-#include <thread>
-#include <vector>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
-#include "framework/fiber/fiber_thread.h"
+#include "app/tests/server_thread.h"
 #include "framework/fiber/sleep.h"
 #include "framework/fiber/use_fiber.h"
 #include "framework/net/http_server.h"
@@ -37,23 +33,7 @@
  public:
   using script = std::function<fake_answer(const net::http_request&)>;
 
-  explicit fake_target(script script) : script_(std::move(script)) {
-    std::promise<endpoint> bound;
-    thread_ = std::thread([this, &bound] {
-      RunFiberThread(io_, [this, &bound] {
-        net::http_server server(io_, {}, *this);
-        bound.set_value(server.Start().value());
-        stop_.Wait();
-        server.Stop();
-      });
-    });
-    address_ = bound.get_future().get();
-  }
-
-  ~fake_target() override {
-    boost::asio::post(io_, [this] { stop_.Set(); });
-    thread_.join();
-  }
+  explicit fake_target(script script) : script_(std::move(script)) {}
 
   net::keep_alive Handle(net::http_connection& connection,
                          net::http_request& request) override {
@@ -72,8 +52,8 @@
       return net::keep_alive::kNo;
     }
     if (answer.end) {
-      stop_.Set();
-      SleepFor(io_, std::chrono::milliseconds(20));
+      server_.Stop();
+      SleepFor(server_.io(), std::chrono::milliseconds(20));
     }
     if (answer.hang) {
       char byte = 0;
@@ -84,7 +64,7 @@
   }
   void OnBadRequest(net::http_connection&, error_code) override {}
 
-  [[nodiscard]] const endpoint& address() const { return address_; }
+  [[nodiscard]] const endpoint& address() const { return server_.address(); }
 
   std::atomic<int> requests{0};
   std::atomic<int> closed_by_peer{0};
@@ -104,10 +84,8 @@
   }
 
   script script_;
-  boost::asio::io_context io_{1};
-  fiber_event stop_;
-  endpoint address_;
-  std::thread thread_;
+  // Last, as its thread calls this object.
+  server_thread server_{*this};
 };
 
 }  // namespace burdocklock::app
--- a/src/framework/net/tests/waiting_connection_unittest.cc
+++ b/src/framework/net/tests/waiting_connection_unittest.cc
@@ -9,15 +9,13 @@
 #include <thread>
 #include <vector>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "framework/fiber/fiber_thread.h"
 #include "framework/fiber/use_fiber.h"
 #include "framework/net/http_server.h"
+#include "framework/net/tests/blocking_caller.h"
 
 namespace burdocklock::net {
 namespace {
@@ -94,54 +92,33 @@
     return counter == value;
   }
   // Occupies the server's thread for `kSlowTime`.
-  void Occupy(asio::ip::tcp::socket& socket) {
-    asio::write(socket,
-                asio::buffer(std::string("GET /slow HTTP/1.1\r\n\r\n")));
+  void Occupy(blocking_caller& caller) {
+    caller.Send("GET /slow HTTP/1.1\r\n\r\n");
     slow_started.get_future().get();
   }
-};
-
-struct waiting_caller {
-  asio::io_context io;
-  asio::ip::tcp::socket socket{io};
-  std::string unread;
-
-  explicit waiting_caller(const endpoint& server) {
-    socket.connect(ToTcp(server));
-  }
-  void Send(const std::string& bytes) {
-    beast::error_code ignored;
-    asio::write(socket, asio::buffer(bytes), ignored);
-  }
-  // Returns the status of the next answer, 0 if there is none.
-  int ReadStatus() {
-    beast::error_code ec;
-    const std::size_t size =
-        asio::read_until(socket, asio::dynamic_buffer(unread), "\r\n\r\n", ec);
-    if (ec) {
-      return 0;
-    }
-    const int status = std::stoi(unread.substr(sizeof("HTTP/1.1"), 3));
-    unread.erase(0, size);
-    return status;
-  }
-  int Ask(const std::string& bytes = "GET / HTTP/1.1\r\n\r\n") {
-    Send(bytes);
-    return ReadStatus();
+  // A request of `caller` arrives while the thread is occupied by a request of
+  // `slow`, and the server is told to close before it can see it.
+  void CloseOverRequest(blocking_caller& caller,
+                        blocking_caller& slow,
+                        const std::function<void(http_server&)>& close) {
+    Occupy(slow);
+    caller.Send("GET / HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(kArrival);
+    asio::post(io, [this, close] { close(*running); });
   }
 };
 
-std::vector<std::unique_ptr<waiting_caller>> ManyCallers(
+std::vector<std::unique_ptr<blocking_caller>> ManyCallers(
     const endpoint& server) {
-  std::vector<std::unique_ptr<waiting_caller>> callers;
+  std::vector<std::unique_ptr<blocking_caller>> callers;
   for (std::size_t i = 0; i < kManyCallers; ++i) {
-    callers.push_back(std::make_unique<waiting_caller>(server));
+    callers.push_back(std::make_unique<blocking_caller>(server));
   }
   return callers;
 }
 
 std::size_t CountAnswered(
-    const std::vector<std::unique_ptr<waiting_caller>>& callers) {
+    const std::vector<std::unique_ptr<blocking_caller>>& callers) {
   std::size_t answered = 0;
   for (const auto& caller : callers) {
     answered += caller->ReadStatus() == 200 ? 1 : 0;
@@ -154,7 +131,7 @@
                  "waiting connection: the idle time-out becomes longer: it is "
                  "open for the longer one") {
   idle_ms = 300;
-  waiting_caller caller(address);
+  blocking_caller caller(address);
   REQUIRE(caller.Ask() == 200);
   std::this_thread::sleep_for(kArrival);
   idle_ms = 60'000;
@@ -165,7 +142,7 @@
 TEST_CASE_METHOD(waiting_connection_fixture,
                  "waiting connection: the idle time-out becomes shorter: it is "
                  "closed after the shorter one") {
-  waiting_caller caller(address);
+  blocking_caller caller(address);
   REQUIRE(caller.Ask() == 200);
   std::this_thread::sleep_for(kArrival);
   idle_ms = 100;
@@ -179,7 +156,7 @@
 TEST_CASE_METHOD(waiting_connection_fixture,
                  "waiting connection: larger requests become allowed: the next "
                  "one may be larger") {
-  waiting_caller caller(address);
+  blocking_caller caller(address);
   REQUIRE(caller.Ask() == 200);
   std::this_thread::sleep_for(kArrival);
   max_body = 2 * kSmallBody;
@@ -196,13 +173,13 @@
   for (const auto& caller : callers) {
     REQUIRE(caller->Ask() == 200);
   }
-  waiting_caller slow(address);
+  blocking_caller slow(address);
   REQUIRE(slow.Ask() == 200);
   idle_ms = kTimeoutMs;
   for (const auto& caller : callers) {
     REQUIRE(caller->Ask() == 200);
   }
-  Occupy(slow.socket);
+  Occupy(slow);
   std::this_thread::sleep_for(milliseconds(after_ms));
   for (const auto& caller : callers) {
     caller->Send("GET / HTTP/1.1\r\n\r\n");
@@ -216,14 +193,14 @@
                  "which their ends arrive: all are answered") {
   const int after_ms = GENERATE(0, kTimeoutMs + 200);
   auto callers = ManyCallers(address);
-  waiting_caller slow(address);
+  blocking_caller slow(address);
   REQUIRE(slow.Ask() == 200);
   read_ms = kTimeoutMs;
   for (const auto& caller : callers) {
     caller->Send("GET / HTTP/1.1\r\n");
   }
   std::this_thread::sleep_for(kArrival);
-  Occupy(slow.socket);
+  Occupy(slow);
   std::this_thread::sleep_for(milliseconds(after_ms));
   for (const auto& caller : callers) {
     caller->Send("\r\n");
@@ -235,7 +212,7 @@
                  "request in part: the rest does not come: closed after the "
                  "read time-out") {
   read_ms = 100;
-  waiting_caller caller(address);
+  blocking_caller caller(address);
   caller.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nx");
   CHECK(caller.ReadStatus() == 0);
   CHECK(Reaches(counters.read_timeouts, 1));
@@ -244,7 +221,7 @@
 TEST_CASE_METHOD(waiting_connection_fixture,
                  "request whose caller waits for 100 Continue: told to go on, "
                  "answered") {
-  waiting_caller caller(address);
+  blocking_caller caller(address);
   CHECK(caller.Ask("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
                    "Content-Length: 3\r\n\r\n") == 100);
   CHECK(caller.Ask("abc") == 200);
@@ -254,37 +231,28 @@
 TEST_CASE_METHOD(waiting_connection_fixture,
                  "waiting connection: idle ones are closed after its request "
                  "arrived: it is answered") {
-  waiting_caller caller(address);
+  blocking_caller caller(address);
   REQUIRE(caller.Ask() == 200);
-  waiting_caller slow(address);
-  Occupy(slow.socket);
-  caller.Send("GET / HTTP/1.1\r\n\r\n");
-  std::this_thread::sleep_for(kArrival);
-  asio::post(io, [this] { running->CloseIdle(); });
+  blocking_caller slow(address);
+  CloseOverRequest(caller, slow, [](auto& server) { server.CloseIdle(); });
   CHECK(caller.ReadStatus() == 200);
 }
 
 TEST_CASE_METHOD(waiting_connection_fixture,
                  "waiting connection: the server stops after its request "
                  "arrived: it is answered") {
-  waiting_caller caller(address);
+  blocking_caller caller(address);
   REQUIRE(caller.Ask() == 200);
-  waiting_caller slow(address);
-  Occupy(slow.socket);
-  caller.Send("GET / HTTP/1.1\r\n\r\n");
-  std::this_thread::sleep_for(kArrival);
-  asio::post(io, [this] { running->Stop(); });
+  blocking_caller slow(address);
+  CloseOverRequest(caller, slow, [](auto& server) { server.Stop(); });
   CHECK(caller.ReadStatus() == 200);
 }
 
 TEST_CASE_METHOD(waiting_connection_fixture,
                  "request behind one that is being answered: the server stops: "
                  "both are answered") {
-  waiting_caller caller(address);
-  Occupy(caller.socket);
-  caller.Send("GET / HTTP/1.1\r\n\r\n");
-  std::this_thread::sleep_for(kArrival);
-  asio::post(io, [this] { running->Stop(); });
+  blocking_caller caller(address);
+  CloseOverRequest(caller, caller, [](auto& server) { server.Stop(); });
   CHECK(caller.ReadStatus() == 200);
   CHECK(caller.ReadStatus() == 200);
 }
@@ -294,13 +262,11 @@
                  "request that is too large: the caller sends it whole: it "
                  "reads the refusal") {
   constexpr std::size_t kLargeBody = 8'000'000;
-  waiting_caller caller(address);
+  blocking_caller caller(address);
   caller.Send("POST / HTTP/1.1\r\nContent-Length: " +
               std::to_string(kLargeBody) + "\r\n\r\n");
   std::this_thread::sleep_for(kArrival);
-  beast::error_code ec;
-  asio::write(caller.socket, asio::buffer(std::string(kLargeBody, 'x')), ec);
-  CHECK(!ec);
+  CHECK(caller.Send(std::string(kLargeBody, 'x')));
   CHECK(caller.ReadStatus() == 413);
 }
 
--- a/src/route_interface/tests/announced_close_unittest.cc
+++ b/src/route_interface/tests/announced_close_unittest.cc
@@ -3,12 +3,9 @@
 #include <string>
 #include <thread>
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <catch2/catch.hpp>
 
+#include "framework/net/tests/blocking_caller.h"
 #include "route_interface/tests/route_path_fixture.h"
 
 namespace burdocklock::route_interface {
@@ -39,30 +36,23 @@
 TEST_CASE_METHOD(long_notice_fixture,
                  "drain begins while a request runs: its connection stays open "
                  "unless its answer says otherwise") {
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::socket socket(io);
-  socket.connect(net::ToTcp(addresses.callers));
-  beast::flat_buffer buffer;
+  net::blocking_caller caller(addresses.callers);
   bool open = true;
   int answers = 0;
   for (const char* path : {"/stock/later", "/stock/1", "/stock/2"}) {
-    beast::error_code ec;
-    boost::asio::write(socket,
-                       boost::asio::buffer("GET " + std::string(path) +
-                                           " HTTP/1.1\r\nHost: desk.example\r\n"
-                                           "Authorization: Bearer k\r\n\r\n"),
-                       ec);
+    caller.Send("GET " + std::string(path) +
+                " HTTP/1.1\r\nHost: desk.example\r\n"
+                "Authorization: Bearer k\r\n\r\n");
     if (answers == 0) {
       std::this_thread::sleep_for(milliseconds(150));
       router->Stop();
     }
-    http::response_parser<http::string_body> parser;
-    http::read(socket, buffer, parser, ec);
-    if (ec || !open) {
+    const net::read_answer answer = caller.Read();
+    if (!answer.whole || !open) {
       break;
     }
     ++answers;
-    open = parser.keep_alive();
+    open = answer.keep_alive;
     std::this_thread::sleep_for(milliseconds(100));
   }
   CHECK(answers >= 1);
--- a/src/route_interface/tests/changing_configuration_unittest.cc
+++ b/src/route_interface/tests/changing_configuration_unittest.cc
@@ -20,6 +20,7 @@
 #include <boost/beast/http/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "app/tests/server_thread.h"
 #include "framework/fiber/fiber_thread.h"
 #include "framework/fiber/sleep.h"
 #include "framework/fiber/use_fiber.h"
@@ -62,23 +63,6 @@
 
 class planned_target : public net::i_http_handler {
  public:
-  planned_target() {
-    std::promise<endpoint> bound;
-    thread_ = std::thread([this, &bound] {
-      RunFiberThread(io_, [this, &bound] {
-        net::http_server server(io_, {}, *this);
-        bound.set_value(server.Start().value());
-        stop_.Wait();
-        server.Stop();
-      });
-    });
-    address = bound.get_future().get();
-  }
-  ~planned_target() override {
-    boost::asio::post(io_, [this] { stop_.Set(); });
-    thread_.join();
-  }
-
   net::keep_alive Handle(net::http_connection& connection,
                          net::http_request& request) override {
     const std::string path(request.target());
@@ -86,7 +70,7 @@
       return Stream(connection, request);
     }
     if (Names(path, plan::kLater)) {
-      SleepFor(io_, milliseconds(150));
+      SleepFor(server_.io(), milliseconds(150));
     }
     const bool fails =
         Names(path, plan::kFails) &&
@@ -100,7 +84,7 @@
   }
   void OnBadRequest(net::http_connection&, error_code) override {}
 
-  endpoint address;
+  [[nodiscard]] const endpoint& address() const { return server_.address(); }
 
  private:
   net::keep_alive Stream(net::http_connection& connection,
@@ -123,7 +107,7 @@
       if (breaks && i == kEvents / 2) {
         return net::keep_alive::kNo;
       }
-      SleepFor(io_, milliseconds(40));
+      SleepFor(server_.io(), milliseconds(40));
     }
     return net::asio::async_write(connection.stream,
                                   net::asio::buffer(std::string("0\r\n\r\n")),
@@ -134,9 +118,8 @@
   }
 
   std::set<std::string> failed_;
-  boost::asio::io_context io_{1};
-  fiber_event stop_;
-  std::thread thread_;
+  // Last, as its thread calls this object.
+  app::server_thread server_{*this};
 };
 
 // The idle time-outs that may be in force, as far as callers know.
@@ -196,7 +179,7 @@
     idle.Sent(seconds(60));
     Replace(1);
     for (std::size_t i = 0; i < kTargets; ++i) {
-      Announce("t" + std::to_string(i), targets[i].address);
+      Announce("t" + std::to_string(i), targets[i].address());
     }
     REQUIRE(Until([&] { return CallRoute("/stock/whole-0").status == 200; }));
   }
