--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -5,18 +5,8 @@
 
 #include <algorithm>
 
-#include "targets/rendezvous.h"
-
 namespace burdocklock::targets {
 
-namespace {
-
-// Fraction of a target's slots that any router may use while requests wait at
-// others.
-constexpr double kUncontendedSlots = 0.8;
-
-}  // namespace
-
 target_directory::target_directory(directory_options options, i_random& random)
     : options_(std::move(options)), random_(random) {}
 
@@ -363,47 +353,17 @@
   return slots;
 }
 
-const pool_competition& target_directory::CompetitionFor(
-    const pool_id& pool) const {
-  const auto found = competition_.find(pool);
-  return found == competition_.end() ? default_competition_ : found->second;
-}
-
-double target_directory::ClaimedTokens(const pool_id& pool,
-                                       const pool_competition& competition,
-                                       time_point now) const {
-  if (competition.waiting_elsewhere <= 0) {
-    return 0;
-  }
-  const std::uint32_t usable =
-      SumUsable(pool, now, [](const entry&) { return 1U; });
-  return competition.waiting_elsewhere / std::max(1U, usable);
-}
-
-bool target_directory::HasSlotPart(const entry& entry,
-                                   const pool_competition& competition) const {
-  const std::uint32_t slots = entry.announced.slots;
-  if (competition.waiting_elsewhere <= 0 ||
-      entry.in_flight + entry.remote_in_flight < slots * kUncontendedSlots) {
-    return true;
-  }
-  // Rounded up at some targets and down at others, so that small parts of many
-  // routers add up to the whole.
-  constexpr std::uint64_t kSteps = 1024;
-  const double rounding =
-      static_cast<double>(RendezvousWeight(entry.announced.target.value(),
-                                           options_.self.value()) %
-                          kSteps) /
-      kSteps;
-  return entry.in_flight + 1 <= slots * competition.own_fraction + rounding;
-}
-
 std::uint32_t target_directory::UsableSlots(const pool_id& pool,
                                             time_point now) const {
   return SumUsable(pool, now,
                    [](const entry& entry) { return entry.ramp.limit(); });
 }
 
+std::uint32_t target_directory::UsableTargets(const pool_id& pool,
+                                              time_point now) const {
+  return SumUsable(pool, now, [](const entry&) { return 1U; });
+}
+
 std::uint32_t target_directory::AnnouncedSlots(const pool_id& pool,
                                                time_point now) const {
   return SumUsable(pool, now,
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -21,6 +21,8 @@
 #include "targets/prefix_memory.h"
 #include "targets/shared_rate.h"
 #include "targets/types/announcement.h"
+#include "targets/types/lease.h"
+#include "targets/types/placement.h"
 #include "targets/types/prompt.h"
 
 namespace burdocklock::targets {
@@ -56,73 +58,6 @@
   return "stale";
 }
 
-/// Permission to run one request at a target; must be released exactly once.
-struct slot_grant {
-  target_id target;
-  incarnation life;
-  endpoint address;
-  ramp_epoch epoch;
-  data_centre_id data_centre;
-  /// Epoch of the lessor's ramp that results are reported for.
-  ramp_epoch lease_epoch;
-  /// Unique among the grants of a target.
-  std::uint64_t number = 0;
-  /// Prompt tokens that the target had to process before the first output,
-  /// including those of earlier requests of any router.
-  std::uint64_t tokens_ahead = 0;
-};
-
-/// Leased slots of one target.
-struct target_lease {
-  announcement target;
-  std::uint32_t limit = 0;
-  /// The lessor's ramp limit; lets a successor of the lessor resume from it.
-  std::uint32_t ramp_limit = 0;
-  ramp_epoch epoch;
-};
-
-/// Request results observed at a target during one epoch of the lessor's ramp.
-struct lease_evidence {
-  target_id target;
-  incarnation life;
-  ramp_epoch epoch;
-  std::uint32_t successes = 0;
-  std::uint32_t failures = 0;
-  bool first_output_jumped = false;
-};
-
-/// How a router shares the targets of a pool with the others.
-struct pool_competition {
-  /// This router's part of a target's backlog and slots, 0 to 1.
-  double own_fraction = 1;
-  /// Prompt tokens that wait at other routers for room that they are entitled
-  /// to.
-  double waiting_elsewhere = 0;
-};
-
-/// Restricts the targets that a generation may be sent to.
-struct placement_constraints {
-  /// Only targets that probably have its shared parts cached, if these are
-  /// large.
-  bool preferred_only = false;
-  /// Only targets with a small backlog of unread prompt tokens.
-  bool spare_capacity_only = false;
-};
-
-struct choice {
-  slot_grant grant;
-  /// The targets that were compared, the selected one first.
-  std::vector<target_id> considered;
-  /// For a generation: the estimated prompt tokens that the target has to
-  /// process, and those of other requests queued before it.
-  std::uint32_t unread_tokens = 0;
-  std::uint64_t tokens_before = 0;
-  /// Another target from which the selected one can copy cached parts of the
-  /// prompt instead of processing them, and how many tokens.
-  std::optional<endpoint> copy_from;
-  std::uint32_t copied_tokens = 0;
-};
-
 /// State of one target as shown to operators.
 struct target_view {
   announcement announced;
@@ -431,6 +366,8 @@
   void RemoveUnread(entry& entry, std::uint64_t grant);
 
   [[nodiscard]] bool IsUsable(const entry& entry, time_point now) const;
+  [[nodiscard]] std::uint32_t UsableTargets(const pool_id& pool,
+                                            time_point now) const;
   /// Returns the sum of `slots_of` over the usable targets of the pool.
   template <typename SlotsOf>
   std::uint32_t SumUsable(const pool_id& pool,
--- /dev/null
+++ b/src/targets/types/placement.h
@@ -0,0 +1,62 @@
+// Choice of a target for a request, and what it depends on.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "framework/types/endpoint.h"
+#include "framework/types/ids.h"
+#include "targets/admission_ramp.h"
+
+namespace burdocklock::targets {
+
+/// Permission to run one request at a target; must be released exactly once.
+struct slot_grant {
+  target_id target;
+  incarnation life;
+  endpoint address;
+  ramp_epoch epoch;
+  data_centre_id data_centre;
+  /// Epoch of the lessor's ramp that results are reported for.
+  ramp_epoch lease_epoch;
+  /// Unique among the grants of a target.
+  std::uint64_t number = 0;
+  /// Prompt tokens that the target had to process before the first output,
+  /// including those of earlier requests of any router.
+  std::uint64_t tokens_ahead = 0;
+};
+
+/// How a router shares the targets of a pool with the others.
+struct pool_competition {
+  /// This router's part of a target's backlog and slots, 0 to 1.
+  double own_fraction = 1;
+  /// Prompt tokens that wait at other routers for room that they are entitled
+  /// to.
+  double waiting_elsewhere = 0;
+};
+
+/// Restricts the targets that a generation may be sent to.
+struct placement_constraints {
+  /// Only targets that probably have its shared parts cached, if these are
+  /// large.
+  bool preferred_only = false;
+  /// Only targets with a small backlog of unread prompt tokens.
+  bool spare_capacity_only = false;
+};
+
+struct choice {
+  slot_grant grant;
+  /// The targets that were compared, the selected one first.
+  std::vector<target_id> considered;
+  /// For a generation: the estimated prompt tokens that the target has to
+  /// process, and those of other requests queued before it.
+  std::uint32_t unread_tokens = 0;
+  std::uint64_t tokens_before = 0;
+  /// Another target from which the selected one can copy cached parts of the
+  /// prompt instead of processing them, and how many tokens.
+  std::optional<endpoint> copy_from;
+  std::uint32_t copied_tokens = 0;
+};
+
+}  // namespace burdocklock::targets
