--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -12,7 +12,6 @@
 #include <utility>
 
 #include <boost/asio/socket_base.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -22,6 +21,7 @@
 #include "framework/fiber/fiber_thread.h"
 #include "framework/fiber/sleep.h"
 #include "framework/fiber/use_fiber.h"
+#include "framework/net/internal/idle_connections.h"
 #include "framework/net/internal/request_source.h"
 
 namespace burdocklock::net {
@@ -38,14 +38,6 @@
 constexpr std::chrono::milliseconds kBlockedRetryDelay{20};
 // Bounds the time for which accepting delays the requests already accepted.
 constexpr int kMaxAcceptsPerTurn = 32;
-// A connection without a request is not closed for a new one before this time.
-constexpr std::chrono::seconds kMinUnusedTime{1};
-// Bounds the search for an idle connection that can be closed.
-constexpr std::size_t kMaxEvictionCandidates = 16;
-// Connections obey a shorter idle timeout this long after it changes at most.
-constexpr std::chrono::seconds kMaxSweepInterval{1};
-// While a request that has arrived in time waits to be read.
-constexpr std::chrono::milliseconds kMinSweepInterval{10};
 // What callers still send is read for this long before a connection is closed:
 // closing it earlier could reset it before the caller has read its answer.
 constexpr std::chrono::seconds kLingerTime{1};
@@ -69,13 +61,6 @@
   return std::chrono::milliseconds(failed == 0 ? info.tcpi_last_data_recv : 0);
 }
 
-// Whether bytes of a request wait to be read.
-bool HasArrived(http_connection& connection) {
-  beast::error_code ec;
-  return connection.buffer.size() > 0 ||
-         (connection.stream.socket().available(ec) > 0 && !ec);
-}
-
 }  // namespace
 
 bool http_connection::Write(http_response& response) {
@@ -94,7 +79,10 @@
         options(options),
         handler(handler),
         acceptor(context),
-        sweep_timer(context) {}
+        idle(
+            context,
+            [this] { return CurrentLimits().idle_timeout; },
+            counters()) {}
 
   result<endpoint> Listen();
   void AcceptLoop();
@@ -106,23 +94,12 @@
   void AcceptAfterFailure();
   void SetBlocked(bool now_blocked);
   bool HasRoom();
-  // The connection to close for a new one; nullptr if there is none.
-  [[nodiscard]] http_connection* LongestIdle() const;
-  bool CanAccept() { return HasRoom() || LongestIdle() != nullptr; }
+  bool CanAccept() { return HasRoom() || idle.Longest() != nullptr; }
   // Closes the connection that has been idle longest; false if there is none.
   bool EvictIdle();
-  void SetIdle(http_connection& connection, bool idle);
-  // Closes the connection unless it is busy or bytes of a request have arrived.
-  bool CloseIfIdle(http_connection& connection);
   [[nodiscard]] http_limits CurrentLimits() const {
     return options.current_limits ? options.current_limits() : options.limits;
   }
-  // Closes connections that have been idle for longer than the timeout in force
-  // and goes on while there are idle ones.
-  void Sweep();
-  void CloseOverdue(const std::list<http_connection*>& order,
-                    duration idle_timeout);
-  void ScheduleSweep();
   void Serve(tcp_stream stream);
   void ServeConnection(tcp_stream stream);
   void ServeRequests(http_connection& connection);
@@ -142,17 +119,13 @@
   i_http_handler& handler;
   tcp_acceptor acceptor;
   std::unordered_set<http_connection*> connections;
-  /// Idle connections with and without an earlier request, longest idle first.
-  std::list<http_connection*> idle_used;
-  std::list<http_connection*> idle_unused;
   /// Evicted connections whose fibers have not ended yet.
   std::uint32_t evicting = 0;
   bool blocked = false;
   /// Since it was last taken.
   duration longest_wait{};
-  asio::steady_timer sweep_timer;
-  bool sweep_scheduled = false;
   listener_counters own_counters;
+  idle_connections idle;
   bool stopping = false;
 
   listener_counters& counters() {
@@ -178,7 +151,7 @@
 void http_server::CloseIdle() {
   for (http_connection* connection : state_->connections) {
     if (connection->used) {
-      state_->CloseIfIdle(*connection);
+      state_->idle.Close(*connection);
     }
   }
 }
@@ -187,9 +160,9 @@
   state_->stopping = true;
   beast::error_code ignored;
   state_->acceptor.close(ignored);
-  state_->sweep_timer.cancel();
+  state_->idle.Stop();
   for (http_connection* connection : state_->connections) {
-    state_->CloseIfIdle(*connection);
+    state_->idle.Close(*connection);
   }
 }
 
@@ -292,27 +265,9 @@
   return counters().open < options.max_connections + evicting;
 }
 
-http_connection* http_server::state::LongestIdle() const {
-  std::size_t candidates = 0;
-  for (http_connection* connection : idle_used) {
-    if (!HasArrived(*connection)) {
-      return connection;
-    }
-    if (++candidates == kMaxEvictionCandidates) {
-      break;
-    }
-  }
-  // A new connection is about to send its first request.
-  const bool has_old = !idle_unused.empty() &&
-                       steady_clock::now() - idle_unused.front()->accepted_at >=
-                           kMinUnusedTime &&
-                       !HasArrived(*idle_unused.front());
-  return has_old ? idle_unused.front() : nullptr;
-}
-
 bool http_server::state::EvictIdle() {
-  http_connection* longest = LongestIdle();
-  if (longest == nullptr || !CloseIfIdle(*longest)) {
+  http_connection* longest = idle.Longest();
+  if (longest == nullptr || !idle.Close(*longest)) {
     return false;
   }
   longest->evicted = true;
@@ -321,75 +276,6 @@
   return true;
 }
 
-bool http_server::state::CloseIfIdle(http_connection& connection) {
-  if (!connection.idle || HasArrived(connection)) {
-    return false;
-  }
-  SetIdle(connection, false);
-  connection.closed = true;
-  connection.stream.close();
-  return true;
-}
-
-void http_server::state::Sweep() {
-  const duration idle_timeout = CurrentLimits().idle_timeout;
-  CloseOverdue(idle_used, idle_timeout);
-  CloseOverdue(idle_unused, idle_timeout);
-  ScheduleSweep();
-}
-
-void http_server::state::CloseOverdue(const std::list<http_connection*>& order,
-                                      duration idle_timeout) {
-  const time_point now = steady_clock::now();
-  for (auto it = order.begin();
-       it != order.end() && (*it)->idle_since + idle_timeout <= now;) {
-    http_connection& overdue = **it++;
-    counters().idle_timeouts += CloseIfIdle(overdue) ? 1 : 0;
-  }
-}
-
-void http_server::state::ScheduleSweep() {
-  if (sweep_scheduled || stopping ||
-      (idle_used.empty() && idle_unused.empty())) {
-    return;
-  }
-  const time_point now = steady_clock::now();
-  time_point oldest = now;
-  for (const auto* order : {&idle_used, &idle_unused}) {
-    oldest =
-        order->empty() ? oldest : std::min(oldest, order->front()->idle_since);
-  }
-  sweep_scheduled = true;
-  sweep_timer.expires_at(
-      std::clamp<time_point>(oldest + CurrentLimits().idle_timeout,
-                             now + kMinSweepInterval, now + kMaxSweepInterval));
-  sweep_timer.async_wait(
-      [weak = weak_from_this()](const beast::error_code& ec) {
-        const auto self = weak.lock();
-        if (ec || !self) {
-          return;
-        }
-        self->sweep_scheduled = false;
-        self->Sweep();
-      });
-}
-
-void http_server::state::SetIdle(http_connection& connection, bool idle) {
-  if (connection.idle == idle) {
-    return;
-  }
-  std::list<http_connection*>& order =
-      connection.used ? idle_used : idle_unused;
-  connection.idle = idle;
-  if (idle) {
-    connection.idle_since = steady_clock::now();
-    connection.idle_position = order.insert(order.end(), &connection);
-    ScheduleSweep();
-  } else {
-    order.erase(connection.idle_position);
-  }
-}
-
 void http_server::state::Serve(tcp_stream stream) {
   if (!HasRoom()) {
     EvictIdle();
@@ -411,9 +297,9 @@
   connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   connection.stream.socket().non_blocking(true, ignored);
   connections.insert(&connection);
-  SetIdle(connection, true);
+  idle.Add(connection);
   ServeRequests(connection);
-  SetIdle(connection, false);
+  idle.Remove(connection);
   connections.erase(&connection);
   connection.stream.socket().shutdown(asio::socket_base::shutdown_both,
                                       ignored);
@@ -435,7 +321,7 @@
       }
       return;
     }
-    SetIdle(connection, true);
+    idle.Add(connection);
   }
 }
 
@@ -455,7 +341,7 @@
   if (!AwaitRequest(connection)) {
     return std::nullopt;
   }
-  SetIdle(connection, false);
+  idle.Remove(connection);
   const http_limits limits = CurrentLimits();
   request_parser parser;
   parser.header_limit(limits.max_header_bytes);
