--- a/src/crashes/internal/prompt_guard.cc
+++ b/src/crashes/internal/prompt_guard.cc
@@ -302,11 +302,7 @@
 time_point prompt_guard::EndOf(
     const pool_suspect& key,
     const evidence_store::block_record& block) const {
-  constexpr std::uint64_t kSteps = 1024;
-  const double place =
-      static_cast<double>(targets::RendezvousWeight(key.id, self_.value()) %
-                          kSteps) /
-      kSteps;
+  const double place = targets::RendezvousPlace(key.id, self_.value());
   const duration time = BlockTime(key.kind, block.times_blocked);
   const bool is_short = time < kFirstBlock;
   const double spread = is_short ? kReleaseSpreadOfShort : kReleaseSpread;
--- a/src/targets/internal/target_competition.cc
+++ b/src/targets/internal/target_competition.cc
@@ -39,12 +39,8 @@
   }
   // Rounded up at some targets and down at others, so that small parts of many
   // routers add up to the whole.
-  constexpr std::uint64_t kSteps = 1024;
   const double rounding =
-      static_cast<double>(RendezvousWeight(entry.announced.target.value(),
-                                           options_.self.value()) %
-                          kSteps) /
-      kSteps;
+      RendezvousPlace(entry.announced.target.value(), options_.self.value());
   return entry.in_flight + 1 <= slots * competition.own_fraction + rounding;
 }
 
--- a/src/targets/rendezvous.h
+++ b/src/targets/rendezvous.h
@@ -12,4 +12,8 @@
 std::uint64_t RendezvousWeight(std::string_view key, std::string_view name);
 std::uint64_t RendezvousWeight(std::uint64_t key, std::string_view name);
 
+/// Returns the place of `name` for `key` between 0 and 1, spread evenly.
+double RendezvousPlace(std::string_view key, std::string_view name);
+double RendezvousPlace(std::uint64_t key, std::string_view name);
+
 }  // namespace burdocklock::targets
