--- a/src/framework/types/ids.h
+++ b/src/framework/types/ids.h
@@ -21,6 +21,12 @@
 /// A model or service whose targets are interchangeable.
 using pool_id = strong_type<struct pool_id_tag, std::string>;
 
+/// Version of a target's software, as the target names it; empty if it names
+/// none.
+using software_version = strong_type<struct software_version_tag, std::string>;
+/// Identifies a stream over all connections on which its caller receives it.
+using stream_key = strong_type<struct stream_key_tag, std::uint64_t>;
+
 /// Identifies one run of a process; increases with every restart.
 using incarnation = strong_type<struct incarnation_tag, std::uint64_t>;
 /// Request sequence number within one daemon incarnation.
--- a/src/targets/types/announcement.h
+++ b/src/targets/types/announcement.h
@@ -51,6 +51,7 @@
   /// Models that an engine serves, or the name of a service.
   std::vector<pool_id> pools;
   target_state state = target_state::kStarting;
+  software_version version = {};
   /// Maximum number of concurrent requests when warm.
   std::uint32_t slots = 1;
   /// Maximum number of concurrent requests right after start.
