Control hosts remember where streams began, and routers ask them

Callers saw streams go on at another software version after their router had ended: nothing but that router knew where the stream began. The seam: router_client::RecordStream and AskStreamOrigin, i_router_view::OnStreamOrigin. Not used by request_router yet, so callers see no change.

Records go to three control hosts, chosen by rendezvous hashing of the key, and again over every new link. A question ends as unknown only when every known control host has said so, or after 250 ms. A message of a kind that this software does not know no longer ends the link.

--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <map>
 #include <random>
+#include <sstream>
 #include <utility>
 #include <vector>
 
@@ -82,6 +83,9 @@
                const control::state_contents& contents) override;
   void OnTarget(const targets::announcement& announcement,
                 control::registry_result result) override;
+  void OnStreamContradiction(
+      const streams::stream_record& contradicting) override;
+  void OnStreamsDropped(std::uint64_t count) override;
   void OnError(const error& problem) override;
 
   // gateway::i_operations
@@ -348,6 +352,23 @@
                  .Add("result", ToString(result)));
 }
 
+void control_host::state::OnStreamContradiction(
+    const streams::stream_record& contradicting) {
+  ++metrics.Counter("burdocklock_stream_contradictions_total");
+  std::ostringstream stream;
+  stream << std::hex << contradicting.key.value();
+  logger.Log(log_record("stream_contradiction", log_level::kError)
+                 .Add("stream", stream.str())
+                 .Add("pool", contradicting.origin.pool.value())
+                 .Add("version", contradicting.origin.version.value()));
+}
+
+void control_host::state::OnStreamsDropped(std::uint64_t count) {
+  logger.Log(log_record("stream_records_dropped", log_level::kWarning)
+                 .Add("count", count)
+                 .Add("held", node->streams().size()));
+}
+
 void control_host::state::OnError(const error& problem) {
   logger.Log(log_record("control_problem", log_level::kError)
                  .Add("detail", problem.Message()));
@@ -366,6 +387,13 @@
       [this] { return node->state().contents().version; });
   add("burdocklock_routers", [this] { return node->router_count(); });
   add("burdocklock_targets", [this] { return node->registry().size(); });
+  add("burdocklock_stream_records", [this] { return node->streams().size(); });
+  add("burdocklock_stream_records_dropped",
+      [this] { return node->streams().dropped(); });
+  add("burdocklock_stream_questions",
+      [this] { return node->stream_questions().asked; });
+  add("burdocklock_stream_questions_unknown",
+      [this] { return node->stream_questions().answered_unknown; });
 }
 
 std::string control_host::state::Metrics() {
--- a/src/app/internal/control_links.cc
+++ b/src/app/internal/control_links.cc
@@ -2,6 +2,7 @@
 #include "app/internal/control_links.h"
 
 #include <utility>
+#include <variant>
 
 #include <boost/asio/post.hpp>
 #include <boost/outcome/success_failure.hpp>
@@ -76,6 +77,12 @@
                     .Add("detail", message.error().detail));
     return false;
   }
+  if (const auto* other =
+          std::get_if<control::unrecognised_message>(&message.value())) {
+    logger_.Log(log_record("link_message_unrecognised", log_level::kDebug)
+                    .Add("link", link)
+                    .Add("kind", other->kind));
+  }
   handlers_.on_message(control::link_id(link), message.value());
   return true;
 }
--- a/src/app/internal/control_report.cc
+++ b/src/app/internal/control_report.cc
@@ -18,7 +18,8 @@
                       {"commit", raft.commit().value()},
                       {"version", node.state().contents().version},
                       {"routers", node.router_count()},
-                      {"targets", node.registry().size()}}
+                      {"targets", node.registry().size()},
+                      {"stream_records", node.streams().size()}}
       .dump();
 }
 
--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <sstream>
 #include <utility>
 
 #include <boost/outcome/success_failure.hpp>
@@ -39,6 +40,12 @@
 // How long the other routers' load stays valid after it was received.
 constexpr std::chrono::milliseconds kOthersLoadTimeout{1500};
 
+std::string HexName(stream_key key) {
+  std::ostringstream name;
+  name << std::hex << key.value();
+  return name.str();
+}
+
 control::router_client_options ClientOptions(const config::settings& settings) {
   return {.daemon = settings.daemon, .seeds = settings.control.hosts};
 }
@@ -318,6 +325,22 @@
   return router_.guard().KnownEvidence(now_);
 }
 
+void operator_feed::OnStreamOrigin(
+    stream_key key,
+    const std::optional<streams::stream_origin>& origin) {
+  logger_.Log(log_record("stream_origin", log_level::kDebug)
+                  .Add("stream", HexName(key))
+                  .Add("known", origin.has_value()));
+}
+
+void operator_feed::OnStreamContradiction(
+    const streams::stream_record& contradicting) {
+  logger_.Log(log_record("stream_contradiction", log_level::kError)
+                  .Add("stream", HexName(contradicting.key))
+                  .Add("pool", contradicting.origin.pool.value())
+                  .Add("version", contradicting.origin.version.value()));
+}
+
 void operator_feed::OnContactChanged(bool in_contact) {
   in_contact_ = in_contact;
   router_.mutable_directory().SetRateFraction(in_contact ? 1
--- a/src/app/internal/operator_feed.h
+++ b/src/app/internal/operator_feed.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -65,6 +66,11 @@
   void OnRouters(const std::vector<daemon_id>& routers) override;
   void OnEvidence(const crashes::evidence& received) override;
   [[nodiscard]] crashes::evidence KnownEvidence() const override;
+  void OnStreamOrigin(
+      stream_key key,
+      const std::optional<streams::stream_origin>& origin) override;
+  void OnStreamContradiction(
+      const streams::stream_record& contradicting) override;
   void OnContactChanged(bool in_contact) override;
   void OnOthersLoad(const admission::fleet_load& others) override;
 
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -23,6 +23,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "quorum/raft_node.h"
+#include "streams/stream_origin_store.h"
 
 namespace burdocklock::control {
 
@@ -50,11 +51,18 @@
   /// Followers wait this long before they send a new state to routers, so that
   /// normally only the leader does.
   duration follower_update_delay = std::chrono::milliseconds(250);
+  std::size_t stream_capacity = streams::kControlHostCapacity;
   /// The log is compacted after this many entries or bytes of commands.
   std::size_t compact_entries = 64;
   std::size_t compact_bytes = 4 * 1024 * 1024;
 };
 
+/// Questions of routers about streams, since the start.
+struct stream_counts {
+  std::uint64_t asked = 0;
+  std::uint64_t answered_unknown = 0;
+};
+
 /// Deterministic state machine over its ports.
 ///
 /// Invariants: a command is reported as done only once it, or a configuration
@@ -95,6 +103,12 @@
   [[nodiscard]] const quorum::raft_node& raft() const { return raft_; }
   [[nodiscard]] const operator_state& state() const { return state_; }
   [[nodiscard]] const target_registry& registry() const { return registry_; }
+  [[nodiscard]] const streams::stream_origin_store& streams() const {
+    return streams_;
+  }
+  [[nodiscard]] const stream_counts& stream_questions() const {
+    return stream_questions_;
+  }
   [[nodiscard]] std::size_t router_count() const;
 
  private:
@@ -126,6 +140,10 @@
   void Handle(link_id link, const load_report& m);
   void Handle(link_id link, const load_summary& m);
   void Handle(link_id link, const evidence_update& m);
+  void Handle(link_id link, const stream_update& m);
+  void Handle(link_id link, const stream_query& m);
+  void Handle(link_id link, const stream_answer& m);
+  void Handle(link_id link, const unrecognised_message& m);
 
   // Commands and reads (control_commands.cc).
   void Propose(const operator_command& command, command_done done);
@@ -155,6 +173,7 @@
   void SendAllEvidence(link_id link);
   void SendNewEvidence();
   void RemoveSilentPeers();
+  void ExpireStreams();
 
   control_options options_;
   i_link_port& link_port_;
@@ -167,6 +186,11 @@
   crashes::evidence_store evidence_;
   /// Evidence that routers and other control hosts may lack.
   crashes::evidence new_evidence_;
+  /// Where streams began, as routers have told.
+  streams::stream_origin_store streams_;
+  stream_counts stream_questions_;
+  /// Dropped records that were reported through `port_`.
+  std::uint64_t reported_stream_drops_ = 0;
   time_point next_evidence_send_ = kNever;
   time_point next_load_send_ = kNever;
   time_point last_load_send_{};
--- a/src/control/i_control_port.h
+++ b/src/control/i_control_port.h
@@ -1,6 +1,7 @@
 // Port: storage and reporting for a control node.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,11 @@
                        const state_contents& contents) = 0;
   virtual void OnTarget(const targets::announcement& announcement,
                         registry_result result) = 0;
+  /// Two origins were told for a stream, a fault; it is unknown from now on.
+  virtual void OnStreamContradiction(
+      const streams::stream_record& contradicting) = 0;
+  /// Records of streams were dropped before their time since the last call.
+  virtual void OnStreamsDropped(std::uint64_t count) = 0;
   virtual void OnError(const error& problem) = 0;
 };
 
--- a/src/control/i_router_view.h
+++ b/src/control/i_router_view.h
@@ -1,6 +1,7 @@
 // Port: receives what control hosts send to a router.
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "crashes/types/evidence.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "streams/types/stream_origin.h"
 #include "targets/types/announcement.h"
 
 namespace burdocklock::control {
@@ -32,6 +34,15 @@
   virtual void OnEvidence(const crashes::evidence& received) = 0;
   /// All such evidence that this router has, for a new link.
   [[nodiscard]] virtual crashes::evidence KnownEvidence() const = 0;
+  /// The answer to one or several calls of `AskStreamOrigin` for this key;
+  /// nullopt if it is not known where the stream began. Called exactly once for
+  /// them, never before `AskStreamOrigin` has returned.
+  virtual void OnStreamOrigin(
+      stream_key key,
+      const std::optional<streams::stream_origin>& origin) = 0;
+  /// A stream of this router was recorded with two origins, a fault.
+  virtual void OnStreamContradiction(
+      const streams::stream_record& contradicting) = 0;
   /// Contact with the control hosts was gained or lost.
   virtual void OnContactChanged(bool in_contact) = 0;
 };
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -31,6 +31,7 @@
       port_(port),
       raft_(options_.raft, std::move(recovered), random, now),
       links_(links, options_.links),
+      streams_(options_.stream_capacity),
       started_(now),
       now_(now),
       next_heartbeat_(now),
@@ -54,6 +55,7 @@
     RemoveSilentPeers();
     registry_.Expire(now);
     evidence_.Expire(now);
+    ExpireStreams();
     ExpireCommands();
   }
   if (now >= next_join_request_) {
@@ -183,6 +185,12 @@
   // Sent to routers only.
 }
 
+void control_node::Handle(link_id, const stream_answer&) {
+  // Sent to routers only.
+}
+
+void control_node::Handle(link_id, const unrecognised_message&) {}
+
 void control_node::ProcessRaftOutput() {
   quorum::raft_output output = raft_.TakeOutput();
   while (true) {
--- a/src/control/internal/control_updates.cc
+++ b/src/control/internal/control_updates.cc
@@ -1,5 +1,5 @@
 // Updates that a control host sends to routers and other control hosts:
-// operator state, targets, and the load of routers.
+// operator state, targets, the load of routers, and where streams began.
 #include <algorithm>
 #include <utility>
 
@@ -80,6 +80,38 @@
   }
 }
 
+void control_node::Handle(link_id, const stream_update& m) {
+  for (const streams::stream_record& record : m.records) {
+    if (streams_.Record(record, now_) ==
+        streams::record_result::kContradiction) {
+      port_.OnStreamContradiction(record);
+    }
+  }
+}
+
+void control_node::Handle(link_id link, const stream_query& m) {
+  stream_answer answer;
+  for (const stream_key key : m.keys) {
+    if (auto record = streams_.Find(key, now_)) {
+      answer.known.push_back(*std::move(record));
+    } else {
+      answer.unknown.push_back(key);
+    }
+  }
+  stream_questions_.asked += m.keys.size();
+  stream_questions_.answered_unknown += answer.unknown.size();
+  link_port_.Send(link, answer);
+}
+
+void control_node::ExpireStreams() {
+  streams_.Expire(now_);
+  const std::uint64_t dropped = streams_.dropped();
+  if (dropped != reported_stream_drops_) {
+    port_.OnStreamsDropped(dropped -
+                           std::exchange(reported_stream_drops_, dropped));
+  }
+}
+
 std::size_t control_node::router_count() const {
   return routers_.size();
 }
--- a/src/control/internal/link_set.cc
+++ b/src/control/internal/link_set.cc
@@ -17,7 +17,8 @@
     it = links_.erase(it);
   }
   for (const endpoint& peer : missing) {
-    links_[port_.Open(peer)] = {.peer = peer, .last_seen = now};
+    links_[port_.Open(peer)] = {
+        .peer = peer, .name = ToString(peer), .last_seen = now};
   }
 }
 
@@ -81,6 +82,15 @@
   return up;
 }
 
+std::vector<named_link> link_set::NamedLinks() const {
+  std::vector<named_link> all;
+  all.reserve(links_.size());
+  for (const auto& [link, entry] : links_) {
+    all.push_back({.link = link, .name = entry.name, .up = entry.up});
+  }
+  return all;
+}
+
 std::optional<link_id> link_set::FindLink(const endpoint& peer) const {
   for (const auto& [link, entry] : links_) {
     if (entry.peer == peer) {
--- a/src/control/internal/router_client.cc
+++ b/src/control/internal/router_client.cc
@@ -14,12 +14,14 @@
       port_(links),
       view_(view),
       links_(links, options_.links),
+      streams_(links, view, links_),
       started_(now),
       next_heartbeat_(now) {
   UpdateLinks(now);
 }
 
 void router_client::OnTick(time_point now) {
+  streams_.OnTick(now);
   if (now < next_heartbeat_) {
     return;
   }
@@ -43,6 +45,7 @@
   if (!known.empty()) {
     port_.Send(link, evidence_update{.contents = std::move(known)});
   }
+  streams_.OnLinkUp(link, now);
 }
 
 void router_client::OnLinkDown(link_id link, time_point now) {
@@ -62,6 +65,9 @@
       collector_.reset();
     }
   }
+  if (const auto* answer = std::get_if<stream_answer>(&message)) {
+    streams_.OnAnswer(link, *answer, now);
+  }
   std::visit([&](const auto& value) { Handle(value, now); }, message);
 }
 
@@ -90,6 +96,20 @@
   view_.OnEvidence(m.contents);
 }
 
+void router_client::Handle(const stream_update&, time_point) {
+  // Sent to control hosts only.
+}
+
+void router_client::Handle(const stream_query&, time_point) {
+  // Sent to control hosts only.
+}
+
+void router_client::Handle(const stream_answer&, time_point) {
+  // Handled by OnMessage, as the link matters.
+}
+
+void router_client::Handle(const unrecognised_message&, time_point) {}
+
 void router_client::SendEvidence(const crashes::evidence& news) {
   for (const link_id link : links_.OpenLinks()) {
     port_.Send(link, evidence_update{.contents = news});
--- a/src/control/link_set.h
+++ b/src/control/link_set.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "control/i_link_port.h"
@@ -17,6 +18,12 @@
   duration idle_timeout = std::chrono::milliseconds(1500);
 };
 
+struct named_link {
+  link_id link;
+  std::string name;
+  bool up = false;
+};
+
 /// Invariant: there is exactly one link to each peer in the set.
 class link_set {
  public:
@@ -36,11 +43,14 @@
   /// True if a message arrived on any link within the idle timeout.
   [[nodiscard]] bool AnyActive(time_point now) const;
   [[nodiscard]] std::vector<link_id> OpenLinks() const;
+  /// All links in the set, up or not, with the names of their peers.
+  [[nodiscard]] std::vector<named_link> NamedLinks() const;
   [[nodiscard]] std::optional<link_id> FindLink(const endpoint& peer) const;
 
  private:
   struct entry {
     endpoint peer;
+    std::string name;
     bool up = false;
     time_point last_seen;
     bool has_received = false;
--- a/src/control/message_codec.h
+++ b/src/control/message_codec.h
@@ -9,7 +9,8 @@
 namespace burdocklock::control {
 
 std::string Encode(const message& message);
-/// Fails if the bytes are not a message; unknown trailing elements are ignored.
+/// Fails if the bytes are not a message. Unknown trailing elements are ignored,
+/// and a message of an unknown kind is not an error.
 result<message> Decode(const std::string& bytes);
 
 }  // namespace burdocklock::control
--- a/src/control/router_client.h
+++ b/src/control/router_client.h
@@ -2,6 +2,7 @@
 // received from them.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <vector>
@@ -9,9 +10,11 @@
 #include "control/i_link_port.h"
 #include "control/i_router_view.h"
 #include "control/link_set.h"
+#include "control/stream_client.h"
 #include "control/types/message.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "streams/types/stream_origin.h"
 
 namespace burdocklock::control {
 
@@ -36,7 +39,9 @@
                 time_point now);
 
   void OnTick(time_point now);
-  [[nodiscard]] time_point NextDeadline() const { return next_heartbeat_; }
+  [[nodiscard]] time_point NextDeadline() const {
+    return std::min(next_heartbeat_, streams_.NextDeadline());
+  }
   void OnLinkUp(link_id link, time_point now);
   void OnLinkDown(link_id link, time_point now);
   void OnMessage(link_id link, const message& message, time_point now);
@@ -48,6 +53,16 @@
   /// Sends new evidence to all control hosts. Hosts that are not reached now
   /// receive it with the next link.
   void SendEvidence(const crashes::evidence& news);
+  /// Tells control hosts where a stream of this router began. Must be called
+  /// again if its caller may take it up longer than told.
+  void RecordStream(const streams::stream_record& record, time_point now) {
+    streams_.Record(record, now);
+  }
+  /// Asks where a stream began, this router's own records first. The answer
+  /// arrives through `OnStreamOrigin`, at the next tick at the earliest.
+  void AskStreamOrigin(stream_key key, time_point now) {
+    streams_.Ask(key, now);
+  }
   [[nodiscard]] state_revision applied_revision() const {
     return applied_revision_;
   }
@@ -69,6 +84,10 @@
   void Handle(const load_report& m, time_point now);
   void Handle(const load_summary& m, time_point now);
   void Handle(const evidence_update& m, time_point now);
+  void Handle(const stream_update& m, time_point now);
+  void Handle(const stream_query& m, time_point now);
+  void Handle(const stream_answer& m, time_point now);
+  void Handle(const unrecognised_message& m, time_point now);
   void ApplyState(state_revision revision,
                   const state_contents& contents,
                   bool current);
@@ -80,6 +99,7 @@
   i_link_port& port_;
   i_router_view& view_;
   link_set links_;
+  stream_client streams_;
   time_point started_;
   time_point next_heartbeat_;
   state_revision applied_revision_;
--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -108,11 +108,17 @@
   void OnMembers(const quorum::membership&) override {}
   void OnState(state_revision, const state_contents&) override {}
   void OnTarget(const targets::announcement&, registry_result) override {}
+  void OnStreamContradiction(const streams::stream_record&) override {
+    ++contradictions;
+  }
+  void OnStreamsDropped(std::uint64_t count) override { dropped += count; }
   void OnError(const error&) override { ++problems; }
 
   quorum::durable_state disk;
   std::deque<quorum::batch_number> stored;
   int problems = 0;
+  int contradictions = 0;
+  std::uint64_t dropped = 0;
 };
 
 struct fake_router_view : i_router_view {
@@ -143,6 +149,19 @@
     return evidence.All(time_point(std::chrono::seconds(100)));
   }
 
+  void OnStreamOrigin(
+      stream_key key,
+      const std::optional<streams::stream_origin>& origin) override {
+    origins[key].push_back(origin);
+  }
+  void OnStreamContradiction(const streams::stream_record&) override {
+    ++contradictions;
+  }
+
+  /// Answers to questions about each stream.
+  std::map<stream_key, std::vector<std::optional<streams::stream_origin>>>
+      origins;
+  int contradictions = 0;
   crashes::evidence_store evidence;
   state_revision applied_revision;
   state_contents state;
--- a/src/control/types/message.h
+++ b/src/control/types/message.h
@@ -1,6 +1,7 @@
 // Messages between control hosts, and between them and routers.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -13,6 +14,7 @@
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "quorum/types/quorum_message.h"
+#include "streams/types/stream_origin.h"
 #include "targets/types/announcement.h"
 
 namespace burdocklock::control {
@@ -91,12 +93,41 @@
   crashes::evidence contents;
 };
 
+/// Streams or keys in one message at most.
+inline constexpr std::size_t kMaxStreamsPerMessage = 1024;
+
+/// From routers: where streams began. Sent again on every new link.
+struct stream_update {
+  std::vector<streams::stream_record> records;
+};
+
+/// From routers: where did these streams begin?
+struct stream_query {
+  std::vector<stream_key> keys;
+};
+
+/// Reply to a query.
+struct stream_answer {
+  std::vector<streams::stream_record> known;
+  /// The sender does not know, which does not mean that nobody does.
+  std::vector<stream_key> unknown;
+};
+
+/// A message of a kind that only later software knows; ignored.
+struct unrecognised_message {
+  std::string kind;
+};
+
 using message = std::variant<introduction,
                              state_update,
                              target_update,
                              quorum_envelope,
                              load_report,
                              load_summary,
-                             evidence_update>;
+                             evidence_update,
+                             stream_update,
+                             stream_query,
+                             stream_answer,
+                             unrecognised_message>;
 
 }  // namespace burdocklock::control
