--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -178,6 +178,8 @@
   static constexpr std::size_t kHosts = 3;
   static constexpr std::size_t kRouters = 2;
 
+  /// Streams that control hosts started from now on remember.
+  std::size_t control_host_capacity = streams::kControlHostCapacity;
   seeded_random random{3};
   fake_network network;
   std::vector<std::unique_ptr<fake_links>> links;
@@ -223,7 +225,8 @@
                         .seeds = Seeds(),
                         .data_centres = {data_centre_id("cheras")},
                         .raft = {.peer_endpoint = LinkEndpoint(i),
-                                 .command_endpoint = CommandEndpoint(i)}},
+                                 .command_endpoint = CommandEndpoint(i)},
+                        .stream_capacity = control_host_capacity},
         ports[i]->disk, random, *links[i], *ports[i], network.now);
   }
   void StartRouter(std::size_t i) {
--- a/src/control/tests/message_codec_unittest.cc
+++ b/src/control/tests/message_codec_unittest.cc
@@ -1,8 +1,16 @@
 // Encoding of messages that routers and control hosts exchange.
 #include "control/message_codec.h"
 
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <rapidcheck/catch.h>
 #include <catch2/catch.hpp>
 
+#include "streams/types/stream_limits.h"
+
 namespace burdocklock::control {
 namespace {
 
@@ -102,5 +110,173 @@
   CHECK(got.error().code == error_code::kMalformed);
 }
 
+streams::stream_record StreamRecord(std::uint64_t key,
+                                    const std::string& version,
+                                    std::chrono::milliseconds remaining) {
+  return {.key = stream_key(key),
+          .origin = {.pool = pool_id("model-pool"),
+                     .version = software_version(version)},
+          .remaining = remaining};
+}
+
+void RequireEqual(const streams::stream_record& a,
+                  const streams::stream_record& b) {
+  CHECK(a.key == b.key);
+  CHECK(a.origin == b.origin);
+  CHECK(a.remaining == b.remaining);
+}
+
+TEST_CASE("streams of two versions: encoded and decoded: the same, in groups") {
+  using std::chrono::milliseconds;
+  const auto got = Decode(Encode(stream_update{
+      .records = {StreamRecord(0xffffffffffffffff, "v1", milliseconds(250)),
+                  StreamRecord(2, "", milliseconds(60'000)),
+                  StreamRecord(3, "v1", milliseconds(0))}}));
+  REQUIRE(got.has_value());
+  const auto& records = std::get<stream_update>(got.value()).records;
+  REQUIRE(records.size() == 3);
+  RequireEqual(records[0],
+               StreamRecord(0xffffffffffffffff, "v1", milliseconds(250)));
+  RequireEqual(records[1], StreamRecord(3, "v1", milliseconds(0)));
+  RequireEqual(records[2], StreamRecord(2, "", milliseconds(60'000)));
+}
+
+TEST_CASE("time that remains to a stream: rounded up, never above the bound") {
+  using std::chrono::milliseconds;
+  const auto sent = [](milliseconds remaining) {
+    const auto got = Decode(
+        Encode(stream_update{.records = {StreamRecord(1, "v", remaining)}}));
+    REQUIRE(got.has_value());
+    return std::get<stream_update>(got.value()).records.at(0).remaining;
+  };
+  CHECK(sent(milliseconds(1)) == milliseconds(250));
+  CHECK(sent(milliseconds(251)) == milliseconds(500));
+  CHECK(sent(milliseconds(-5)) == milliseconds(0));
+  CHECK(sent(milliseconds::min()) == milliseconds(0));
+  CHECK(sent(milliseconds::max()) == streams::kMaxRemaining);
+  // ["r", [["p", "v", h'0000000000000001', h'ff']]]
+  const auto beyond = Decode(std::string(
+      "\x82\x61r\x81\x84\x61p\x61v\x48\0\0\0\0\0\0\0\x01\x41\xff", 20));
+  REQUIRE(beyond.has_value());
+  CHECK(std::get<stream_update>(beyond.value()).records.at(0).remaining ==
+        streams::kMaxRemaining);
+}
+
+TEST_CASE("question about streams and its answer: the same") {
+  const auto query = Decode(
+      Encode(stream_query{.keys = {stream_key(1), stream_key(1ULL << 63)}}));
+  REQUIRE(query.has_value());
+  CHECK(std::get<stream_query>(query.value()).keys ==
+        std::vector{stream_key(1), stream_key(1ULL << 63)});
+  const auto answer = Decode(Encode(
+      stream_answer{.known = {StreamRecord(1, "v1", std::chrono::seconds(7))},
+                    .unknown = {stream_key(9)}}));
+  REQUIRE(answer.has_value());
+  const auto& got = std::get<stream_answer>(answer.value());
+  REQUIRE(got.known.size() == 1);
+  RequireEqual(got.known[0], StreamRecord(1, "v1", std::chrono::seconds(7)));
+  CHECK(got.unknown == std::vector{stream_key(9)});
+}
+
+TEST_CASE("message of a later kind: not an error, and no known message") {
+  // ["zz", 1, {"a": 2}]
+  const auto got = Decode(std::string("\x83\x62zz\x01\xa1\x61\x61\x02"));
+  REQUIRE(got.has_value());
+  CHECK(std::get<unrecognised_message>(got.value()).kind == "zz");
+}
+
+TEST_CASE("streams malformed: refused") {
+  const auto malformed = [](const std::string& bytes) {
+    const auto got = Decode(bytes);
+    return !got.has_value() && got.error().code == error_code::kMalformed;
+  };
+  // ["a", h'00000000000000'], which is 7 bytes
+  CHECK(malformed(std::string("\x82\x61\x61\x47\0\0\0\0\0\0\0", 11)));
+  // ["a", 1], ["a", "text"], ["a"]
+  CHECK(malformed("\x82\x61\x61\x01"));
+  CHECK(malformed("\x82\x61\x61\x64text"));
+  CHECK(malformed("\x81\x61\x61"));
+  // ["r", 1], ["r", {}], ["r", [1]]
+  CHECK(malformed("\x82\x61r\x01"));
+  CHECK(malformed("\x82\x61r\xa0"));
+  CHECK(malformed("\x82\x61r\x81\x01"));
+  // ["r", [["p", "v", h'', h'']]], a group of none
+  CHECK(malformed("\x82\x61r\x81\x84\x61p\x61v\x40\x40"));
+  // ["r", [["p", "v", h'0000000000000001', h'0101']]], two times of one stream
+  CHECK(malformed(std::string(
+      "\x82\x61r\x81\x84\x61p\x61v\x48\0\0\0\0\0\0\0\x01\x42\x01\x01", 21)));
+  // ["r", [["p", 1, h'0000000000000001', h'01']]]
+  CHECK(malformed(std::string(
+      "\x82\x61r\x81\x84\x61p\x01\x48\0\0\0\0\0\0\0\x01\x41\x01", 19)));
+  // ["o", []], no list of unknown ones
+  CHECK(malformed("\x82\x61o\x80"));
+}
+
+TEST_CASE("streams: more than a message may hold, or names too long: refused") {
+  std::vector<streams::stream_record> records;
+  std::vector<stream_key> keys;
+  for (std::uint64_t i = 0; i < kMaxStreamsPerMessage; ++i) {
+    keys.emplace_back(i);
+    records.push_back(
+        StreamRecord(i, "v" + std::to_string(i % 3), std::chrono::seconds(1)));
+  }
+  CHECK(Decode(Encode(stream_query{.keys = keys})).has_value());
+  CHECK(Decode(Encode(stream_update{.records = records})).has_value());
+  keys.emplace_back(7);
+  records.push_back(StreamRecord(7, "v", std::chrono::seconds(1)));
+  CHECK_FALSE(Decode(Encode(stream_query{.keys = keys})).has_value());
+  CHECK_FALSE(Decode(Encode(stream_update{.records = records})).has_value());
+  const std::string longest(streams::kMaxVersionBytes, 'v');
+  const auto named = [](const std::string& version) {
+    return Encode(stream_update{
+        .records = {StreamRecord(1, version, std::chrono::seconds(1))}});
+  };
+  CHECK(Decode(named(longest)).has_value());
+  CHECK_FALSE(Decode(named(longest + "v")).has_value());
+}
+
+TEST_CASE("streams: any bytes: decoding fails or yields what encodes alike") {
+  rc::prop("no byte sequence is read differently the second time", [] {
+    const std::string whole = Encode(
+        stream_answer{.known = {StreamRecord(1, "v1", std::chrono::seconds(7)),
+                                StreamRecord(2, "v2", std::chrono::seconds(8))},
+                      .unknown = {stream_key(9)}});
+    std::string bytes = whole;
+    const int changes = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < changes; ++i) {
+      bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+          static_cast<char>(*rc::gen::arbitrary<std::uint8_t>());
+    }
+    bytes.resize(*rc::gen::weightedOneOf<std::size_t>(
+        {{3, rc::gen::just(bytes.size())},
+         {1, rc::gen::inRange<std::size_t>(0, bytes.size())}}));
+    const auto got = Decode(bytes);
+    if (!got) {
+      return;
+    }
+    const std::string again = Encode(got.value());
+    const auto second = Decode(again);
+    RC_ASSERT(second.has_value());
+    RC_ASSERT(Encode(second.value()) == again);
+  });
+}
+
+TEST_CASE("streams on the wire: bytes of a record alone and among others") {
+  const auto bytes = [](std::size_t count) {
+    stream_update update;
+    for (std::uint64_t i = 0; i < count; ++i) {
+      update.records.push_back(StreamRecord(i * 0x9e3779b97f4a7c15, "v1.1",
+                                            std::chrono::seconds(30)));
+    }
+    return Encode(update).size();
+  };
+  CHECK(bytes(1) == 32);
+  CHECK(bytes(kMaxStreamsPerMessage) == 27 + kMaxStreamsPerMessage * 9);
+  stream_query query;
+  CHECK(Encode(query).size() == 4);
+  query.keys.assign(1, stream_key(7));
+  CHECK(Encode(query).size() == 12);
+}
+
 }  // namespace
 }  // namespace burdocklock::control
