Say why a failed attempt is not retried and why the router cancelled it

A cut that followed a cancellation for silence could not be told from one after a target broke off, nor what denied the retry. attempt_failed now has retry_denied and cancelled_for. No decision changes, except that a request whose time has passed takes no token from the retry budget.

bl_routing lifecycle and router tests pass.

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -104,7 +104,13 @@
       .Add("kind", ToString(effect.kind))
       .Add("step", effect.step)
       .Add("detail", effect.detail)
-      .Add("will_retry", effect.will_retry);
+      .Add("will_retry", !effect.retry_denied);
+  if (effect.retry_denied) {
+    record.Add("retry_denied", ToString(*effect.retry_denied));
+  }
+  if (effect.cancelled_for) {
+    record.Add("cancelled_for", ToString(*effect.cancelled_for));
+  }
   if (effect.target_ended) {
     ++metrics_.Counter("burdocklock_attempts_ended_with_target_total");
     record.Add("target_ended", true)
--- a/src/routing/internal/request_lifecycle.cc
+++ b/src/routing/internal/request_lifecycle.cc
@@ -109,8 +109,7 @@
     phase_ = phase::kDone;
     return step_none{};
   }
-  const bool retry =
-      retry_allowed && WouldRetry(failure) && !TotalTimeoutExpired(now);
+  const bool retry = retry_allowed && !RetryDenied(failure, now);
   const refusal_reason reason = RefusalReasonOf(failure);
   unreached_ += failure.sent ? 0 : 1;
   may_have_run_ |= MayHaveRun(failure);
@@ -135,20 +134,28 @@
   return End(outcome_refused{.reason = reason, .run = RunState()});
 }
 
-bool request_lifecycle::WouldRetry(const attempt_failed& failure) const {
+std::optional<retry_denial> request_lifecycle::RetryDenied(
+    const attempt_failed& failure,
+    time_point now) const {
+  if (ended_ || cancel_is_final_ || TotalTimeoutExpired(now)) {
+    return retry_denial::kEnded;
+  }
   const bool delivered = delivered_ || failure.delivered;
-  if (ended_ || cancel_is_final_ || (delivered && !resumable_)) {
-    return false;
+  const bool ran = may_have_run_ || MayHaveRun(failure);
+  if ((delivered && !resumable_) || (ran && !repeatable_)) {
+    return retry_denial::kNotRepeatable;
+  }
+  if (IsNonRetryable(failure.kind)) {
+    return retry_denial::kSameElsewhere;
   }
   const std::uint32_t possible_runs =
       possible_runs_ + (MayHaveRun(failure) ? 1 : 0);
   const std::uint32_t tries =
       attempt_.value() - unreached_ - (failure.sent ? 0 : 1);
-  if (IsNonRetryable(failure.kind) || possible_runs >= options_.max_attempts ||
-      tries >= options_.max_tries) {
-    return false;
+  if (possible_runs >= options_.max_attempts || tries >= options_.max_tries) {
+    return retry_denial::kNoAttemptLeft;
   }
-  return repeatable_ || !(may_have_run_ || MayHaveRun(failure));
+  return std::nullopt;
 }
 
 lifecycle_step request_lifecycle::OnCallerLeft() {
@@ -260,9 +267,11 @@
   const bool delivers = phase_ == phase::kStreaming ||
                         (delivered_ && phase_ == phase::kAwaitingOutput);
   return resumable_ && delivers &&
-         !WouldRetry({.kind = failure_kind::kCancelled,
+         RetryDenied({.kind = failure_kind::kCancelled,
                       .sent = true,
-                      .delivered = true});
+                      .delivered = true},
+                     phase_started_)
+             .has_value();
 }
 
 time_point request_lifecycle::deadline() const {
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -101,9 +101,12 @@
     return;
   }
   RecordEvidence(*record, event, now);
-  const bool retry_allowed = ConsumeRetry(*record, event, now);
+  const auto* failure = std::get_if<attempt_failed>(&event);
+  const auto denied =
+      failure != nullptr ? ConsumeRetry(*record, *failure, now) : std::nullopt;
+  const auto cancelled_for = record->lifecycle.cancel_reason();
   Account(*record, event, now, out);
-  if (const auto* failure = std::get_if<attempt_failed>(&event)) {
+  if (failure != nullptr) {
     out.emplace_back(
         attempt_failure_report{.request = request,
                                .attempt = attempt,
@@ -111,15 +114,15 @@
                                .kind = failure->kind,
                                .step = failure->step,
                                .detail = failure->detail,
-                               .will_retry = retry_allowed,
+                               .retry_denied = denied,
+                               .cancelled_for = cancelled_for,
                                .shared_parts = record->suspects.shared_parts,
                                .fingerprint = record->spec.fingerprint,
                                .output_began = record->output_began.has_value(),
                                .target_ended = failure->target_ended});
   }
   const bool slot_freed = !record->grant.has_value();
-  Apply(record->lifecycle.OnAttempt(event, retry_allowed, now), *record, now,
-        out);
+  Apply(record->lifecycle.OnAttempt(event, !denied, now), *record, now, out);
   EraseIfDone(request);
   ApplyBlocks(now, out);
   if (slot_freed) {
@@ -127,24 +130,27 @@
   }
 }
 
-bool request_router::ConsumeRetry(const record& record,
-                                  const attempt_event& event,
-                                  time_point now) {
-  const auto* failure = std::get_if<attempt_failed>(&event);
-  if (failure == nullptr || !record.lifecycle.WouldRetry(*failure)) {
-    return false;
+std::optional<retry_denial> request_router::ConsumeRetry(
+    const record& record,
+    const attempt_failed& failure,
+    time_point now) {
+  if (const auto denied = record.lifecycle.RetryDenied(failure, now)) {
+    return denied;
   }
   // No target received anything that a retry would repeat.
-  if (!failure->sent) {
-    return true;
+  if (!failure.sent) {
+    return std::nullopt;
   }
-  if (MayEndNextTarget(record, *failure, now)) {
+  if (MayEndNextTarget(record, failure, now)) {
     ++totals_.retries_withheld;
-    return false;
+    return retry_denial::kMayEndTarget;
+  }
+  if (!RetryBudgetOf(record.spec.pool, now).TryConsume(now)) {
+    ++totals_.retries_denied;
+    return retry_denial::kNoBudget;
   }
-  const bool allowed = RetryBudgetOf(record.spec.pool, now).TryConsume(now);
-  ++(allowed ? totals_.retries : totals_.retries_denied);
-  return allowed;
+  ++totals_.retries;
+  return std::nullopt;
 }
 
 void request_router::OnCallerLeft(request_seq request,
--- a/src/routing/request_lifecycle.h
+++ b/src/routing/request_lifecycle.h
@@ -74,8 +74,11 @@
   /// Ends the request early in any phase.
   lifecycle_step Abort(refusals::refusal_reason reason);
 
-  /// True if the failure would be retried, given sufficient retry budget.
-  [[nodiscard]] bool WouldRetry(const attempt_failed& failure) const;
+  /// Why the failure would not be retried even with sufficient retry budget;
+  /// absent if it would.
+  [[nodiscard]] std::optional<retry_denial> RetryDenied(
+      const attempt_failed& failure,
+      time_point now) const;
 
   [[nodiscard]] bool waiting() const { return phase_ == phase::kQueued; }
   [[nodiscard]] bool ended() const { return ended_; }
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -229,9 +229,10 @@
               time_point now,
               effects& out);
   void CountOutcome(const outcome& result);
-  bool ConsumeRetry(const record& record,
-                    const attempt_event& event,
-                    time_point now);
+  /// Takes a retry of the failed attempt from the budget, or says why not.
+  std::optional<retry_denial> ConsumeRetry(const record& record,
+                                           const attempt_failed& failure,
+                                           time_point now);
   void EraseIfDone(request_seq request);
   /// Divides a pool's known capacity by shares only as far as its targets are
   /// usable.
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -58,6 +58,38 @@
   return "cancelled";
 }
 
+/// Why a failed attempt is not followed by another one.
+enum class retry_denial {
+  /// The request is over: its time has passed or its caller has gone.
+  kEnded,
+  /// Another target would fail in the same way.
+  kSameElsewhere,
+  /// It may have run, and must not run twice or cannot be resumed.
+  kNotRepeatable,
+  kNoAttemptLeft,
+  kNoBudget,
+  /// Another target might end with it.
+  kMayEndTarget,
+};
+
+constexpr const char* ToString(retry_denial denial) {
+  switch (denial) {
+    case retry_denial::kEnded:
+      return "ended";
+    case retry_denial::kSameElsewhere:
+      return "same_elsewhere";
+    case retry_denial::kNotRepeatable:
+      return "not_repeatable";
+    case retry_denial::kNoAttemptLeft:
+      return "no_attempt_left";
+    case retry_denial::kNoBudget:
+      return "no_budget";
+    case retry_denial::kMayEndTarget:
+      return "may_end_target";
+  }
+  return "ended";
+}
+
 /// Token counts that the target reports at the end of a response.
 struct usage {
   std::uint32_t prompt_tokens = 0;
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -93,7 +93,10 @@
   failure_kind kind = failure_kind::kBroken;
   std::string step;
   std::string detail;
-  bool will_retry = false;
+  /// Why it is not retried; absent if it is.
+  std::optional<retry_denial> retry_denied;
+  /// Why the router cancelled the attempt, if it did.
+  std::optional<refusals::refusal_reason> cancelled_for;
   /// Parts of the prompt that other prompts may share.
   std::vector<std::uint64_t> shared_parts;
   std::optional<request_fingerprint> fingerprint;
