Tests, known red: streams that go on at another software version

Callers get a stream of which a first part comes from one software version of a service and the rest from another. Four cases through request_router, in virtual time, fail on; one (no event yet: it may begin anywhere) passes.

--- /dev/null
+++ b/src/routing/tests/stream_version_unittest.cc
@@ -0,0 +1,155 @@
+// Streams go on only at the software version that began them.
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "routing/tests/router_fixture.h"
+
+namespace burdocklock::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct stream_fixture : router_fixture {
+  void AnnounceVersion(const std::string& name,
+                       const std::string& version,
+                       targets::target_state state =
+                           targets::target_state::kReady,
+                       std::uint64_t life = 1) {
+    targets::announcement announcement = Target(name, life, ++at_ms);
+    announcement.version = software_version(version);
+    announcement.state = state;
+    announcement.cold_slots = announcement.slots;
+    Announce(announcement);
+  }
+  request_spec StreamSpec() {
+    return {.id = request_seq(++last_request),
+            .customer = customer_id("c1"),
+            .pool = pool_id("lamp-llm"),
+            .kind = call_kind::kStreamedGeneration,
+            .prompt_tokens = 10,
+            .resumable = true};
+  }
+  void Submit(const request_spec& spec) {
+    effects out;
+    router.OnRequest(spec, now, out);
+    Record(out);
+  }
+  // A stream that has delivered part of its answer.
+  request_seq BeginStream() {
+    const request_spec spec = StreamSpec();
+    Submit(spec);
+    REQUIRE(running.contains(spec.id));
+    Deliver(spec.id);
+    return spec.id;
+  }
+  void Deliver(request_seq id) {
+    Report(id, attempt_sending{});
+    Report(id, attempt_first_output{});
+    running.at(id).delivered = true;
+  }
+  [[nodiscard]] bool Runs(request_seq id) const { return running.contains(id); }
+
+  std::uint64_t at_ms = 1;
+};
+
+TEST_CASE_METHOD(stream_fixture,
+                 "stream breaks off while two software versions serve: it goes "
+                 "on only at the version that began it",
+                 "[.known-red]") {
+  AnnounceVersion("a1", "v1");
+  for (int began = 0; began < 20; ++began) {
+    const request_seq id = BeginStream();
+    const bool at_first = running.at(id).target == target_id("a1");
+    if (began == 0) {
+      REQUIRE(at_first);
+      AnnounceVersion("a2", "v1");
+      for (const char* name : {"b1", "b2", "b3", "b4"}) {
+        AnnounceVersion(name, "v2");
+      }
+    }
+    const char version = running.at(id).target.value()[0];
+    Fail(id, failure_kind::kBroken);
+    if (Runs(id)) {
+      CHECK(running.at(id).target.value()[0] == version);
+      Report(id, attempt_completed{});
+    }
+    now += seconds(20);
+    for (const char* name : {"a1", "a2"}) {
+      AnnounceVersion(name, "v1");
+    }
+    for (const char* name : {"b1", "b2", "b3", "b4"}) {
+      AnnounceVersion(name, "v2");
+    }
+  }
+}
+
+TEST_CASE_METHOD(stream_fixture,
+                 "stream breaks off, its software version is gone: it ends "
+                 "where it is at once",
+                 "[.known-red]") {
+  AnnounceVersion("a", "v1");
+  const request_seq id = BeginStream();
+  AnnounceVersion("b", "v2");
+  AnnounceVersion("a", "v1", targets::target_state::kLeaving);
+  Fail(id, failure_kind::kBroken);
+  CHECK_FALSE(Runs(id));
+  CHECK(end_counts[id] == 1);
+}
+
+TEST_CASE_METHOD(stream_fixture,
+                 "stream waits to go on and its software version leaves: it "
+                 "ends where it is at once",
+                 "[.known-red]") {
+  AnnounceVersion("a1", "v1");
+  const request_seq id = BeginStream();
+  targets::announcement full = Target("a2", 1, ++at_ms);
+  full.version = software_version("v1");
+  full.slots = full.cold_slots = 1;
+  AnnounceVersion("a1", "v1", targets::target_state::kLeaving);
+  Announce(full);
+  const request_seq other = BeginStream();
+  REQUIRE(running.at(other).target == target_id("a2"));
+  AnnounceVersion("b", "v2");
+  Fail(id, failure_kind::kBroken);
+  CHECK_FALSE(Runs(id));
+  CHECK(end_counts[id] == 0);
+  AnnounceVersion("a2", "v1", targets::target_state::kLeaving);
+  CHECK(end_counts[id] == 1);
+}
+
+TEST_CASE_METHOD(stream_fixture,
+                 "target is started again under its id at another software "
+                 "version: a stream that it began does not go on there",
+                 "[.known-red]") {
+  AnnounceVersion("a", "v1");
+  const request_seq id = BeginStream();
+  const bool same_life = GENERATE(false, true);
+  AnnounceVersion("a", "v2", targets::target_state::kReady, same_life ? 1 : 2);
+  Fail(id, failure_kind::kBroken);
+  CHECK_FALSE(Runs(id));
+  CHECK(end_counts[id] == 1);
+  // The grant of the target's earlier version is not counted at the later one.
+  const request_seq next = BeginStream();
+  Report(next, attempt_completed{});
+  CHECK(router.directory().View(now).front().in_flight == 0);
+}
+
+TEST_CASE_METHOD(stream_fixture,
+                 "stream ends before its first event while two software "
+                 "versions serve: it may begin at the other") {
+  AnnounceVersion("a", "v1");
+  const request_spec spec = StreamSpec();
+  Submit(spec);
+  AnnounceVersion("b", "v2");
+  Report(spec.id, attempt_sending{});
+  Fail(spec.id, failure_kind::kBroken);
+  REQUIRE(Runs(spec.id));
+  CHECK(running.at(spec.id).target == target_id("b"));
+}
+
+}  // namespace
+}  // namespace burdocklock::routing
