Targets name the version of their software

Routers could not tell targets of two software versions of one service apart: the version of a heartbeat was not read. It is read now, also from announcements of the own route interface (optional `version`), passed on between daemons, and a changed one is passed on at once. Absent: empty, as in messages of older peers; another type or more than 128 bytes: the entry is malformed.

--- a/src/control/internal/target_registry.cc
+++ b/src/control/internal/target_registry.cc
@@ -28,9 +28,10 @@
   const bool turned_cold =
       update.cold_for.value_or(std::chrono::milliseconds(0)) >
       known.cold_for.value_or(std::chrono::milliseconds(0));
-  return update.life != known.life || update.state != known.state ||
-         update.address != known.address || update.pools != known.pools ||
-         update.slots != known.slots || turned_cold;
+  return update.life != known.life || update.version != known.version ||
+         update.state != known.state || update.address != known.address ||
+         update.pools != known.pools || update.slots != known.slots ||
+         turned_cold;
 }
 
 }  // namespace
--- a/src/targets/internal/announcement_codec.cc
+++ b/src/targets/internal/announcement_codec.cc
@@ -2,6 +2,7 @@
 // encoded as CBOR.
 #include "targets/announcement_codec.h"
 
+#include <cstddef>
 #include <stdexcept>
 
 #include <nlohmann/json.hpp>
@@ -28,7 +29,7 @@
                    static_cast<unsigned>(a.state), a.slots, a.cold_slots,
                    static_cast<unsigned>(a.fencing),
                    a.load ? json(*a.load) : json(), a.sequence,
-                   a.cold_for ? json(a.cold_for->count()) : json()});
+                   a.cold_for ? json(a.cold_for->count()) : json(), a.version});
 }
 void from_json(const json& j, announcement& a) {
   j.at(0).get_to(a.target);
@@ -48,6 +49,11 @@
   if (!j.at(12).is_null()) {
     a.cold_for = std::chrono::milliseconds(j.at(12).get<std::int64_t>());
   }
+  // Older peers leave the version out.
+  constexpr std::size_t kVersionAt = 13;
+  if (j.size() > kVersionAt) {
+    j.at(kVersionAt).get_to(a.version);
+  }
   if (a.pools.empty() || a.slots == 0 || a.cold_slots == 0 ||
       a.cold_slots > a.slots) {
     throw std::out_of_range("announcement");
--- a/src/targets/internal/announcement_parser.cc
+++ b/src/targets/internal/announcement_parser.cc
@@ -1,6 +1,7 @@
 // Parses and validates the JSON announcements that targets send.
 #include "targets/announcement_parser.h"
 
+#include <cstddef>
 #include <limits>
 #include <string>
 #include <utility>
@@ -16,6 +17,7 @@
 using nlohmann::json;
 
 constexpr std::uint32_t kMaxSlots = 1'000'000;
+constexpr std::size_t kMaxVersionLength = 128;
 constexpr std::uint64_t kMaxColdMilliseconds = 24ULL * 3600 * 1000;
 
 target_state ParseState(member_reader& reader) {
@@ -32,6 +34,14 @@
   return target_state::kLeaving;
 }
 
+software_version ParseVersion(member_reader& reader) {
+  std::string version = reader.String("version");
+  if (version.size() > kMaxVersionLength) {
+    reader.Fail("version", "is too long");
+  }
+  return software_version(std::move(version));
+}
+
 fencing_support ParseFencing(member_reader& reader) {
   if (reader.Find("fencing") == nullptr) {
     return fencing_support::kIgnores;
@@ -109,6 +119,9 @@
   }
   out.address = address.value_or(endpoint{});
   out.state = ParseState(reader);
+  if (reader.Find("version") != nullptr) {
+    out.version = ParseVersion(reader);
+  }
   out.slots =
       static_cast<std::uint32_t>(reader.Unsigned("slots", 1, kMaxSlots));
   out.cold_slots =
