Streams go on at the software version that began them, within one answer

Cause: the choice of a target knew no versions. A grant now carries the version of the run that it was given for; with the first event of a resumable stream its pool and version are noted, and every further attempt is restricted to them. If no target of that version is there (left, silent, replaced or refusing connections), the stream ends where it is at once, reason version_gone, and takes nothing from the retry budget; if they are full, it waits as before. A target whose version changes within one life counts as another incarnation, and what was granted before is not counted at it. Targets without versions go on with each other's streams as before.

--- a/src/refusals/internal/refusal.cc
+++ b/src/refusals/internal/refusal.cc
@@ -39,6 +39,8 @@
          "Targets end when they process a part of this prompt."},
         {"request_blocked", 503,
          "Targets end when they run this request, which was repeated."},
+        {"version_gone", 503,
+         "No target of the software version that began this stream serves."},
     }};
 
 const reason_entry& EntryOf(refusal_reason reason) {
--- a/src/refusals/types/refusal.h
+++ b/src/refusals/types/refusal.h
@@ -32,10 +32,12 @@
   kPromptBlocked,
   /// The request ends targets each time it is repeated.
   kRequestBlocked,
+  /// No target of the software version that began the stream is in service.
+  kVersionGone,
 };
 
 inline constexpr refusal_reason kLastRefusalReason =
-    refusal_reason::kRequestBlocked;
+    refusal_reason::kVersionGone;
 
 /// Whether a target may have started executing the request.
 enum class run_state {
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -75,6 +75,7 @@
   if (record.spec.kind != call_kind::kStreamedGeneration) {
     return;
   }
+  NoteOrigin(record);
   if (directory_.ReportFirstOutput(*record.grant, latency)) {
     ReportRamp(record.grant->target, "first_output_late", out);
   }
@@ -84,6 +85,13 @@
   }
 }
 
+void request_router::NoteOrigin(record& record) {
+  if (record.spec.resumable && !record.origin) {
+    record.origin = streams::stream_origin{.pool = record.spec.pool,
+                                           .version = record.grant->version};
+  }
+}
+
 void request_router::OnAttemptCompleted(record& record,
                                         const attempt_completed& completed,
                                         effects& out) {
@@ -120,6 +128,9 @@
     PoolOf(record.spec.pool)
         .shares.OnNotExecuted(record.spec.customer, record.share_cost, now);
   }
+  if (failure.delivered) {
+    NoteOrigin(record);
+  }
   --totals_.in_flight;
   if (failure.head && failure.kind != failure_kind::kOtherTarget) {
     ReportRateLimit(record, *failure.head, out);
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -53,12 +53,17 @@
 }
 
 void request_router::Enqueue(record& record, time_point now, effects& out) {
-  pool_state& state = PoolOf(record.spec.pool);
+  // The record may end with the dispatch.
+  const pool_id pool = record.spec.pool;
+  pool_state& state = PoolOf(pool);
   const request_seq id = record.spec.id;
   state.queue.Push(record.spec.customer, id, now);
+  if (record.origin) {
+    state.waiting_streams.insert(id);
+  }
   ++totals_.waiting;
   ScheduleDeadline(id, record);
-  DispatchPool(state, record.spec.pool, now, out);
+  DispatchPool(state, pool, now, out);
   RefuseForNoTarget(now, out);
 }
 
@@ -73,6 +78,7 @@
                                   time_point now,
                                   effects& out) {
   state.next_dispatch_at = kNever;
+  EndStreamsWithoutVersion(state, now, out);
   if (state.queue.size() == 0) {
     return;
   }
@@ -80,12 +86,14 @@
   while (dispatched && state.queue.size() > 0) {
     no_room_record no_room;
     dispatched = state.queue.TakeNext(now, [&](request_seq request) {
-      const request_spec& spec = Find(request)->spec;
+      const record& record = *Find(request);
+      const request_spec& spec = record.spec;
       if (!no_room.IsWorthTrying(spec)) {
         return false;
       }
       const bool sent = TryDispatch(state, request, now, out);
-      if (!sent) {
+      // That one software version has no room says nothing of the others.
+      if (!sent && !record.origin) {
         no_room.Add(spec);
       }
       return sent;
@@ -94,6 +102,21 @@
   UpdateTargetAvailability(state, pool, now);
 }
 
+void request_router::EndStreamsWithoutVersion(pool_state& state,
+                                              time_point now,
+                                              effects& out) {
+  const std::vector<request_seq> streams(state.waiting_streams.begin(),
+                                         state.waiting_streams.end());
+  for (const request_seq id : streams) {
+    record& record = *Find(id);
+    if (!HasTargetFor(record, now)) {
+      Apply(record.lifecycle.Refuse(refusal_reason::kVersionGone), record, now,
+            out);
+      EraseIfDone(id);
+    }
+  }
+}
+
 bool request_router::TryDispatch(pool_state& state,
                                  request_seq request,
                                  time_point now,
@@ -111,6 +134,7 @@
     return false;
   }
   const bool is_retry = !record.tried_targets.empty();
+  state.waiting_streams.erase(request);
   record.lifecycle.Dispatch(now);
   record.tried_targets.push_back(choice->grant.target);
   record.grant = choice->grant;
@@ -169,13 +193,18 @@
     const record& record,
     bool over_share,
     time_point now) {
+  const auto version =
+      record.origin ? std::optional(record.origin->version) : std::nullopt;
   if (!record.spec.prompt) {
-    return directory_.Choose(record.spec.pool, record.tried_targets, now);
+    return directory_.Choose(record.spec.pool, record.tried_targets, now,
+                             version);
   }
   const targets::placement_constraints constraints{
-      .preferred_only = !over_share && now - record.lifecycle.arrived() <
-                                           CachedTargetWait(record.spec),
-      .spare_capacity_only = over_share};
+      .preferred_only =
+          !over_share && !version &&
+          now - record.lifecycle.arrived() < CachedTargetWait(record.spec),
+      .spare_capacity_only = over_share,
+      .version = version};
   return directory_.ChooseForPrompt(record.spec.pool, record.tried_targets,
                                     *record.spec.prompt, constraints, now);
 }
--- a/src/routing/internal/request_outcome.cc
+++ b/src/routing/internal/request_outcome.cc
@@ -35,9 +35,11 @@
                             time_point now,
                             effects& out) {
   const request_seq id = record.spec.id;
-  if (PoolOf(record.spec.pool).queue.Remove(record.spec.customer, id)) {
+  pool_state& state = PoolOf(record.spec.pool);
+  if (state.queue.Remove(record.spec.customer, id)) {
     --totals_.waiting;
   }
+  state.waiting_streams.erase(id);
   if (record.lifecycle.attempt_running()) {
     out.emplace_back(
         cancel_attempt{.request = id, .attempt = record.lifecycle.attempt()});
@@ -97,6 +99,10 @@
   if (run == run_state::kUnknown && !record.spec.repeatable) {
     return std::nullopt;
   }
+  // A version that is gone does not come back.
+  if (reason == refusal_reason::kVersionGone) {
+    return std::nullopt;
+  }
   if (reason == refusal_reason::kPromptBlocked ||
       reason == refusal_reason::kRequestBlocked) {
     const auto block = BlockedFor(record, now);
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -101,8 +101,9 @@
     return;
   }
   RecordEvidence(*record, event, now);
-  const bool retry_allowed = ConsumeRetry(*record, event, now);
   Account(*record, event, now, out);
+  const bool has_target = HasTargetFor(*record, now);
+  const bool will_retry = has_target && ConsumeRetry(*record, event, now);
   if (const auto* failure = std::get_if<attempt_failed>(&event)) {
     out.emplace_back(
         attempt_failure_report{.request = request,
@@ -111,15 +112,16 @@
                                .kind = failure->kind,
                                .step = failure->step,
                                .detail = failure->detail,
-                               .will_retry = retry_allowed,
+                               .will_retry = will_retry,
                                .shared_parts = record->suspects.shared_parts,
                                .fingerprint = record->spec.fingerprint,
                                .output_began = record->output_began.has_value(),
                                .target_ended = failure->target_ended});
   }
   const bool slot_freed = !record->grant.has_value();
-  Apply(record->lifecycle.OnAttempt(event, retry_allowed, now), *record, now,
-        out);
+  // Without a target the request is queued as well, and ended with the reason.
+  const bool may_queue = will_retry || !has_target;
+  Apply(record->lifecycle.OnAttempt(event, may_queue, now), *record, now, out);
   EraseIfDone(request);
   ApplyBlocks(now, out);
   if (slot_freed) {
@@ -127,6 +129,26 @@
   }
 }
 
+bool request_router::HasTargetFor(const record& record, time_point now) const {
+  // Targets that name no version go on with each other's streams, also later.
+  if (!record.origin || record.origin->version.value().empty()) {
+    return true;
+  }
+  return directory_.HasVersion(record.origin->pool, record.origin->version,
+                               now);
+}
+
+bool request_router::CouldGoOnElsewhere(const record& record,
+                                        time_point now) const {
+  if (record.tried_targets.empty()) {
+    return false;
+  }
+  const auto version =
+      record.origin ? std::optional(record.origin->version) : std::nullopt;
+  return directory_.HasOtherUsable(record.spec.pool,
+                                   record.tried_targets.back(), version, now);
+}
+
 bool request_router::ConsumeRetry(const record& record,
                                   const attempt_event& event,
                                   time_point now) {
@@ -268,7 +290,11 @@
   const auto visitor = [&](const auto& value) {
     using step_type = std::decay_t<decltype(value)>;
     if constexpr (std::is_same_v<step_type, step_retry>) {
-      PoolOf(record.spec.pool).queue.PushFront(record.spec.customer, id, now);
+      pool_state& state = PoolOf(record.spec.pool);
+      state.queue.PushFront(record.spec.customer, id, now);
+      if (record.origin) {
+        state.waiting_streams.insert(id);
+      }
       ++totals_.waiting;
     } else if constexpr (std::is_same_v<step_type, step_cancel_attempt>) {
       out.emplace_back(
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -27,6 +27,7 @@
 #include "routing/types/attempt.h"
 #include "routing/types/effect.h"
 #include "routing/types/request.h"
+#include "streams/types/stream_origin.h"
 #include "targets/target_directory.h"
 
 namespace burdocklock::routing {
@@ -176,6 +177,9 @@
     crashes::request_suspects suspects;
     request_lifecycle lifecycle;
     std::optional<targets::slot_grant> grant;
+    /// Where a resumable stream began; set with its first event. From then on
+    /// it runs only there.
+    std::optional<streams::stream_origin> origin;
     /// Targets of all attempts so far, in order.
     std::vector<target_id> tried_targets;
     /// Prompt cost that was charged for the current attempt.
@@ -201,6 +205,8 @@
         : queue(age_limit), shares(pool) {}
 
     fairness::fair_queue queue;
+    /// Waiting requests that have an origin.
+    std::set<request_seq> waiting_streams;
     admission::share_limiter shares;
     /// Known throughput with all targets, in tokens per second; 0 if unknown.
     double throughput = 0;
@@ -233,6 +239,11 @@
                     const attempt_event& event,
                     time_point now);
   void EraseIfDone(request_seq request);
+  /// Whether a target is there at which the request may run next.
+  [[nodiscard]] bool HasTargetFor(const record& record, time_point now) const;
+  /// Whether a stream that runs at a target could go on at another one now.
+  [[nodiscard]] bool CouldGoOnElsewhere(const record& record,
+                                        time_point now) const;
   /// Divides a pool's known capacity by shares only as far as its targets are
   /// usable.
   void UpdateKnownCapacity(const pool_id& pool,
@@ -250,6 +261,10 @@
                     const pool_id& pool,
                     time_point now,
                     effects& out);
+  /// Ends the waiting streams whose software version is gone.
+  void EndStreamsWithoutVersion(pool_state& state,
+                                time_point now,
+                                effects& out);
   bool TryDispatch(pool_state& state,
                    request_seq request,
                    time_point now,
@@ -296,6 +311,8 @@
                        const answer_head& head,
                        effects& out);
   void OnFirstOutput(record& record, time_point now, effects& out);
+  /// Notes where a resumable stream began, if that is not known yet.
+  static void NoteOrigin(record& record);
   void OnAttemptCompleted(record& record,
                           const attempt_completed& completed,
                           effects& out);
--- a/src/routing/tests/stream_version_unittest.cc
+++ b/src/routing/tests/stream_version_unittest.cc
@@ -14,11 +14,11 @@
 using std::chrono::seconds;
 
 struct stream_fixture : router_fixture {
-  void AnnounceVersion(const std::string& name,
-                       const std::string& version,
-                       targets::target_state state =
-                           targets::target_state::kReady,
-                       std::uint64_t life = 1) {
+  void AnnounceVersion(
+      const std::string& name,
+      const std::string& version,
+      targets::target_state state = targets::target_state::kReady,
+      std::uint64_t life = 1) {
     targets::announcement announcement = Target(name, life, ++at_ms);
     announcement.version = software_version(version);
     announcement.state = state;
@@ -58,8 +58,7 @@
 
 TEST_CASE_METHOD(stream_fixture,
                  "stream breaks off while two software versions serve: it goes "
-                 "on only at the version that began it",
-                 "[.known-red]") {
+                 "on only at the version that began it") {
   AnnounceVersion("a1", "v1");
   for (int began = 0; began < 20; ++began) {
     const request_seq id = BeginStream();
@@ -89,8 +88,7 @@
 
 TEST_CASE_METHOD(stream_fixture,
                  "stream breaks off, its software version is gone: it ends "
-                 "where it is at once",
-                 "[.known-red]") {
+                 "where it is at once") {
   AnnounceVersion("a", "v1");
   const request_seq id = BeginStream();
   AnnounceVersion("b", "v2");
@@ -102,8 +100,7 @@
 
 TEST_CASE_METHOD(stream_fixture,
                  "stream waits to go on and its software version leaves: it "
-                 "ends where it is at once",
-                 "[.known-red]") {
+                 "ends where it is at once") {
   AnnounceVersion("a1", "v1");
   const request_seq id = BeginStream();
   targets::announcement full = Target("a2", 1, ++at_ms);
@@ -123,8 +120,7 @@
 
 TEST_CASE_METHOD(stream_fixture,
                  "target is started again under its id at another software "
-                 "version: a stream that it began does not go on there",
-                 "[.known-red]") {
+                 "version: a stream that it began does not go on there") {
   AnnounceVersion("a", "v1");
   const request_seq id = BeginStream();
   const bool same_life = GENERATE(false, true);
--- a/src/targets/internal/prompt_placement.cc
+++ b/src/targets/internal/prompt_placement.cc
@@ -64,9 +64,9 @@
     const pool_id& pool,
     const std::vector<target_id>& excluded,
     const prompt& prompt,
-    placement_constraints constraints,
+    const placement_constraints& constraints,
     time_point now) {
-  candidates found = Candidates(pool, excluded, now);
+  candidates found = Candidates(pool, excluded, constraints.version, now);
   std::vector<entry*>& all = found.local;
   all.insert(all.end(), found.remote.begin(), found.remote.end());
   if (all.empty()) {
@@ -222,11 +222,12 @@
   return std::min(held, prompt.input_tokens);
 }
 
-bool target_directory::HasProcessingRoom(const entry& entry,
-                                         std::uint32_t unread,
-                                         placement_constraints constraints,
-                                         const pool_competition& competition,
-                                         double claimed) const {
+bool target_directory::HasProcessingRoom(
+    const entry& entry,
+    std::uint32_t unread,
+    const placement_constraints& constraints,
+    const pool_competition& competition,
+    double claimed) const {
   const double limit = entry.tokens_per_ms * kMaxBacklogMs;
   const auto own = static_cast<double>(entry.unread_tokens);
   const auto others = static_cast<double>(entry.remote_unread_tokens);
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -30,6 +30,7 @@
 target_directory::candidates target_directory::Candidates(
     const pool_id& pool,
     const std::vector<target_id>& excluded,
+    const std::optional<software_version>& version,
     time_point now) {
   candidates found;
   const auto pool_entries = by_pool_.find(pool);
@@ -39,7 +40,8 @@
   const pool_competition& competition = CompetitionFor(pool);
   bool other_usable = false;
   for (entry* candidate : pool_entries->second) {
-    if (!IsUsable(*candidate, now)) {
+    if (!IsUsable(*candidate, now) ||
+        (version && candidate->announced.version != *version)) {
       continue;
     }
     const bool is_excluded =
@@ -66,8 +68,9 @@
 std::optional<choice> target_directory::Choose(
     const pool_id& pool,
     const std::vector<target_id>& excluded,
-    time_point now) {
-  const candidates found = Candidates(pool, excluded, now);
+    time_point now,
+    const std::optional<software_version>& version) {
+  const candidates found = Candidates(pool, excluded, version, now);
   std::vector<target_id> considered;
   for (const auto* group : {&found.local, &found.remote, &found.last_resort}) {
     if (entry* picked = PickAmong(*group, considered)) {
@@ -87,6 +90,7 @@
   picked.rate_limit.OnSent(rate_fraction_ * picked.rate_share, now);
   return {.grant = {.target = picked.announced.target,
                     .life = picked.announced.life,
+                    .version = picked.announced.version,
                     .address = picked.announced.address,
                     .epoch = picked.ramp.epoch(),
                     .data_centre = picked.announced.data_centre,
@@ -253,13 +257,13 @@
 }
 
 void target_directory::MarkReplaced(const slot_grant& grant) {
-  if (entry* known = Find(grant.target, grant.life)) {
+  if (entry* known = Find(grant)) {
     known->replaced = true;
   }
 }
 
 void target_directory::MarkUnreachable(const slot_grant& grant) {
-  if (entry* known = Find(grant.target, grant.life)) {
+  if (entry* known = Find(grant)) {
     known->unreachable = true;
   }
 }
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -20,7 +20,8 @@
                                options_.ramp),
         .last_heard = now,
         .heard_since = now,
-        .rate_share = RateShare(announcement.target, options_.self, routers_)};
+        .rate_share = RateShare(announcement.target, options_.self, routers_),
+        .first_grant = last_grant_ + 1};
     const auto [added, inserted] =
         entries_.emplace(announcement.target, std::move(fresh));
     IndexPools(added->second);
@@ -32,8 +33,8 @@
   if (IsStale(known, announcement)) {
     return announce_result::kStale;
   }
-  const bool new_life = announcement.life > known.announced.life;
-  if (new_life) {
+  const bool other_run = IsOtherRun(known.announced, announcement);
+  if (other_run) {
     Replace(known, announcement);
   } else {
     Refresh(known, announcement);
@@ -46,8 +47,8 @@
   known.silence_reported = false;
   known.unreachable = false;
   next_deadline_ = std::min(next_deadline_, now + options_.silence);
-  return new_life ? announce_result::kNewIncarnation
-                  : announce_result::kUpdated;
+  return other_run ? announce_result::kNewIncarnation
+                   : announce_result::kUpdated;
 }
 
 bool target_directory::IsStale(const entry& known,
@@ -66,6 +67,15 @@
          announcement.state != target_state::kLeaving;
 }
 
+bool target_directory::IsOtherRun(const announcement& known,
+                                  const announcement& update) {
+  // Older peers leave the version out of the announcements that they pass on.
+  const bool other_version = !known.version.value().empty() &&
+                             !update.version.value().empty() &&
+                             known.version != update.version;
+  return update.life != known.life || other_version;
+}
+
 void target_directory::Replace(entry& known, const announcement& announcement) {
   UnindexPools(known);
   known.announced = announcement;
@@ -79,15 +89,24 @@
   known.cold_until = {};
   known.rate_limit = {};
   known.replaced = false;
+  known.first_grant = last_grant_ + 1;
   IndexPools(known);
 }
 
+void target_directory::Adopt(entry& known, const announcement& announcement) {
+  software_version version = known.announced.version;
+  known.announced = announcement;
+  if (announcement.version.value().empty()) {
+    known.announced.version = std::move(version);
+  }
+}
+
 void target_directory::Refresh(entry& known, const announcement& announcement) {
   const bool started = known.announced.state != target_state::kReady &&
                        announcement.state == target_state::kReady;
   const bool was_warm = known.ramp.phase() == ramp_phase::kWarm;
   UnindexPools(known);
-  known.announced = announcement;
+  Adopt(known, announcement);
   known.ramp.Resize(announcement.slots, announcement.cold_slots);
   if (was_warm) {
     known.ramp.RaiseTo(announcement.slots);
@@ -179,7 +198,7 @@
 
 bool target_directory::ReportFirstOutput(const slot_grant& grant,
                                          duration latency) {
-  entry* known = Find(grant.target, grant.life);
+  entry* known = Find(grant);
   if (known == nullptr) {
     return false;
   }
@@ -201,7 +220,7 @@
 }
 
 bool target_directory::ReleaseSucceeded(const slot_grant& grant) {
-  entry* known = Find(grant.target, grant.life);
+  entry* known = Find(grant);
   if (known == nullptr) {
     return false;
   }
@@ -215,7 +234,7 @@
 }
 
 void target_directory::ReleaseFailed(const slot_grant& grant, time_point now) {
-  entry* known = Find(grant.target, grant.life);
+  entry* known = Find(grant);
   if (known == nullptr) {
     return;
   }
@@ -233,7 +252,7 @@
 }
 
 void target_directory::ReleaseNeutral(const slot_grant& grant) {
-  if (entry* known = Find(grant.target, grant.life)) {
+  if (entry* known = Find(grant)) {
     --known->in_flight;
     RemoveUnread(*known, grant.number);
     revoked_slot_freed_ |=
@@ -328,6 +347,34 @@
   return found == entries_.end() ? ramp_epoch() : found->second.ramp.epoch();
 }
 
+bool target_directory::HasVersion(const pool_id& pool,
+                                  const software_version& version,
+                                  time_point now) const {
+  const auto found = by_pool_.find(pool);
+  return found != by_pool_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const entry* entry) {
+                       return entry->announced.version == version &&
+                              IsPresent(*entry, now);
+                     });
+}
+
+bool target_directory::HasOtherUsable(
+    const pool_id& pool,
+    const target_id& current,
+    const std::optional<software_version>& version,
+    time_point now) const {
+  const auto found = by_pool_.find(pool);
+  return found != by_pool_.end() &&
+         std::any_of(
+             found->second.begin(), found->second.end(),
+             [&](const entry* entry) {
+               return entry->announced.target != current &&
+                      (!version || entry->announced.version == *version) &&
+                      IsUsable(*entry, now);
+             });
+}
+
 bool target_directory::HasUsable(const pool_id& pool, time_point now) const {
   if (options_.leased) {
     const auto found = capacity_.find(pool);
@@ -400,17 +447,23 @@
   return found->second.ramp.limit();
 }
 
-bool target_directory::IsUsable(const entry& entry, time_point now) const {
-  const bool is_available =
+bool target_directory::IsPresent(const entry& entry, time_point now) const {
+  const bool is_heard =
       options_.leased
-          ? entry.lease_limit > 0 && now < entry.lease_until
-          : now - entry.last_heard < options_.silence &&
-                entry.ramp.paused_until() <= now && !entry.unreachable;
-  return is_available && !entry.replaced &&
-         entry.announced.state == target_state::kReady &&
+          ? now < entry.lease_until
+          : now - entry.last_heard < options_.silence && !entry.unreachable;
+  return is_heard && !entry.replaced &&
+         entry.announced.state != target_state::kLeaving &&
          !IsDataCentreOut(entry.announced.data_centre);
 }
 
+bool target_directory::IsUsable(const entry& entry, time_point now) const {
+  const bool is_available = options_.leased ? entry.lease_limit > 0
+                                            : entry.ramp.paused_until() <= now;
+  return is_available && entry.announced.state == target_state::kReady &&
+         IsPresent(entry, now);
+}
+
 std::uint32_t target_directory::LimitOf(const entry& entry) const {
   return options_.leased ? entry.lease_limit : entry.ramp.limit();
 }
@@ -435,6 +488,12 @@
   return &found->second;
 }
 
+target_directory::entry* target_directory::Find(const slot_grant& grant) {
+  entry* known = Find(grant.target, grant.life);
+  return known != nullptr && grant.number >= known->first_grant ? known
+                                                                : nullptr;
+}
+
 void target_directory::IndexPools(entry& entry) {
   for (const pool_id& pool : entry.announced.pools) {
     by_pool_[pool].push_back(&entry);
--- a/src/targets/internal/target_leases.cc
+++ b/src/targets/internal/target_leases.cc
@@ -20,14 +20,14 @@
     if (known == entries_.end()) {
       Announce(lease.target, now);
       known = entries_.find(lease.target.target);
-    } else if (known->second.announced.life < lease.target.life) {
+    } else if (lease.target.life < known->second.announced.life) {
+      continue;
+    } else if (IsOtherRun(known->second.announced, lease.target)) {
       Replace(known->second, lease.target);
-    } else if (known->second.announced.life == lease.target.life) {
+    } else {
       UnindexPools(known->second);
-      known->second.announced = lease.target;
+      Adopt(known->second, lease.target);
       IndexPools(known->second);
-    } else {
-      continue;
     }
     entry& entry = known->second;
     entry.last_heard = now;
--- a/src/targets/internal/target_rates.cc
+++ b/src/targets/internal/target_rates.cc
@@ -8,7 +8,7 @@
 bool target_directory::ReportRateLimit(const slot_grant& grant,
                                        std::optional<double> per_second,
                                        time_point received) {
-  entry* known = Find(grant.target, grant.life);
+  entry* known = Find(grant);
   return known != nullptr && known->rate_limit.OnAnswer(per_second, received);
 }
 
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -96,18 +96,21 @@
   /// Selects a target of the pool that has a free slot: the less loaded of two
   /// random targets in the local data centre, else of two in other data
   /// centres. Targets in `excluded` are used only if no other target of the
-  /// pool is usable.
-  std::optional<choice> Choose(const pool_id& pool,
-                               const std::vector<target_id>& excluded,
-                               time_point now);
+  /// pool is usable. With a version, other targets do not count.
+  std::optional<choice> Choose(
+      const pool_id& pool,
+      const std::vector<target_id>& excluded,
+      time_point now,
+      const std::optional<software_version>& version = std::nullopt);
   /// As above for a generation: selects the target with the shortest expected
   /// time to first output, given its backlog of prompts and the parts that it
   /// has cached.
-  std::optional<choice> ChooseForPrompt(const pool_id& pool,
-                                        const std::vector<target_id>& excluded,
-                                        const prompt& prompt,
-                                        placement_constraints constraints,
-                                        time_point now);
+  std::optional<choice> ChooseForPrompt(
+      const pool_id& pool,
+      const std::vector<target_id>& excluded,
+      const prompt& prompt,
+      const placement_constraints& constraints,
+      time_point now);
   /// Sets the limits for cold targets of the pool.
   void SetColdLimits(const pool_id& pool, const cold_limits& terms);
   /// Sets the KV cache size of targets of the pool, in tokens.
@@ -224,6 +227,18 @@
   [[nodiscard]] time_point HeardSince(const target_id& target) const;
   [[nodiscard]] ramp_epoch RampEpoch(const target_id& target) const;
 
+  /// Returns whether the pool has a target of this software version that can
+  /// take requests, now or later: it has neither left nor fallen silent.
+  [[nodiscard]] bool HasVersion(const pool_id& pool,
+                                const software_version& version,
+                                time_point now) const;
+  /// Returns whether the pool has a usable target other than `current`, of this
+  /// software version if one is given.
+  [[nodiscard]] bool HasOtherUsable(
+      const pool_id& pool,
+      const target_id& current,
+      const std::optional<software_version>& version,
+      time_point now) const;
   /// Returns whether the pool has a target that can take requests, now or once
   /// a slot is released.
   [[nodiscard]] bool HasUsable(const pool_id& pool, time_point now) const;
@@ -280,6 +295,8 @@
     bool replaced = false;
     /// Its address has refused a connection since the last announcement.
     bool unreachable = false;
+    /// Grants with lower numbers belong to an earlier incarnation or version.
+    std::uint64_t first_grant = 0;
   };
   /// Initial value, typical of current engines; adjusted by measurements.
   static constexpr double kDefaultTokensPerMs = 55;
@@ -290,9 +307,11 @@
     std::vector<entry*> last_resort;
   };
 
-  [[nodiscard]] candidates Candidates(const pool_id& pool,
-                                      const std::vector<target_id>& excluded,
-                                      time_point now);
+  [[nodiscard]] candidates Candidates(
+      const pool_id& pool,
+      const std::vector<target_id>& excluded,
+      const std::optional<software_version>& version,
+      time_point now);
   /// Evaluation of sending a prompt to one target.
   struct placement {
     entry* target = nullptr;
@@ -340,7 +359,7 @@
       const std::vector<const target_directory::entry*>& preferred);
   [[nodiscard]] bool HasProcessingRoom(const entry& entry,
                                        std::uint32_t unread,
-                                       placement_constraints constraints,
+                                       const placement_constraints& constraints,
                                        const pool_competition& competition,
                                        double claimed) const;
   [[nodiscard]] const pool_competition& CompetitionFor(
@@ -365,6 +384,9 @@
   void ApplyColdPeriod(entry& entry, time_point now);
   void RemoveUnread(entry& entry, std::uint64_t grant);
 
+  /// Whether the target is known to be there, although it may be starting or
+  /// paused.
+  [[nodiscard]] bool IsPresent(const entry& entry, time_point now) const;
   [[nodiscard]] bool IsUsable(const entry& entry, time_point now) const;
   [[nodiscard]] std::uint32_t UsableTargets(const pool_id& pool,
                                             time_point now) const;
@@ -380,11 +402,18 @@
   entry* PickAmong(const std::vector<entry*>& candidates,
                    std::vector<target_id>& considered);
   entry* Find(const target_id& target, incarnation life);
+  /// Returns nullptr if the target has been replaced since the grant.
+  entry* Find(const slot_grant& grant);
   void IndexPools(entry& entry);
   void UnindexPools(entry& entry);
   bool IsStale(const entry& known, const announcement& announcement) const;
+  /// Whether the announcement, which is not stale, is of another run of the
+  /// target's software than the known one.
+  static bool IsOtherRun(const announcement& known, const announcement& update);
   void Replace(entry& known, const announcement& announcement);
   void Refresh(entry& known, const announcement& announcement);
+  /// Takes over what a further announcement of the same run says.
+  static void Adopt(entry& known, const announcement& announcement);
   [[nodiscard]] time_point NextDeadlineOf(const entry& entry,
                                           time_point now) const;
 
--- a/src/targets/types/placement.h
+++ b/src/targets/types/placement.h
@@ -15,6 +15,7 @@
 struct slot_grant {
   target_id target;
   incarnation life;
+  software_version version = {};
   endpoint address;
   ramp_epoch epoch;
   data_centre_id data_centre;
@@ -43,6 +44,8 @@
   bool preferred_only = false;
   /// Only targets with a small backlog of unread prompt tokens.
   bool spare_capacity_only = false;
+  /// Only targets of this software version, for a stream that began there.
+  std::optional<software_version> version = std::nullopt;
 };
 
 struct choice {
