--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -102,11 +102,12 @@
     return;
   }
   RecordEvidence(*record, event, now);
+  const auto cancelled_for = record->lifecycle.cancel_reason();
+  Account(*record, event, now, out);
+  const bool has_target = HasTargetFor(*record, now);
   const auto* failure = std::get_if<attempt_failed>(&event);
   const auto denied =
       failure != nullptr ? ConsumeRetry(*record, *failure, now) : std::nullopt;
-  const auto cancelled_for = record->lifecycle.cancel_reason();
-  Account(*record, event, now, out);
   if (failure != nullptr) {
     out.emplace_back(
         attempt_failure_report{.request = request,
@@ -123,7 +124,9 @@
                                .target_ended = failure->target_ended});
   }
   const bool slot_freed = !record->grant.has_value();
-  Apply(record->lifecycle.OnAttempt(event, !denied, now), *record, now, out);
+  // Without a target the request is queued as well, and ended with the reason.
+  const bool may_queue = !denied || !has_target;
+  Apply(record->lifecycle.OnAttempt(event, may_queue, now), *record, now, out);
   EraseIfDone(request);
   ApplyBlocks(now, out);
   if (slot_freed) {
@@ -131,13 +134,31 @@
   }
 }
 
+bool request_router::HasTargetFor(const record& record, time_point now) const {
+  // Targets that name no version go on with each other's streams, also later.
+  if (!record.origin || record.origin->version.value().empty()) {
+    return true;
+  }
+  return directory_.HasVersion(record.origin->pool, record.origin->version,
+                               now);
+}
+
+std::optional<software_version> request_router::RequiredVersion(
+    const record& record) {
+  return record.origin ? std::optional(record.origin->version) : std::nullopt;
+}
+
 std::optional<retry_denial> request_router::ConsumeRetry(
-    const record& record,
+    record& record,
     const attempt_failed& failure,
     time_point now) {
   if (const auto denied = record.lifecycle.RetryDenied(failure, now)) {
     return denied;
   }
+  if (!HasTargetFor(record, now)) {
+    ReleaseContinuation(record);
+    return retry_denial::kVersionGone;
+  }
   // No target received anything that a retry would repeat.
   if (!failure.sent) {
     return std::nullopt;
@@ -292,11 +313,15 @@
   const auto visitor = [&](const auto& value) {
     using step_type = std::decay_t<decltype(value)>;
     if constexpr (std::is_same_v<step_type, step_retry>) {
+      pool_state& state = PoolOf(record.spec.pool);
       if (record.continuation) {
         Start(record, *std::exchange(record.continuation, std::nullopt),
               IsOverShare(record, now), now, out);
       } else {
-        PoolOf(record.spec.pool).queue.PushFront(record.spec.customer, id, now);
+        state.queue.PushFront(record.spec.customer, id, now);
+        if (record.origin) {
+          state.waiting_streams.insert(id);
+        }
         ++totals_.waiting;
       }
     } else if constexpr (std::is_same_v<step_type, step_cancel_attempt>) {
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -70,6 +70,8 @@
   kNoBudget,
   /// Another target might end with it.
   kMayEndTarget,
+  /// No target of the software version that began the stream serves.
+  kVersionGone,
 };
 
 constexpr const char* ToString(retry_denial denial) {
@@ -84,6 +86,8 @@
       return "no_attempt_left";
     case retry_denial::kNoBudget:
       return "no_budget";
+    case retry_denial::kVersionGone:
+      return "version_gone";
     case retry_denial::kMayEndTarget:
       return "may_end_target";
   }
