Prompt parts are copied only between targets of one software version

What two versions keep of a prompt does not fit together; a target was told to copy parts from any holder of its pool. Holders are now kept by version, and the source of a copy is of the candidate's. The new case fails if a source of any version is taken (that line changed back in the built tree) and passes as committed.

--- a/src/targets/internal/prompt_placement.cc
+++ b/src/targets/internal/prompt_placement.cc
@@ -74,10 +74,9 @@
   }
   const std::vector<const entry*> preferred =
       PreferredTargets(pool, SharedKey(prompt), now);
-  const best_holders holders = BestHolders(pool, prompt, now);
+  const pool_holders holders = BestHolders(pool, prompt, now);
   const bool only_preferred = constraints.preferred_only &&
-                              !preferred.empty() &&
-                              holders[0].target == nullptr &&
+                              !preferred.empty() && holders.empty() &&
                               SharedTokens(prompt) >= kMinTokensWorthWaiting;
   const pool_competition& competition = CompetitionFor(pool);
   const double claimed = constraints.spare_capacity_only
@@ -115,12 +114,20 @@
     entry& candidate,
     const prompt& prompt,
     const std::vector<const entry*>& preferred,
-    const best_holders& holders) const {
+    const pool_holders& holders) const {
   const std::uint32_t held = EstimateCachedTokens(candidate, prompt, preferred);
   placement placed{.target = &candidate, .unread = prompt.input_tokens - held};
   double copy_cost = 0;
-  const prefix_holder& other =
-      holders[0].target != &candidate ? holders[0] : holders[1];
+  const auto same_version = std::find_if(
+      holders.begin(), holders.end(), [&](const version_holders& known) {
+        return *known.version == candidate.announced.version;
+      });
+  if (same_version == holders.end()) {
+    placed.cost = PlacementCost(candidate, placed.unread);
+    return placed;
+  }
+  const best_holders& best = same_version->best;
+  const prefix_holder& other = best[0].target != &candidate ? best[0] : best[1];
   // The source is set even if no copy should be needed, because the contents of
   // the target's cache are only estimated.
   placed.source = other.target;
@@ -133,14 +140,14 @@
   return placed;
 }
 
-target_directory::best_holders target_directory::BestHolders(
+target_directory::pool_holders target_directory::BestHolders(
     const pool_id& pool,
     const prompt& prompt,
     time_point now) const {
-  best_holders best;
+  pool_holders holders;
   const auto entries = by_pool_.find(pool);
   if (entries == by_pool_.end() || !copying_pools_.contains(pool)) {
-    return best;
+    return holders;
   }
   for (const entry* entry : entries->second) {
     // Callers may declare parts that are longer than the prompt.
@@ -151,13 +158,22 @@
     if (held.tokens < kMinCopiedTokens || !IsUsable(*entry, now)) {
       continue;
     }
+    const software_version& version = entry->announced.version;
+    auto same_version = std::find_if(holders.begin(), holders.end(),
+                                     [&](const version_holders& known) {
+                                       return *known.version == version;
+                                     });
+    if (same_version == holders.end()) {
+      same_version = holders.insert(holders.end(), {.version = &version});
+    }
+    best_holders& best = same_version->best;
     if (held.tokens > best[0].tokens) {
       best[1] = std::exchange(best[0], held);
     } else if (held.tokens > best[1].tokens) {
       best[1] = held;
     }
   }
-  return best;
+  return holders;
 }
 
 choice target_directory::GrantPlacement(const placement& best,
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -331,16 +331,23 @@
   /// The two targets with the most of a prompt cached. Two, because one of them
   /// may be the candidate itself.
   using best_holders = std::array<prefix_holder, 2>;
+  /// What targets of different software versions have cached does not fit
+  /// together.
+  struct version_holders {
+    const software_version* version = nullptr;
+    best_holders best;
+  };
+  using pool_holders = std::vector<version_holders>;
 
   [[nodiscard]] placement EvaluatePlacement(
       entry& candidate,
       const prompt& prompt,
       const std::vector<const entry*>& preferred,
-      const best_holders& holders) const;
-  /// Returns the usable targets that have processed most of the prompt, judging
-  /// by what this router sent them; none if targets of the pool do not copy
-  /// from each other.
-  [[nodiscard]] best_holders BestHolders(const pool_id& pool,
+      const pool_holders& holders) const;
+  /// Returns, for each software version, the usable targets that have processed
+  /// most of the prompt, judging by what this router sent them; none if targets
+  /// of the pool do not copy from each other.
+  [[nodiscard]] pool_holders BestHolders(const pool_id& pool,
                                          const prompt& prompt,
                                          time_point now) const;
   choice GrantPlacement(const placement& best,
--- a/src/targets/tests/prompt_placement_unittest.cc
+++ b/src/targets/tests/prompt_placement_unittest.cc
@@ -245,6 +245,40 @@
   CHECK(second->unread_tokens <= 100);
 }
 
+TEST_CASE(
+    "copying: the holder is of another software version: nothing is "
+    "copied from it") {
+  prompt_fixture fixture;
+  target_directory& directory = fixture.directory;
+  directory.SetCacheCapacity(pool_id("llm"), 500'000);
+  directory.SetPrefixCopying(pool_id("llm"), true);
+  const auto announce = [&](const char* name, const char* version) {
+    directory.Announce({.target = target_id(name),
+                        .life = incarnation(1),
+                        .data_centre = data_centre_id("cheras"),
+                        .pools = {pool_id("llm")},
+                        .state = target_state::kReady,
+                        .version = software_version(version),
+                        .slots = 64,
+                        .cold_slots = 64,
+                        .sequence = 1},
+                       fixture.now);
+  };
+  announce("a", "v1");
+  const auto first = fixture.Choose(prompt_fixture::Prompt(7, 500));
+  REQUIRE(first.has_value());
+  directory.ReportFirstOutput(first->grant, milliseconds(50));
+  directory.ReleaseSucceeded(first->grant);
+  const bool same_version = GENERATE(false, true);
+  announce("b", same_version ? "v1" : "v2");
+  directory.SetRemoteLoad({{.target = target_id("a"), .unread_tokens = 40'000}},
+                          fixture.now);
+  const auto second = fixture.Choose(prompt_fixture::Prompt(7, 500));
+  REQUIRE(second.has_value());
+  CHECK(second->grant.target == target_id("b"));
+  CHECK(second->copy_from.has_value() == same_version);
+}
+
 TEST_CASE_METHOD(copying_fixture,
                  "copying: output has not begun: no source yet") {
   const auto first = Choose(Prompt(7, 500));
