A stream that its caller takes up goes on only where it began

A taken-up request now names its stream; the router looks up where it began among the streams that began here (32,768, each until its time limit and 30 s have passed) and otherwise asks (ask_stream_origin). It holds the request, in no queue, for at most 300 ms. It goes on only at the pool and version of the origin; refused as not run, each with a reason of its own: origin unknown, not answered in time (the only one with Retry-After), version gone, service no longer of the route. The first event of a resumable stream emits stream_began, never before, so that a record never changes. Until routers can ask, the answer is that nobody knows.

Not guessed, also while one version is known. Only where targets of the route's one service name no version at all does a stream of unknown origin go on, at such targets.

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -32,6 +32,28 @@
   return names;
 }
 
+const char* SourceName(routing::origin_source source) {
+  switch (source) {
+    case routing::origin_source::kThisRouter:
+      return "known_here";
+    case routing::origin_source::kFleet:
+      return "asked";
+    case routing::origin_source::kNoVersions:
+      return "no_versions";
+  }
+  return "no_versions";
+}
+
+// Whether a stream that its caller took up went on, and else why not.
+const char* TakeUpResult(const routing::request_ended& ended) {
+  if (ended.first_output) {
+    return "went_on";
+  }
+  const auto* refused = std::get_if<routing::outcome_refused>(&ended.result);
+  return refused != nullptr ? ToString(refused->reason)
+                            : OutcomeName(ended.result);
+}
+
 log_level AnnouncementLevel(targets::announce_result result) {
   return result == targets::announce_result::kUpdated ? log_level::kDebug
                                                       : log_level::kInfo;
@@ -78,6 +100,7 @@
       .Add("pool", effect.pool.value())
       .Add("attempt", effect.attempt.value())
       .Add("target", effect.target.value())
+      .Add("version", effect.version.value())
       .Add("considered", Names(effect.considered))
       .Add("reason", is_retry ? "retry" : "least_loaded")
       .Add("waited_ms", ToMilliseconds(effect.waited));
@@ -86,6 +109,9 @@
         .Add("tokens_before", effect.tokens_before)
         .Add("over_share", effect.over_share);
   }
+  if (effect.taken_up_from) {
+    record.Add("taken_up", SourceName(*effect.taken_up_from));
+  }
   if (effect.copy_from) {
     record.Add("copied_tokens", effect.copied_tokens)
         .Add("copy_from", ToString(*effect.copy_from));
@@ -132,6 +158,11 @@
       .Add("attempts", effect.attempts.value())
       .Add("target", effect.target.value())
       .Add("total_ms", ToMilliseconds(effect.total));
+  if (effect.taken_up) {
+    record.Add("taken_up", true);
+    ++metrics_.Counter("burdocklock_streams_taken_up_total",
+                       {{"result", TakeUpResult(effect)}});
+  }
   if (effect.first_output) {
     record.Add("first_output_ms", ToMilliseconds(*effect.first_output));
   }
@@ -190,6 +221,20 @@
   logger_.Log(record);
 }
 
+void control_loop::Perform(const routing::stream_began& effect, time_point) {
+  if (!effect.taken_up) {
+    ++metrics_.Counter("burdocklock_streams_begun_total");
+  }
+}
+
+void control_loop::Perform(const routing::ask_stream_origin& effect,
+                           time_point now) {
+  // Nobody else is asked yet.
+  routing::effects out;
+  router_.OnStreamOrigin(effect.key, std::nullopt, now, out);
+  Perform(out, now);
+}
+
 void control_loop::LogRefusal(const refusals::refusal& refusal) {
   ++metrics_.Counter(
       "burdocklock_refusals_total",
--- a/src/refusals/internal/refusal.cc
+++ b/src/refusals/internal/refusal.cc
@@ -41,6 +41,11 @@
          "Targets end when they run this request, which was repeated."},
         {"version_gone", 503,
          "No target of the software version that began this stream serves."},
+        {"origin_unknown", 503, "It is not known where this stream began."},
+        {"origin_unanswered", 503,
+         "It could not be learnt in time where this stream began."},
+        {"service_changed", 503,
+         "This stream began at a service that its route does not use now."},
     }};
 
 const reason_entry& EntryOf(refusal_reason reason) {
--- a/src/refusals/types/refusal.h
+++ b/src/refusals/types/refusal.h
@@ -34,10 +34,16 @@
   kRequestBlocked,
   /// No target of the software version that began the stream is in service.
   kVersionGone,
+  /// Nobody knows where the stream began that the caller takes up.
+  kOriginUnknown,
+  /// Those who may know it did not answer in time.
+  kOriginUnanswered,
+  /// The stream began at a service that the route does not use any longer.
+  kServiceChanged,
 };
 
 inline constexpr refusal_reason kLastRefusalReason =
-    refusal_reason::kVersionGone;
+    refusal_reason::kServiceChanged;
 
 /// Whether a target may have started executing the request.
 enum class run_state {
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -75,7 +75,7 @@
   if (record.spec.kind != call_kind::kStreamedGeneration) {
     return;
   }
-  NoteOrigin(record);
+  OnStreamBegan(record, now, out);
   if (directory_.ReportFirstOutput(*record.grant, latency)) {
     ReportRamp(record.grant->target, "first_output_late", out);
   }
@@ -85,13 +85,6 @@
   }
 }
 
-void request_router::NoteOrigin(record& record) {
-  if (record.spec.resumable && !record.origin) {
-    record.origin = streams::stream_origin{.pool = record.spec.pool,
-                                           .version = record.grant->version};
-  }
-}
-
 void request_router::OnAttemptCompleted(record& record,
                                         const attempt_completed& completed,
                                         effects& out) {
@@ -129,7 +122,7 @@
         .shares.OnNotExecuted(record.spec.customer, record.share_cost, now);
   }
   if (failure.delivered) {
-    NoteOrigin(record);
+    OnStreamBegan(record, now, out);
   }
   --totals_.in_flight;
   if (failure.head && failure.kind != failure_kind::kOtherTarget) {
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -173,7 +173,9 @@
                        .tokens_before = choice->tokens_before,
                        .copied_tokens = choice->copied_tokens,
                        .copy_from = choice->copy_from,
-                       .over_share = over_share});
+                       .over_share = over_share,
+                       .version = choice->grant.version,
+                       .taken_up_from = record.taken_up_from});
   out.emplace_back(start_attempt{
       .request = request,
       .attempt = record.lifecycle.attempt(),
@@ -252,7 +254,7 @@
   }
   std::vector<request_seq> waiting;
   for (const auto& [id, record] : records_) {
-    if (record.lifecycle.waiting() &&
+    if (record.lifecycle.waiting() && !record.origin_due &&
         std::find(pools_without_target.begin(), pools_without_target.end(),
                   record.spec.pool) != pools_without_target.end()) {
       waiting.push_back(id);
--- a/src/routing/internal/request_outcome.cc
+++ b/src/routing/internal/request_outcome.cc
@@ -65,7 +65,8 @@
                                  .first_output = record.first_output,
                                  .target = record.tried_targets.empty()
                                                ? target_id()
-                                               : record.tried_targets.back()});
+                                               : record.tried_targets.back(),
+                                 .taken_up = record.spec.taken_up});
 }
 
 void request_router::CountOutcome(const outcome& result) {
@@ -99,8 +100,10 @@
   if (run == run_state::kUnknown && !record.spec.repeatable) {
     return std::nullopt;
   }
-  // A version that is gone does not come back.
-  if (reason == refusal_reason::kVersionGone) {
+  // A return cannot help: the caller must begin anew.
+  if (reason == refusal_reason::kVersionGone ||
+      reason == refusal_reason::kOriginUnknown ||
+      reason == refusal_reason::kServiceChanged) {
     return std::nullopt;
   }
   if (reason == refusal_reason::kPromptBlocked ||
@@ -110,7 +113,8 @@
                ? std::chrono::ceil<std::chrono::milliseconds>(block->remaining)
                : kMinRetryAfter;
   }
-  if (record.spec.prompt && run == run_state::kNotRun) {
+  if (reason == refusal_reason::kOriginUnanswered ||
+      (record.spec.prompt && run == run_state::kNotRun)) {
     return kMinOverloadRetryAfter + std::chrono::milliseconds(random_.Below(
                                         kOverloadRetryAfterJitterMs));
   }
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -61,17 +61,27 @@
 void request_router::OnRequest(const request_spec& spec,
                                time_point now,
                                effects& out) {
-  RetryBudgetOf(spec.pool, now).OnRequest(now);
   auto [added, inserted] = records_.emplace(
       spec.id, record{.spec = spec,
-                      .suspects = crashes::SuspectsOf(spec.pool, spec.prompt,
-                                                      spec.fingerprint),
+                      .suspects = {},
                       .lifecycle = request_lifecycle(
                           spec, OptionsFor(spec, options_.lifecycle), now)});
-  record& record = added->second;
+  if (spec.taken_up) {
+    TakeUp(added->second, now, out);
+  } else {
+    Admit(added->second, now, out);
+  }
+}
+
+void request_router::Admit(record& record, time_point now, effects& out) {
+  const request_spec& spec = record.spec;
+  const request_seq id = spec.id;
+  RetryBudgetOf(spec.pool, now).OnRequest(now);
+  record.suspects =
+      crashes::SuspectsOf(spec.pool, spec.prompt, spec.fingerprint);
   if (const auto block = BlockedFor(record, now)) {
     Apply(record.lifecycle.Refuse(ReasonOf(*block)), record, now, out);
-    EraseIfDone(spec.id);
+    EraseIfDone(id);
     return;
   }
   if (spec.prompt) {
@@ -83,11 +93,11 @@
   }
   if (const auto limit = QueueLimitReached(spec)) {
     Apply(record.lifecycle.Refuse(*limit), record, now, out);
-    EraseIfDone(spec.id);
+    EraseIfDone(id);
     return;
   }
   Enqueue(record, now, out);
-  RefuseOverShare(spec.id, now, out);
+  RefuseOverShare(id, now, out);
 }
 
 void request_router::OnAttempt(request_seq request,
@@ -202,7 +212,11 @@
     deadlines_.erase(deadlines_.begin());
     record& record = *Find(id);
     record.scheduled_deadline = kNever;
-    Apply(record.lifecycle.OnDeadline(now), record, now, out);
+    const bool unanswered = record.origin_due && *record.origin_due <= now;
+    Apply(unanswered
+              ? record.lifecycle.Refuse(refusal_reason::kOriginUnanswered)
+              : record.lifecycle.OnDeadline(now),
+          record, now, out);
     ScheduleDeadline(id, record);
     EraseIfDone(id);
   }
@@ -271,7 +285,8 @@
 }
 
 void request_router::ScheduleDeadline(request_seq request, record& record) {
-  const time_point deadline = record.lifecycle.deadline();
+  const time_point deadline =
+      std::min(record.lifecycle.deadline(), record.origin_due.value_or(kNever));
   // If the deadline was postponed, the earlier entry fires first and the new
   // deadline is scheduled then.
   if (deadline >= record.scheduled_deadline) {
@@ -314,6 +329,9 @@
     return;
   }
   deadlines_.erase({found->second.scheduled_deadline, request});
+  if (found->second.origin_due) {
+    held_.erase({*found->second.spec.stream, request});
+  }
   records_.erase(found);
 }
 
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -21,6 +21,7 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "refusals/types/refusal.h"
+#include "routing/begun_streams.h"
 #include "routing/i_routing_observer.h"
 #include "routing/request_lifecycle.h"
 #include "routing/retry_budget.h"
@@ -117,6 +118,11 @@
                  time_point now,
                  effects& out);
   void OnCallerLeft(request_seq request, time_point now, effects& out);
+  /// Answers `ask_stream_origin`; nullopt if nobody knows.
+  void OnStreamOrigin(stream_key key,
+                      const std::optional<streams::stream_origin>& origin,
+                      time_point now,
+                      effects& out);
   /// Evidence of other routers about what ends targets.
   void OnEvidence(const crashes::evidence& received,
                   time_point now,
@@ -180,6 +186,12 @@
     /// Where a resumable stream began; set with its first event. From then on
     /// it runs only there.
     std::optional<streams::stream_origin> origin;
+    /// `stream_began` has been emitted.
+    bool began = false;
+    /// Set for a taken-up stream once its origin is known.
+    std::optional<origin_source> taken_up_from;
+    /// Until then the request is held, in no queue, to learn its origin.
+    std::optional<time_point> origin_due;
     /// Targets of all attempts so far, in order.
     std::vector<target_id> tried_targets;
     /// Prompt cost that was charged for the current attempt.
@@ -239,6 +251,8 @@
                     const attempt_event& event,
                     time_point now);
   void EraseIfDone(request_seq request);
+  /// Queues the request unless it is blocked or beyond a limit.
+  void Admit(record& record, time_point now, effects& out);
   /// Whether a target is there at which the request may run next.
   [[nodiscard]] bool HasTargetFor(const record& record, time_point now) const;
   /// Whether a stream that runs at a target could go on at another one now.
@@ -283,6 +297,20 @@
   std::optional<refusals::refusal_reason> QueueLimitReached(
       const request_spec& spec);
 
+  // Streams that callers take up (taken_up_streams.cc).
+  void TakeUp(record& record, time_point now, effects& out);
+  void HoldForOrigin(record& record, time_point now, effects& out);
+  void GoOnFrom(record& record,
+                const std::optional<streams::stream_origin>& known,
+                time_point now,
+                effects& out);
+  void RefuseTakenUp(record& record,
+                     refusals::refusal_reason reason,
+                     time_point now,
+                     effects& out);
+  /// Part of the current attempt's answer has arrived or was delivered.
+  void OnStreamBegan(record& record, time_point now, effects& out);
+
   // Requests that end targets (blocked_requests.cc).
   [[nodiscard]] std::optional<crashes::active_block> BlockedFor(
       const record& record,
@@ -311,8 +339,6 @@
                        const answer_head& head,
                        effects& out);
   void OnFirstOutput(record& record, time_point now, effects& out);
-  /// Notes where a resumable stream began, if that is not known yet.
-  static void NoteOrigin(record& record);
   void OnAttemptCompleted(record& record,
                           const attempt_completed& completed,
                           effects& out);
@@ -342,6 +368,9 @@
   std::unordered_map<customer_id, customer_options> customers_;
   std::unordered_map<request_seq, record> records_;
   std::set<std::pair<time_point, request_seq>> deadlines_;
+  begun_streams begun_streams_;
+  /// Requests with `origin_due`, by the stream that they take up.
+  std::set<std::pair<stream_key, request_seq>> held_;
   refusal_seq last_refusal_{0};
   router_totals totals_;
 };
--- a/src/routing/tests/router_fixture.h
+++ b/src/routing/tests/router_fixture.h
@@ -32,6 +32,8 @@
   std::map<request_seq, int> run_counts;
   std::map<target_id, std::uint32_t> held_slots;
   std::vector<refusals::refusal> refusals;
+  std::vector<streams::stream_record> begun;
+  std::vector<stream_key> asked;
   std::uint64_t last_request = 0;
 
   static router_options Options() {
@@ -141,6 +143,10 @@
         refusals.push_back(refuse->refusal);
       } else if (const auto* ended = std::get_if<request_ended>(&effect)) {
         ++end_counts[ended->request];
+      } else if (const auto* began = std::get_if<stream_began>(&effect)) {
+        begun.push_back(began->record);
+      } else if (const auto* ask = std::get_if<ask_stream_origin>(&effect)) {
+        asked.push_back(ask->key);
       }
     }
   }
--- /dev/null
+++ b/src/routing/tests/taken_up_stream_unittest.cc
@@ -0,0 +1,258 @@
+// Streams that their callers take up go on only where they began.
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "routing/tests/router_fixture.h"
+
+namespace burdocklock::routing {
+namespace {
+
+using refusals::refusal_reason;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct take_up_fixture : router_fixture {
+  take_up_fixture() {
+    for (const char* name : {"a1", "a2"}) {
+      AnnounceVersion(name, "v1");
+    }
+    for (const char* name : {"b1", "b2", "b3"}) {
+      AnnounceVersion(name, "v2");
+    }
+  }
+  void AnnounceVersion(
+      const std::string& name,
+      const std::string& version,
+      targets::target_state state = targets::target_state::kReady) {
+    targets::announcement announcement = Target(name, 1, ++at_ms);
+    announcement.version = software_version(version);
+    announcement.state = state;
+    announcement.cold_slots = announcement.slots;
+    Announce(announcement);
+  }
+  request_seq Submit(std::optional<stream_key> stream,
+                     bool taken_up,
+                     const std::string& pool = "lamp-llm") {
+    const request_spec spec{.id = request_seq(++last_request),
+                            .customer = customer_id("c1"),
+                            .pool = pool_id("lamp-llm"),
+                            .kind = call_kind::kStreamedGeneration,
+                            .prompt_tokens = 10,
+                            .resumable = true,
+                            .stream = stream,
+                            .taken_up = taken_up,
+                            .route_pools = {pool_id(pool)}};
+    effects out;
+    router.OnRequest(spec, now, out);
+    Record(out);
+    return spec.id;
+  }
+  request_seq Begin(stream_key key) {
+    const request_seq id = Submit(key, false);
+    REQUIRE(running.contains(id));
+    Deliver(id);
+    return id;
+  }
+  void Deliver(request_seq id) {
+    Report(id, attempt_sending{});
+    Report(id, attempt_first_output{});
+    running.at(id).delivered = true;
+  }
+  void Leave(request_seq id) {
+    effects out;
+    router.OnCallerLeft(id, now, out);
+    Record(out);
+    Fail(id, failure_kind::kCancelled);
+  }
+  void Answer(stream_key key, const std::optional<std::string>& version) {
+    std::optional<streams::stream_origin> origin;
+    if (version) {
+      origin = streams::stream_origin{.pool = pool_id("lamp-llm"),
+                                      .version = software_version(*version)};
+    }
+    effects out;
+    router.OnStreamOrigin(key, origin, now, out);
+    Record(out);
+  }
+  char VersionOf(request_seq id) {
+    return running.at(id).target.value().front();
+  }
+  void CheckRefused(request_seq id, refusal_reason reason, bool may_return) {
+    CHECK_FALSE(running.contains(id));
+    CHECK(end_counts[id] == 1);
+    REQUIRE_FALSE(refusals.empty());
+    CHECK(refusals.back().request == id);
+    CHECK(refusals.back().reason == reason);
+    CHECK(refusals.back().run == refusals::run_state::kNotRun);
+    CHECK(refusals.back().retry_after.has_value() == may_return);
+  }
+
+  std::uint64_t at_ms = 1;
+};
+
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up at the router that began it while two "
+                 "software versions serve: it goes on at its version") {
+  for (std::uint64_t key = 1; key <= 20; ++key) {
+    const request_seq first = Begin(stream_key(key));
+    const char version = VersionOf(first);
+    Leave(first);
+    for (int taken_up = 0; taken_up < 3; ++taken_up) {
+      const request_seq id = Submit(stream_key(key), true);
+      REQUIRE(running.contains(id));
+      CHECK(VersionOf(id) == version);
+      Deliver(id);
+      Leave(id);
+    }
+  }
+  CHECK(asked.empty());
+}
+
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up at another router while two software "
+                 "versions serve: held until its version is known") {
+  for (std::uint64_t key = 1; key <= 10; ++key) {
+    const bool at_first = key % 2 == 0;
+    const request_seq id = Submit(stream_key(key), true);
+    const request_seq again = Submit(stream_key(key), true);
+    CHECK_FALSE(running.contains(id));
+    CHECK(router.totals().waiting == 0);
+    REQUIRE(asked.size() == key);
+    CHECK(asked.back() == stream_key(key));
+    now += milliseconds(20);
+    Answer(stream_key(key), at_first ? "v1" : "v2");
+    for (const request_seq held : {id, again}) {
+      REQUIRE(running.contains(held));
+      CHECK(VersionOf(held) == (at_first ? 'a' : 'b'));
+      Deliver(held);
+      Report(held, attempt_completed{});
+    }
+    CHECK(begun.back().key == stream_key(key));
+    CHECK(begun.back().origin.version ==
+          software_version(at_first ? "v1" : "v2"));
+  }
+}
+
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream begins: noted once, with its first event") {
+  const request_seq id = Submit(stream_key(1), false);
+  Report(id, attempt_sending{});
+  Fail(id, failure_kind::kBroken);
+  REQUIRE(running.contains(id));
+  CHECK(begun.empty());
+  Deliver(id);
+  const char version = VersionOf(id);
+  REQUIRE(begun.size() == 1);
+  CHECK(begun[0].origin.version ==
+        software_version(version == 'a' ? "v1" : "v2"));
+  CHECK(begun[0].remaining > milliseconds(0));
+  Fail(id, failure_kind::kBroken);
+  REQUIRE(running.contains(id));
+  CHECK(VersionOf(id) == version);
+  Deliver(id);
+  CHECK(begun.size() == 1);
+}
+
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up and nobody knows where it began: refused "
+                 "at once") {
+  const request_seq id = Submit(stream_key(7), true);
+  Answer(stream_key(7), std::nullopt);
+  CheckRefused(id, refusal_reason::kOriginUnknown, false);
+}
+
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up and nobody answers where it began: "
+                 "refused before long, a late answer has no effect") {
+  const request_seq id = Submit(stream_key(7), true);
+  Advance(milliseconds(350));
+  CheckRefused(id, refusal_reason::kOriginUnanswered, true);
+  Answer(stream_key(7), "v1");
+  CHECK_FALSE(running.contains(id));
+  CHECK(end_counts[id] == 1);
+  // Asked for again.
+  Submit(stream_key(7), true);
+  CHECK(asked.size() == 2);
+}
+
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up, its caller leaves before it is known "
+                 "where it began: nothing runs") {
+  const request_seq id = Submit(stream_key(7), true);
+  effects out;
+  router.OnCallerLeft(id, now, out);
+  Record(out);
+  Answer(stream_key(7), "v1");
+  CHECK_FALSE(running.contains(id));
+  CHECK(end_counts[id] == 1);
+}
+
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up and its software version is gone: refused "
+                 "at once as not run") {
+  const request_seq first = Begin(stream_key(1));
+  const std::string version = VersionOf(first) == 'a' ? "v1" : "v2";
+  Leave(first);
+  for (const char* name : {"a1", "a2", "b1", "b2", "b3"}) {
+    const std::string own = name[0] == 'a' ? "v1" : "v2";
+    if (own == version) {
+      AnnounceVersion(name, own, targets::target_state::kLeaving);
+    }
+  }
+  CheckRefused(Submit(stream_key(1), true), refusal_reason::kVersionGone,
+               false);
+}
+
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up and its route has moved to another "
+                 "service: refused at once") {
+  Leave(Begin(stream_key(1)));
+  CheckRefused(Submit(stream_key(1), true, "other-llm"),
+               refusal_reason::kServiceChanged, false);
+}
+
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up and its caller does not say where it "
+                 "began: refused where targets name versions") {
+  CheckRefused(Submit(std::nullopt, true), refusal_reason::kOriginUnknown,
+               false);
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "stream is taken up where targets name no versions: goes on") {
+  Announce(Target("a"));
+  effects out;
+  router.OnRequest({.id = request_seq(1),
+                    .customer = customer_id("c1"),
+                    .pool = pool_id("lamp-llm"),
+                    .resumable = true,
+                    .taken_up = true,
+                    .route_pools = {pool_id("lamp-llm")}},
+                   now, out);
+  Record(out);
+  CHECK(running.contains(request_seq(1)));
+}
+
+TEST_CASE("begun streams: more than are kept, or expired: dropped") {
+  begun_streams streams;
+  const time_point now{seconds(10)};
+  const streams::stream_origin origin{.pool = pool_id("p"),
+                                      .version = software_version("v")};
+  streams.Add(stream_key(1), origin, now + seconds(1), now);
+  streams.Add(stream_key(1), origin, now + seconds(3), now);
+  CHECK(streams.Find(stream_key(1), now + seconds(2)) == origin);
+  CHECK_FALSE(streams.Find(stream_key(1), now + seconds(3)));
+  for (std::uint64_t key = 2; key < 2 + begun_streams::kMaxStreams; ++key) {
+    streams.Add(stream_key(key), origin, now + seconds(4), now);
+  }
+  CHECK(streams.size() == begun_streams::kMaxStreams);
+  CHECK_FALSE(streams.Find(stream_key(1), now));
+  streams.Add(stream_key(1), origin, now + seconds(9), now + seconds(5));
+  CHECK(streams.size() == 1);
+}
+
+}  // namespace
+}  // namespace burdocklock::routing
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -16,6 +16,7 @@
 #include "refusals/types/refusal.h"
 #include "routing/types/attempt.h"
 #include "routing/types/outcome.h"
+#include "streams/types/stream_origin.h"
 
 namespace burdocklock::routing {
 
@@ -62,6 +63,14 @@
   refusals::refusal refusal;
 };
 
+/// From where it is known where a stream began that is taken up.
+enum class origin_source {
+  kThisRouter,
+  kFleet,
+  /// The targets of the pool name no versions.
+  kNoVersions,
+};
+
 enum class routing_reason { kFirstChoice, kRetry };
 
 /// Log record of a dispatch decision.
@@ -83,6 +92,10 @@
   std::optional<endpoint> copy_from;
   /// The customer exceeded its share, but the target had spare capacity.
   bool over_share = false;
+  /// Version of the target's software.
+  software_version version = {};
+  /// Set for a stream that its caller takes up. It goes on where it began.
+  std::optional<origin_source> taken_up_from = std::nullopt;
 };
 
 /// Log record of a failed attempt.
@@ -115,6 +128,20 @@
   std::optional<duration> first_output;
   /// Target of the last attempt; empty if there was none.
   target_id target;
+  /// The caller had received part of the stream in an earlier try.
+  bool taken_up = false;
+};
+
+/// The first event of a resumable stream has arrived. Emitted once for each
+/// request, so that where a stream began never changes.
+struct stream_began {
+  streams::stream_record record;
+  bool taken_up = false;
+};
+
+/// A caller takes up a stream that began elsewhere; `OnStreamOrigin` answers.
+struct ask_stream_origin {
+  stream_key key;
 };
 
 /// A target's admission limit has changed.
@@ -168,7 +195,9 @@
                             lease_changed,
                             coordinator_changed,
                             suspect_block_changed,
-                            rate_limit_changed>;
+                            rate_limit_changed,
+                            stream_began,
+                            ask_stream_origin>;
 using effects = std::vector<effect>;
 
 }  // namespace burdocklock::routing
--- a/src/routing/types/request.h
+++ b/src/routing/types/request.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
@@ -41,6 +42,14 @@
   std::optional<targets::prompt> prompt;
   /// Absent if a repetition of the request cannot be recognised.
   std::optional<request_fingerprint> fingerprint;
+  /// Set if the caller can take the stream up; the same for all tries that
+  /// continue it.
+  std::optional<stream_key> stream = std::nullopt;
+  /// The caller has received part of the stream in an earlier try. Without
+  /// `stream` it did not say in which.
+  bool taken_up = false;
+  /// Pools that the route uses; set if `taken_up`.
+  std::vector<pool_id> route_pools = {};
 };
 
 }  // namespace burdocklock::routing
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -359,6 +359,15 @@
                      });
 }
 
+bool target_directory::NamesNoVersions(const pool_id& pool) const {
+  const auto found = by_pool_.find(pool);
+  return found != by_pool_.end() && !found->second.empty() &&
+         std::all_of(found->second.begin(), found->second.end(),
+                     [](const entry* entry) {
+                       return entry->announced.version.value().empty();
+                     });
+}
+
 bool target_directory::HasOtherUsable(
     const pool_id& pool,
     const target_id& current,
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -232,6 +232,8 @@
   [[nodiscard]] bool HasVersion(const pool_id& pool,
                                 const software_version& version,
                                 time_point now) const;
+  /// Returns whether targets of the pool are known and none names a version.
+  [[nodiscard]] bool NamesNoVersions(const pool_id& pool) const;
   /// Returns whether the pool has a usable target other than `current`, of this
   /// software version if one is given.
   [[nodiscard]] bool HasOtherUsable(
