Calls name the stream that they take up

With Last-Event-Id or alone it makes a call of a resumable streaming route one that takes a stream up; the stream is told from others by a hash of customer and first try.

--- a/src/gateway/i_call_dialect.h
+++ b/src/gateway/i_call_dialect.h
@@ -25,6 +25,11 @@
   std::optional<std::chrono::milliseconds> patience;
   /// Set for generation requests.
   std::optional<targets::prompt> prompt;
+  /// Request ID of the try that received the first event of the stream that the
+  /// caller takes up; empty if it names none.
+  std::string resumes = {};
+  /// The caller has received events of the stream.
+  bool has_events = false;
 };
 
 /// Identifies a request towards targets.
--- a/src/gateway/internal/request_fingerprint.cc
+++ b/src/gateway/internal/request_fingerprint.cc
@@ -67,4 +67,19 @@
   return request_fingerprint(value);
 }
 
+std::optional<stream_key> StreamKeyOf(const customer_id& customer,
+                                      std::string_view request_name) {
+  std::string identity;
+  AppendText(customer.value(), identity);
+  AppendText(request_name, identity);
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  if (EVP_Digest(identity.data(), identity.size(), digest.data(), nullptr,
+                 EVP_sha256(), nullptr) != 1) {
+    return std::nullopt;
+  }
+  std::uint64_t value = 0;
+  std::memcpy(&value, digest.data(), sizeof value);
+  return stream_key(value);
+}
+
 }  // namespace burdocklock::gateway
--- a/src/gateway/internal/routed_handler.cc
+++ b/src/gateway/internal/routed_handler.cc
@@ -6,6 +6,8 @@
 #include <functional>
 #include <utility>
 
+#include "gateway/request_fingerprint.h"
+
 namespace burdocklock::gateway {
 
 using refusals::refusal_reason;
@@ -18,6 +20,29 @@
 
 }  // namespace
 
+namespace {
+
+// Names the stream and, if the caller takes it up, where it may go on.
+void DescribeStream(const routes::route& route,
+                    const call_facts& facts,
+                    routing::request_spec& spec) {
+  spec.taken_up = facts.has_events || !facts.resumes.empty();
+  if (!spec.taken_up) {
+    spec.stream = StreamKeyOf(spec.customer, facts.name);
+    return;
+  }
+  if (!facts.resumes.empty()) {
+    spec.stream = StreamKeyOf(spec.customer, facts.resumes);
+  }
+  for (const routes::weighted_service& entry : route.services) {
+    if (entry.weight > 0) {
+      spec.route_pools.push_back(entry.service);
+    }
+  }
+}
+
+}  // namespace
+
 routing::request_spec BuildRequestSpec(const routes::route& route,
                                        const customer_id& customer,
                                        const call_facts& facts) {
@@ -39,6 +64,9 @@
     spec.prompt = facts.prompt;
     spec.prompt_tokens = facts.prompt->input_tokens;
   }
+  if (spec.resumable) {
+    DescribeStream(route, facts, spec);
+  }
   return spec;
 }
 
--- a/src/gateway/request_fingerprint.h
+++ b/src/gateway/request_fingerprint.h
@@ -25,4 +25,10 @@
     const customer_id& customer,
     const request_content& content);
 
+/// Identifies a stream by its caller's first try, in the same way. Absent if it
+/// could not be computed.
+[[nodiscard]] std::optional<stream_key> StreamKeyOf(
+    const customer_id& customer,
+    std::string_view request_name);
+
 }  // namespace burdocklock::gateway
--- a/src/route_interface/internal/route_dialect.cc
+++ b/src/route_interface/internal/route_dialect.cc
@@ -33,6 +33,8 @@
 // Requests per second that the target takes from all routers together.
 constexpr char kRateLimit[] = "X-Rate-Limit";
 constexpr char kLastEventId[] = "Last-Event-ID";
+// The caller's request that received the first event of the stream.
+constexpr char kResumes[] = "X-Resumes";
 // "no" in the response of a target that did not execute the request.
 constexpr char kAdmitted[] = "X-Admitted";
 
@@ -72,10 +74,15 @@
       .name = std::string(request[kRequestId]),
       .host_name = std::string(request[http::field::host]),
       .api_key = std::string(
-          gateway::BearerToken(request[http::field::authorization]))};
+          gateway::BearerToken(request[http::field::authorization])),
+      .resumes = std::string(request[kResumes]),
+      .has_events = !request[kLastEventId].empty()};
   if (!IsValidRequestId(facts.name)) {
     return MalformedField(kRequestId);
   }
+  if (!IsValidRequestId(facts.resumes)) {
+    return MalformedField(kResumes);
+  }
   if (request.count(kPromptTokens) > 0) {
     facts.prompt = gateway::ReadPromptFields(request[kPromptTokens],
                                              request[kPromptParts]);
