Streams: a router's records go to the same three control hosts, together

Chosen for each record, hosts other than three got each record in a message of its own. The room of a control host grows to a quarter above an equal share, as routers spread less evenly over hosts than streams: 40 MB when full.

--- a/src/control/internal/router_client.cc
+++ b/src/control/internal/router_client.cc
@@ -14,7 +14,7 @@
       port_(links),
       view_(view),
       links_(links, options_.links),
-      streams_(links, view, links_),
+      streams_(options_.daemon, links, view, links_),
       started_(now),
       next_heartbeat_(now) {
   UpdateLinks(now);
--- a/src/control/internal/stream_client.cc
+++ b/src/control/internal/stream_client.cc
@@ -1,6 +1,7 @@
 // See the header. Where there are more than three control hosts, those that
-// hold a record are found by rendezvous hashing of its key, so that a host that
-// has restarted is told its part only.
+// hold a router's records are found by rendezvous hashing of its name, so that
+// records are sent together, and a host that has restarted is told by its own
+// routers only.
 #include "control/stream_client.h"
 
 #include <iterator>
@@ -20,19 +21,21 @@
 // Records that wait to be sent; beyond it they are sent ahead of time.
 constexpr std::size_t kMaxUnsentRecords = kMaxStreamsPerMessage;
 
-// Removes all but the links to the hosts that should hold the record.
-void KeepHolders(stream_key key, std::vector<named_link>& links) {
+// Returns the links to those hosts that should hold the router's records.
+std::vector<named_link> HoldersFor(const daemon_id& router,
+                                   std::vector<named_link> links) {
   if (links.size() <= streams::kCopies) {
-    return;
+    return links;
   }
   const auto end =
       links.begin() + static_cast<std::ptrdiff_t>(streams::kCopies);
   std::partial_sort(links.begin(), end, links.end(),
-                    [key](const named_link& a, const named_link& b) {
-                      return targets::RendezvousWeight(key.value(), a.name) >
-                             targets::RendezvousWeight(key.value(), b.name);
+                    [&router](const named_link& a, const named_link& b) {
+                      return targets::RendezvousWeight(router.value(), a.name) >
+                             targets::RendezvousWeight(router.value(), b.name);
                     });
   links.erase(end, links.end());
+  return links;
 }
 
 template <typename T, typename Send>
@@ -102,18 +105,12 @@
 
 void stream_client::OnLinkUp(link_id link, time_point now) {
   // Among all hosts and not only those that are up: after a cut the first link
-  // would else get the records of all hosts.
-  const std::vector<named_link> hosts = links_.NamedLinks();
-  std::vector<stream_record> records;
-  for (stream_record& record : records_.All(now)) {
-    std::vector<named_link> holders = hosts;
-    KeepHolders(record.key, holders);
-    if (std::any_of(holders.begin(), holders.end(),
-                    [link](const auto& h) { return h.link == link; })) {
-      records.push_back(std::move(record));
-    }
+  // would else get the records of all routers.
+  const auto holders = HoldersFor(self_, links_.NamedLinks());
+  if (std::any_of(holders.begin(), holders.end(),
+                  [link](const auto& h) { return h.link == link; })) {
+    SendInPieces(link, records_.All(now));
   }
-  SendInPieces(link, records);
   std::vector<stream_key> keys;
   for (auto& [key, question] : questions_) {
     question.unknown_at.erase(link);
@@ -154,22 +151,17 @@
 
 void stream_client::SendRecords(time_point now) {
   records_due_ = kNever;
-  std::vector<named_link> open = links_.NamedLinks();
-  std::erase_if(open, [](const named_link& link) { return !link.up; });
-  std::map<link_id, std::vector<stream_record>> by_link;
-  for (stream_record& record : std::exchange(unsent_records_, {})) {
-    // The time that has passed since, and the latest of several recordings.
+  std::vector<stream_record> records = std::exchange(unsent_records_, {});
+  for (stream_record& record : records) {
+    // Less the time that has passed since.
     if (const auto known = records_.Find(record.key, now)) {
       record.remaining = known->remaining;
     }
-    std::vector<named_link> holders = open;
-    KeepHolders(record.key, holders);
-    for (const named_link& holder : holders) {
-      by_link[holder.link].push_back(record);
-    }
   }
-  for (const auto& [link, records] : by_link) {
-    SendInPieces(link, records);
+  std::vector<named_link> open = links_.NamedLinks();
+  std::erase_if(open, [](const named_link& link) { return !link.up; });
+  for (const named_link& holder : HoldersFor(self_, std::move(open))) {
+    SendInPieces(holder.link, records);
   }
 }
 
@@ -207,10 +199,10 @@
 }
 
 void stream_client::End(stream_key key,
-                        std::optional<stream_origin> origin,
+                        const std::optional<stream_origin>& origin,
                         time_point now) {
   questions_.erase(key);
-  answers_.try_emplace(key, std::move(origin));
+  answers_.try_emplace(key, origin);
   answers_due_ = now;
 }
 
--- a/src/control/stream_client.h
+++ b/src/control/stream_client.h
@@ -35,9 +35,12 @@
 /// stream that are asked before it is called.
 class stream_client {
  public:
-  /// All arguments must outlive the client.
-  stream_client(i_link_port& port, i_router_view& view, const link_set& links)
-      : port_(port), view_(view), links_(links) {}
+  /// `port`, `view` and `links` must outlive the client.
+  stream_client(daemon_id self,
+                i_link_port& port,
+                i_router_view& view,
+                const link_set& links)
+      : self_(std::move(self)), port_(port), view_(view), links_(links) {}
 
   void Record(const streams::stream_record& record, time_point now);
   void Ask(stream_key key, time_point now);
@@ -70,10 +73,11 @@
   void EndOverdueQuestions(time_point now);
   /// Ends a question; its answer is passed on at the next tick at the latest.
   void End(stream_key key,
-           std::optional<streams::stream_origin> origin,
+           const std::optional<streams::stream_origin>& origin,
            time_point now);
   void PassOnAnswers();
 
+  daemon_id self_;
   i_link_port& port_;
   i_router_view& view_;
   const link_set& links_;
--- a/src/streams/types/stream_limits.h
+++ b/src/streams/types/stream_limits.h
@@ -20,9 +20,9 @@
 inline constexpr std::size_t kCopies = 3;
 
 /// Records that a control host holds: 30,000 streams begin in a second, with
-/// three copies over 19 hosts, for 60 s (284,211), and an eighth more as hosts
+/// three copies over 19 hosts, for 60 s (284,211), and a quarter more as hosts
 /// are not chosen evenly.
-inline constexpr std::size_t kControlHostCapacity = 320'000;
+inline constexpr std::size_t kControlHostCapacity = 360'000;
 /// Records that a router holds of its own streams: 270 begun in a second, 13
 /// times an equal share of the fleet's.
 inline constexpr std::size_t kRouterCapacity = 16'384;
