Routers tell and ask control hosts where streams began

A stream was refused at every router but the one that began it. stream_began and ask_stream_origin now go to the control hosts by way of the feed, whose answers come back to the router.

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -221,7 +221,11 @@
   logger_.Log(record);
 }
 
-void control_loop::Perform(const routing::stream_began& effect, time_point) {
+void control_loop::Perform(const routing::stream_began& effect,
+                           time_point now) {
+  if (feed_) {
+    feed_->RecordStream(effect.record, now);
+  }
   if (!effect.taken_up) {
     ++metrics_.Counter("burdocklock_streams_begun_total");
   }
@@ -229,7 +233,11 @@
 
 void control_loop::Perform(const routing::ask_stream_origin& effect,
                            time_point now) {
-  // Nobody else is asked yet.
+  if (feed_) {
+    feed_->AskStreamOrigin(effect.key, now);
+    return;
+  }
+  // Without control hosts nobody else can know.
   routing::effects out;
   router_.OnStreamOrigin(effect.key, std::nullopt, now, out);
   Perform(out, now);
--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -200,6 +200,15 @@
   Run([&](time_point now) { client_->SetSeeds(std::move(hosts), now); });
 }
 
+void operator_feed::RecordStream(const streams::stream_record& record,
+                                 time_point now) {
+  client_->RecordStream(record, now);
+}
+
+void operator_feed::AskStreamOrigin(stream_key key, time_point now) {
+  client_->AskStreamOrigin(key, now);
+}
+
 std::shared_ptr<const routes::route_index> operator_feed::Routes() const {
   const std::lock_guard lock(mutex_);
   return routes_;
@@ -331,6 +340,7 @@
   logger_.Log(log_record("stream_origin", log_level::kDebug)
                   .Add("stream", HexName(key))
                   .Add("known", origin.has_value()));
+  router_.OnStreamOrigin(key, origin, now_, *out_);
 }
 
 void operator_feed::OnStreamContradiction(
--- a/src/app/internal/operator_feed.h
+++ b/src/app/internal/operator_feed.h
@@ -49,6 +49,10 @@
   void AfterRouterEvent(time_point now);
   [[nodiscard]] time_point NextDeadline() const;
   void SetControlHosts(std::vector<endpoint> hosts);
+  /// Tells control hosts where a stream of this router began.
+  void RecordStream(const streams::stream_record& record, time_point now);
+  /// Asks them where one began; the router receives the answer later.
+  void AskStreamOrigin(stream_key key, time_point now);
 
   /// The current routes; nullptr until they have been received. Callable from
   /// any thread.
--- a/src/app/tests/path_fixture.h
+++ b/src/app/tests/path_fixture.h
@@ -78,6 +78,7 @@
   std::thread control_thread;
   std::thread router_thread;
   daemon_addresses addresses;
+  i_logger* router_logger = nullptr;
 
   explicit path_fixture(Adapter used = Adapter(),
                         const router_changes& changes = {})
@@ -91,20 +92,12 @@
     if (changes.settings) {
       changes.settings(router_settings);
     }
+    router_logger = changes.logger != nullptr ? changes.logger : &logger;
     StartControl();
-    std::promise<daemon_addresses> started;
-    router = std::make_unique<daemon>(
-        router_settings, config::sheet(),
-        changes.logger != nullptr ? *changes.logger : logger, &adapter);
-    router_thread = std::thread([&] {
-      REQUIRE(router->Run([&](const auto& bound) { started.set_value(bound); })
-                  .has_value());
-    });
-    addresses = started.get_future().get();
+    StartRouter();
   }
   ~path_fixture() {
-    router->Stop();
-    router_thread.join();
+    StopRouter();
     StopControl();
     std::filesystem::remove_all(folder);
   }
@@ -140,6 +133,20 @@
     });
     started.get_future().get();
   }
+  void StartRouter() {
+    std::promise<daemon_addresses> started;
+    router = std::make_unique<daemon>(router_settings, config::sheet(),
+                                      *router_logger, &adapter);
+    router_thread = std::thread([&] {
+      REQUIRE(router->Run([&](const auto& bound) { started.set_value(bound); })
+                  .has_value());
+    });
+    addresses = started.get_future().get();
+  }
+  void StopRouter() {
+    router->Stop();
+    router_thread.join();
+  }
   void StopControl() {
     control->Stop();
     control_thread.join();
