A target whose streams broke off gets none that began there before it announces itself again

A target may start again under its id at another software version; between two of its announcements X-Expect-Instance does not tell. Its connections broke then, so it is left out for streams that are tied to a version until a later announcement arrives. What remains: an announcement that was sent before the break and arrives after it, and a new stream whose first event comes from the new run under the old version's name.

--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -128,6 +128,9 @@
   if (failure.head && failure.kind != failure_kind::kOtherTarget) {
     ReportRateLimit(record, *failure.head, out);
   }
+  if (failure.kind == failure_kind::kBroken && record.origin) {
+    directory_.MarkBroken(*record.grant);
+  }
   if (failure.kind == failure_kind::kOtherTarget) {
     directory_.MarkReplaced(*record.grant);
   }
--- a/src/routing/tests/stream_version_unittest.cc
+++ b/src/routing/tests/stream_version_unittest.cc
@@ -134,6 +134,35 @@
   CHECK(router.directory().View(now).front().in_flight == 0);
 }
 
+TEST_CASE_METHOD(
+    stream_fixture,
+    "streams break off at the only target of a version, which may "
+    "have started again at another: they wait for its announcement") {
+  AnnounceVersion("a", "v1");
+  const request_seq id = BeginStream();
+  const request_seq other = BeginStream();
+  AnnounceVersion("b", "v2");
+  Fail(id, failure_kind::kBroken);
+  Fail(other, failure_kind::kBroken);
+  CHECK_FALSE(Runs(id));
+  CHECK_FALSE(Runs(other));
+  now += milliseconds(500);
+  SECTION("it is the same") {
+    now += seconds(1);
+    AnnounceVersion("a", "v1");
+    Advance(seconds(4));
+    AnnounceVersion("a", "v1");
+    CHECK(Runs(id));
+    CHECK(Runs(other));
+    CHECK(running.at(id).target == target_id("a"));
+  }
+  SECTION("it is another") {
+    AnnounceVersion("a", "v2", targets::target_state::kReady, 2);
+    CHECK(end_counts[id] == 1);
+    CHECK(end_counts[other] == 1);
+  }
+}
+
 TEST_CASE_METHOD(stream_fixture,
                  "stream ends before its first event while two software "
                  "versions serve: it may begin at the other") {
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -40,8 +40,7 @@
   const pool_competition& competition = CompetitionFor(pool);
   bool other_usable = false;
   for (entry* candidate : pool_entries->second) {
-    if (!IsUsable(*candidate, now) ||
-        (version && candidate->announced.version != *version)) {
+    if (!IsUsable(*candidate, now) || !Fits(*candidate, version)) {
       continue;
     }
     const bool is_excluded =
@@ -262,6 +261,21 @@
   }
 }
 
+void target_directory::MarkBroken(const slot_grant& grant) {
+  if (entry* known = Find(grant)) {
+    known->broken = true;
+  }
+}
+
+bool target_directory::Fits(const entry& entry,
+                            const std::optional<software_version>& version) {
+  if (!version) {
+    return true;
+  }
+  const bool is_doubtful = entry.broken && !version->value().empty();
+  return entry.announced.version == *version && !is_doubtful;
+}
+
 void target_directory::MarkUnreachable(const slot_grant& grant) {
   if (entry* known = Find(grant)) {
     known->unreachable = true;
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -46,6 +46,7 @@
   known.last_heard = now;
   known.silence_reported = false;
   known.unreachable = false;
+  known.broken = false;
   next_deadline_ = std::min(next_deadline_, now + options_.silence);
   return other_run ? announce_result::kNewIncarnation
                    : announce_result::kUpdated;
@@ -375,13 +376,11 @@
     time_point now) const {
   const auto found = by_pool_.find(pool);
   return found != by_pool_.end() &&
-         std::any_of(
-             found->second.begin(), found->second.end(),
-             [&](const entry* entry) {
-               return entry->announced.target != current &&
-                      (!version || entry->announced.version == *version) &&
-                      IsUsable(*entry, now);
-             });
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const entry* entry) {
+                       return entry->announced.target != current &&
+                              Fits(*entry, version) && IsUsable(*entry, now);
+                     });
 }
 
 bool target_directory::HasUsable(const pool_id& pool, time_point now) const {
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -151,6 +151,10 @@
   /// Records that the target's address refuses connections. It is not used
   /// until a later announcement of it arrives.
   void MarkUnreachable(const slot_grant& grant);
+  /// Records that a stream broke off at the target, which may have started
+  /// again at another software version. It gets no stream that began there
+  /// until a later announcement of it arrives.
+  void MarkBroken(const slot_grant& grant);
   /// Restarts the silence timers; used while announcements cannot be received
   /// from any target.
   void RestartSilenceTimers(time_point now);
@@ -297,6 +301,8 @@
     bool replaced = false;
     /// Its address has refused a connection since the last announcement.
     bool unreachable = false;
+    /// A stream has broken off there since the last announcement.
+    bool broken = false;
     /// Grants with lower numbers belong to an earlier incarnation or version.
     std::uint64_t first_grant = 0;
   };
@@ -393,6 +399,10 @@
   void ApplyColdPeriod(entry& entry, time_point now);
   void RemoveUnread(entry& entry, std::uint64_t grant);
 
+  /// Whether the target may run what is restricted to the version.
+  [[nodiscard]] static bool Fits(
+      const entry& entry,
+      const std::optional<software_version>& version);
   /// Whether the target is known to be there, although it may be starting or
   /// paused.
   [[nodiscard]] bool IsPresent(const entry& entry, time_point now) const;
