--- a/src/targets/tests/targets_unittest.cc
+++ b/src/targets/tests/targets_unittest.cc
@@ -8,6 +8,7 @@
 
 #include "framework/seeded_random.h"
 #include "targets/admission_ramp.h"
+#include "targets/announcement_codec.h"
 #include "targets/announcement_parser.h"
 #include "targets/cold_admission.h"
 #include "targets/prefix_memory.h"
@@ -45,6 +46,48 @@
   CHECK(parsed.value().load->at_ms == 77);
 }
 
+TEST_CASE_METHOD(announcement_fixture,
+                 "announcement: version: passed on; absent from an older peer: "
+                 "empty") {
+  CHECK(ParseAnnouncement(body.dump()).value().version.value().empty());
+  body["version"] = "v1.1";
+  const announcement parsed = ParseAnnouncement(body.dump()).value();
+  CHECK(parsed.version == software_version("v1.1"));
+  nlohmann::json sent = parsed;
+  CHECK(sent.get<announcement>().version == parsed.version);
+  sent.erase(sent.size() - 1);
+  CHECK(sent.get<announcement>().version.value().empty());
+  body["version"] = GENERATE(as<nlohmann::json>(), 1, std::string(129, 'v'));
+  CHECK_FALSE(ParseAnnouncement(body.dump()).has_value());
+}
+
+TEST_CASE(
+    "target names no version in one announcement of a life: the known "
+    "one is kept") {
+  seeded_random random{5};
+  target_directory directory{{}, random};
+  announcement announced{.target = target_id("a"),
+                         .life = incarnation(1),
+                         .pools = {pool_id("p")},
+                         .state = target_state::kReady,
+                         .version = software_version("v1"),
+                         .slots = 4,
+                         .cold_slots = 4,
+                         .sequence = 1};
+  const time_point now{seconds(10)};
+  directory.Announce(announced, now);
+  announced.sequence = 2;
+  announced.version = {};
+  CHECK(directory.Announce(announced, now) == announce_result::kUpdated);
+  CHECK(directory.HasVersion(pool_id("p"), software_version("v1"), now));
+  CHECK_FALSE(directory.HasOtherUsable(pool_id("p"), target_id("a"),
+                                       software_version("v1"), now));
+  announced.sequence = 3;
+  announced.version = software_version("v2");
+  CHECK(directory.Announce(announced, now) == announce_result::kNewIncarnation);
+  CHECK_FALSE(directory.HasVersion(pool_id("p"), software_version("v1"), now));
+}
+
 TEST_CASE_METHOD(announcement_fixture,
                  "announcement: a missing or invalid member: rejected") {
   const std::string key =
