--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -46,6 +46,7 @@
   known.last_heard = now;
   known.silence_reported = false;
   known.unreachable = false;
+  known.broken = false;
   next_deadline_ = std::min(next_deadline_, now + options_.silence);
   return other_run ? announce_result::kNewIncarnation
                    : announce_result::kUpdated;
