Streams: where they began is remembered for 240 s instead of 60 s

A caller may take its stream up for the time of its route and a while longer; with a limit of 60 s on records it would have been refused after a minute. Times are sent in whole seconds, rounded up, still one byte.

--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -178,7 +178,7 @@
 constexpr unsigned kBitsPerByte = 8;
 constexpr std::uint64_t kByteMask = 0xff;
 // Time remaining is sent in one byte and rounded up.
-constexpr std::chrono::milliseconds kRemainingUnit{250};
+constexpr std::chrono::milliseconds kRemainingUnit{1000};
 constexpr auto kMaxRemainingUnits =
     static_cast<std::uint8_t>(kMaxRemaining / kRemainingUnit);
 
--- a/src/streams/types/stream_limits.h
+++ b/src/streams/types/stream_limits.h
@@ -8,9 +8,10 @@
 
 namespace burdocklock::streams {
 
-/// No record is kept longer than this without being told again.
+/// No record is kept longer than this without being told again: longer than the
+/// capacities below allow for all streams, since few take so long.
 inline constexpr std::chrono::milliseconds kMaxRemaining =
-    std::chrono::seconds(60);
+    std::chrono::seconds(240);
 
 /// Bytes; streams of pools and versions with longer names are not recorded.
 inline constexpr std::size_t kMaxPoolBytes = 256;
