A target whose answer says that it leaves gets no further work

What callers saw: nothing yet; targets that say in their answers that they leave, but announce that they are ready, went on getting requests until they ended with them. Cause: routers read of a head only the rate limit; that a target leaves was known from announcements alone. Change: one function of the dialect reads all that a head says of its target. The directory keeps "leaves" for the incarnation, whatever later announcements say, and so do choice, copies, shares and views. It takes effect with the head, before any output. What waits goes elsewhere; if all targets of a pool leave it is refused at once as not run. Tests, with the field read but not acted upon: bl_targets_tests "target said that it leaves: announced*", "another target at the address*", "target without an incarnation*", "target that leaves: not read from" failed; bl_routing_tests "only target leaves*", "all targets announce*", "target said that it leaves and ends*" failed; bl_route_interface_tests "target says in a refusal*" (5 calls where 4 may), "only target says*" failed. All pass now. The test of the rate limit in an answer calls the new function, with the same checks.

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -190,6 +190,12 @@
   logger_.Log(record);
 }
 
+void control_loop::Perform(const routing::target_leaves& effect, time_point) {
+  logger_.Log(log_record("target_leaving")
+                  .Add("target", effect.target.value())
+                  .Add("incarnation", effect.life.value()));
+}
+
 void control_loop::LogRefusal(const refusals::refusal& refusal) {
   ++metrics_.Counter(
       "burdocklock_refusals_total",
--- a/src/app/internal/status_report.cc
+++ b/src/app/internal/status_report.cc
@@ -11,6 +11,16 @@
 
 using nlohmann::ordered_json;
 
+const char* StateName(const targets::target_view& view) {
+  if (view.silent) {
+    return "silent";
+  }
+  if (view.said_leaving) {
+    return ToString(targets::target_state::kLeaving);
+  }
+  return ToString(view.announced.state);
+}
+
 ordered_json DescribeTarget(const targets::target_view& view) {
   const targets::announcement& announced = view.announced;
   ordered_json pools = ordered_json::array();
@@ -23,7 +33,7 @@
       {"data_centre", announced.data_centre.value()},
       {"address", ToString(announced.address)},
       {"pools", pools},
-      {"state", view.silent ? "silent" : ToString(announced.state)},
+      {"state", StateName(view)},
       {"slots", announced.slots},
       {"leased", view.limit},
       {"ramp_limit", view.ramp_limit},
@@ -70,8 +80,8 @@
   std::size_t ready = 0;
   const std::vector<targets::target_view> targets = TargetViews(now);
   for (const targets::target_view& view : targets) {
-    const bool is_ready =
-        !view.silent && view.announced.state == targets::target_state::kReady;
+    const bool is_ready = !view.silent && !view.said_leaving &&
+                          view.announced.state == targets::target_state::kReady;
     ready += is_ready ? 1 : 0;
   }
   ordered_json out = ordered_json::array();
--- a/src/gateway/i_target_dialect.h
+++ b/src/gateway/i_target_dialect.h
@@ -69,10 +69,10 @@
                        net::http_request& request) const = 0;
   [[nodiscard]] virtual head_verdict Judge(const net::http_response_head& head,
                                            const outgoing_call& call) const = 0;
-  /// Requests per second that the target takes from all routers together, if
-  /// the response names a limit.
-  [[nodiscard]] virtual std::optional<double> ReadRateLimit(
-      const net::http_response_head& head) const = 0;
+  /// Reads what a response that arrived at `received` says of its target.
+  [[nodiscard]] virtual routing::answer_head ReadAnswerHead(
+      const net::http_response_head& head,
+      time_point received) const = 0;
   [[nodiscard]] virtual std::unique_ptr<i_stream_scanner> MakeScanner(
       const outgoing_call& call,
       const std::optional<std::string>& resume_after) const = 0;
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -120,6 +120,7 @@
       return FailFrom(head.error());
     }
     const head_verdict verdict = context_.dialect.Judge(head.value(), call_);
+    NoteHead(head.value(), verdict);
     if (verdict == head_verdict::kOtherRequest && reused_connection_) {
       std::string skipped;
       if (auto failure = ReadBody(skipped)) {
@@ -127,9 +128,6 @@
       }
       continue;
     }
-    head_ = routing::answer_head{
-        .received = std::chrono::steady_clock::now(),
-        .rate_limit = context_.dialect.ReadRateLimit(head.value())};
     if (verdict == head_verdict::kFailure) {
       return SaveErrorResponse(head.value());
     }
@@ -146,6 +144,21 @@
               "only answers to other requests");
 }
 
+void attempt_runner::NoteHead(const net::http_response_head& head,
+                              head_verdict verdict) {
+  routing::answer_head said =
+      context_.dialect.ReadAnswerHead(head, std::chrono::steady_clock::now());
+  if (head_) {
+    // Of an answer to an earlier request that came first.
+    said.leaving |= head_->leaving;
+  }
+  head_ = said;
+  // Output may follow much later.
+  if (verdict != head_verdict::kOtherTarget && said.leaving) {
+    Report(routing::attempt_head_read{.head = said});
+  }
+}
+
 std::optional<attempt_failed> attempt_runner::CheckHead(
     head_verdict verdict,
     const net::http_response_head& head) const {
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -62,6 +62,8 @@
   std::optional<routing::attempt_failed> Connect();
   std::optional<routing::attempt_failed> Send();
   routing::attempt_event Receive();
+  /// Records what a head says of the target.
+  void NoteHead(const net::http_response_head& head, head_verdict verdict);
   /// Whether the target's address refuses connections.
   bool RefusesConnections();
   std::optional<routing::attempt_failed> CheckHead(
@@ -93,7 +95,7 @@
   bool sent_ = false;
   bool cancelled_ = false;
   bool reused_connection_ = false;
-  /// Set once a response to this request has arrived.
+  /// Set once a response has arrived, if only to an earlier request.
   std::optional<routing::answer_head> head_;
   saved_response saved_response_;
   std::optional<time_point> last_output_;
--- a/src/gateway/internal/openai_dialect.h
+++ b/src/gateway/internal/openai_dialect.h
@@ -11,10 +11,11 @@
                net::http_request& request) const override;
   [[nodiscard]] head_verdict Judge(const net::http_response_head& head,
                                    const outgoing_call& call) const override;
-  /// This protocol has no such field.
-  [[nodiscard]] std::optional<double> ReadRateLimit(
-      const net::http_response_head&) const override {
-    return std::nullopt;
+  /// This protocol has no such fields.
+  [[nodiscard]] routing::answer_head ReadAnswerHead(
+      const net::http_response_head&,
+      time_point received) const override {
+    return {.received = received};
   }
   [[nodiscard]] std::unique_ptr<i_stream_scanner> MakeScanner(
       const outgoing_call& call,
--- a/src/gateway/internal/routed_dialect.cc
+++ b/src/gateway/internal/routed_dialect.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <cmath>
 #include <system_error>
 #include <utility>
 
@@ -21,6 +22,21 @@
 // No target takes more requests per second; larger numbers are errors.
 constexpr double kMaxRateLimit = 1e9;
 
+std::optional<double> ParseNumber(std::string_view text) {
+  double value = 0;
+  const auto [end, problem] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool is_valid = problem == std::errc() &&
+                        end == text.data() + text.size() &&
+                        std::isfinite(value) && value >= 0;
+  return is_valid ? std::optional(value) : std::nullopt;
+}
+
+std::optional<double> ReadRateLimit(std::string_view text) {
+  const auto per_second = ParseNumber(text);
+  return per_second && *per_second <= kMaxRateLimit ? per_second : std::nullopt;
+}
+
 }  // namespace
 
 routed_dialect::routed_dialect(call_fields fields)
@@ -65,16 +81,12 @@
   }
 }
 
-std::optional<double> routed_dialect::ReadRateLimit(
-    const net::http_response_head& head) const {
-  const std::string_view text = head.fields[fields_.rate_limit];
-  double per_second = 0;
-  const auto [end, problem] =
-      std::from_chars(text.data(), text.data() + text.size(), per_second);
-  const bool is_valid = problem == std::errc() &&
-                        end == text.data() + text.size() && per_second >= 0 &&
-                        per_second <= kMaxRateLimit;
-  return is_valid ? std::optional(per_second) : std::nullopt;
+routing::answer_head routed_dialect::ReadAnswerHead(
+    const net::http_response_head& head,
+    time_point received) const {
+  return {.received = received,
+          .rate_limit = ReadRateLimit(head.fields[fields_.rate_limit]),
+          .leaving = head.fields[fields_.leaving] == "1"};
 }
 
 std::unique_ptr<i_stream_scanner> routed_dialect::MakeScanner(
--- a/src/gateway/routed_dialect.h
+++ b/src/gateway/routed_dialect.h
@@ -28,6 +28,8 @@
   /// Requests per second that a target takes from all routers together, named
   /// in its responses.
   const char* rate_limit;
+  /// "1" in the responses of a target that is about to end.
+  const char* leaving;
   /// Further fields that only routers may set; removed from callers' requests,
   /// as are `time_left`, `customer`, `target` and `copy_from`.
   std::vector<const char*> set_by_routers;
@@ -40,9 +42,10 @@
       const call_identity& identity) const override;
   void Prepare(const attempt_parameters& parameters,
                net::http_request& request) const override;
-  /// A limit that is not a number, negative or too large is ignored.
-  [[nodiscard]] std::optional<double> ReadRateLimit(
-      const net::http_response_head& head) const override;
+  /// A rate limit that is not a number, negative or too large is ignored.
+  [[nodiscard]] routing::answer_head ReadAnswerHead(
+      const net::http_response_head& head,
+      time_point received) const override;
   /// Streams consist of numbered events.
   [[nodiscard]] std::unique_ptr<i_stream_scanner> MakeScanner(
       const outgoing_call& call,
--- a/src/route_interface/internal/route_dialect.cc
+++ b/src/route_interface/internal/route_dialect.cc
@@ -32,6 +32,8 @@
 constexpr char kCopyFrom[] = "X-Copy-From";
 // Requests per second that the target takes from all routers together.
 constexpr char kRateLimit[] = "X-Rate-Limit";
+// "1" in the responses of a target that is about to end.
+constexpr char kLeaving[] = "X-Leaving";
 constexpr char kLastEventId[] = "Last-Event-ID";
 // "no" in the response of a target that did not execute the request.
 constexpr char kAdmitted[] = "X-Admitted";
@@ -64,6 +66,7 @@
                       .resume_after = kLastEventId,
                       .copy_from = kCopyFrom,
                       .rate_limit = kRateLimit,
+                      .leaving = kLeaving,
                       .set_by_routers = {}}) {}
 
 result<gateway::call_facts> route_dialect::ReadCall(
--- a/src/route_interface/tests/route_interface_unittest.cc
+++ b/src/route_interface/tests/route_interface_unittest.cc
@@ -227,7 +227,7 @@
   const auto read = [&](const char* text) {
     net::http_response_head head{.status = 200};
     head.fields.set("X-Rate-Limit", text);
-    return dialect.ReadRateLimit(head);
+    return dialect.ReadAnswerHead(head, {}).rate_limit;
   };
   CHECK(read("5.9") == 5.9);
   CHECK(read("0") == 0.0);
@@ -235,7 +235,19 @@
     CAPTURE(text);
     CHECK_FALSE(read(text).has_value());
   }
-  CHECK_FALSE(dialect.ReadRateLimit({.status = 200}).has_value());
+  CHECK_FALSE(dialect.ReadAnswerHead({.status = 200}, {}).rate_limit);
+}
+
+TEST_CASE("leaving in an answer: of any status: read") {
+  const route_dialect dialect;
+  for (const unsigned status : {200U, 421U, 500U, 503U}) {
+    net::http_response_head head{.status = status};
+    CHECK_FALSE(dialect.ReadAnswerHead(head, {}).leaving);
+    head.fields.set("X-Leaving", "0");
+    CHECK_FALSE(dialect.ReadAnswerHead(head, {}).leaving);
+    head.fields.set("X-Leaving", "1");
+    CHECK(dialect.ReadAnswerHead(head, {}).leaving);
+  }
 }
 
 }  // namespace
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -38,7 +38,6 @@
   const auto visitor = [&](const auto& value) {
     using event_type = std::decay_t<decltype(value)>;
     if constexpr (std::is_same_v<event_type, attempt_first_output>) {
-      ReportRateLimit(record, value.head, out);
       OnFirstOutput(record, now, out);
     } else if constexpr (std::is_same_v<event_type, attempt_progress>) {
       record.output_tokens += value.tokens;
@@ -54,16 +53,6 @@
   std::visit(visitor, event);
 }
 
-void request_router::ReportRateLimit(const record& record,
-                                     const answer_head& head,
-                                     effects& out) {
-  if (directory_.ReportRateLimit(*record.grant, head.rate_limit,
-                                 head.received)) {
-    out.emplace_back(rate_limit_changed{.target = record.grant->target,
-                                        .per_second = head.rate_limit});
-  }
-}
-
 void request_router::OnFirstOutput(record& record,
                                    time_point now,
                                    effects& out) {
@@ -121,9 +110,6 @@
         .shares.OnNotExecuted(record.spec.customer, record.share_cost, now);
   }
   --totals_.in_flight;
-  if (failure.head && failure.kind != failure_kind::kOtherTarget) {
-    ReportRateLimit(record, *failure.head, out);
-  }
   if (failure.kind == failure_kind::kOtherTarget) {
     directory_.MarkReplaced(*record.grant);
   }
--- a/src/routing/internal/blocked_requests.cc
+++ b/src/routing/internal/blocked_requests.cc
@@ -79,9 +79,7 @@
 
 void request_router::OnTargetEnded(record& record, time_point now) {
   const targets::slot_grant& grant = *record.grant;
-  const targets::announcement* known =
-      directory_.FindIncarnation(grant.target, grant.life);
-  if (known != nullptr && known->state == targets::target_state::kLeaving) {
+  if (directory_.IsLeaving(grant)) {
     return;
   }
   ++record.ended_targets;
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -205,32 +205,39 @@
                                               time_point now) {
   if (state.queue.size() == 0 || directory_.HasUsable(pool, now)) {
     state.no_target_since.reset();
-  } else if (!state.no_target_since) {
+    return;
+  }
+  if (!state.no_target_since) {
     state.no_target_since = now;
   }
+  if (directory_.AllLeave(pool, now)) {
+    state.no_target_refusal_at = *state.no_target_since;
+  } else {
+    state.no_target_refusal_at =
+        *state.no_target_since + options_.no_target_wait;
+  }
 }
 
 void request_router::RefuseForNoTarget(time_point now, effects& out) {
   std::vector<pool_id> pools_without_target;
   for (const auto& [pool, state] : pools_) {
-    if (state.no_target_since &&
-        now >= *state.no_target_since + options_.no_target_wait) {
+    if (state.no_target_since && now >= state.no_target_refusal_at) {
       pools_without_target.push_back(pool);
     }
   }
   if (pools_without_target.empty()) {
     return;
   }
-  std::vector<request_seq> waiting;
+  std::vector<request_seq> refused;
   for (const auto& [id, record] : records_) {
     if (record.lifecycle.waiting() &&
         std::find(pools_without_target.begin(), pools_without_target.end(),
                   record.spec.pool) != pools_without_target.end()) {
-      waiting.push_back(id);
+      refused.push_back(id);
     }
   }
-  std::sort(waiting.begin(), waiting.end());
-  for (const request_seq id : waiting) {
+  std::sort(refused.begin(), refused.end());
+  for (const request_seq id : refused) {
     record& record = *Find(id);
     Apply(record.lifecycle.Refuse(refusal_reason::kNoTarget), record, now, out);
     EraseIfDone(id);
--- a/src/routing/internal/request_lifecycle.cc
+++ b/src/routing/internal/request_lifecycle.cc
@@ -92,7 +92,8 @@
     phase_ = phase::kDone;
     return End(outcome_completed{});
   }
-  if (phase_ == phase::kCancelling) {
+  if (phase_ == phase::kCancelling ||
+      std::holds_alternative<attempt_head_read>(event)) {
     return step_none{};
   }
   phase_started_ = now;
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -55,6 +55,7 @@
   const targets::announce_result result =
       directory_.Announce(announcement, now);
   DispatchAll(now, out);
+  RefuseForNoTarget(now, out);
   return result;
 }
 
@@ -100,6 +101,7 @@
       !record->lifecycle.attempt_running()) {
     return;
   }
+  const bool fewer_usable = ApplyAnswerHead(*record, event, out);
   RecordEvidence(*record, event, now);
   const bool retry_allowed = ConsumeRetry(*record, event, now);
   Account(*record, event, now, out);
@@ -122,9 +124,12 @@
         out);
   EraseIfDone(request);
   ApplyBlocks(now, out);
-  if (slot_freed) {
+  if (slot_freed || fewer_usable) {
     DispatchAll(now, out);
   }
+  if (fewer_usable) {
+    RefuseForNoTarget(now, out);
+  }
 }
 
 bool request_router::ConsumeRetry(const record& record,
@@ -207,7 +212,7 @@
       next = std::min(next, state.next_dispatch_at);
     }
     if (state.no_target_since && state.queue.size() > 0) {
-      next = std::min(next, *state.no_target_since + options_.no_target_wait);
+      next = std::min(next, state.no_target_refusal_at);
     }
   }
   return next;
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -212,6 +212,8 @@
     double average_wait_s = 0;
     /// When requests began to wait with no usable target.
     std::optional<time_point> no_target_since;
+    /// When those that wait without a usable target are refused.
+    time_point no_target_refusal_at = kNever;
     /// When dispatch of the waiting requests must be retried.
     time_point next_dispatch_at = kNever;
   };
@@ -292,9 +294,6 @@
                const attempt_event& event,
                time_point now,
                effects& out);
-  void ReportRateLimit(const record& record,
-                       const answer_head& head,
-                       effects& out);
   void OnFirstOutput(record& record, time_point now, effects& out);
   void OnAttemptCompleted(record& record,
                           const attempt_completed& completed,
@@ -305,6 +304,18 @@
                        effects& out);
   void ReportRamp(const target_id& target, const char* cause, effects& out);
 
+  // What targets say in their answers (target_answers.cc).
+
+  /// Applies what the event's answer says of its target. Returns whether fewer
+  /// targets may be usable since.
+  bool ApplyAnswerHead(const record& record,
+                       const attempt_event& event,
+                       effects& out);
+  void ReportRateLimit(const record& record,
+                       const answer_head& head,
+                       effects& out);
+  bool ReportLeaving(const record& record, effects& out);
+
   refusals::refusal MakeRefusal(const record& record,
                                 refusals::refusal_reason reason,
                                 refusals::run_state run,
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -71,11 +71,18 @@
   /// Requests per second that the target takes from all routers together, if
   /// the response names a limit.
   std::optional<double> rate_limit = std::nullopt;
+  /// The target is about to end and wants no further requests.
+  bool leaving = false;
 };
 
 /// The first byte of the request is about to be written to the target.
 struct attempt_sending {};
 
+/// The head of a response has arrived and asks for less work.
+struct attempt_head_read {
+  answer_head head = {};
+};
+
 /// The first part of the response has arrived.
 struct attempt_first_output {
   answer_head head = {};
@@ -103,13 +110,14 @@
   std::string detail;
   /// The target's error response was received and can be forwarded.
   bool has_answer = false;
-  /// Absent if no response to this request arrived.
+  /// Absent if no response arrived.
   std::optional<answer_head> head = std::nullopt;
   /// The target's address refused a connection right after the failure.
   bool target_ended = false;
 };
 
 using attempt_event = std::variant<attempt_sending,
+                                   attempt_head_read,
                                    attempt_first_output,
                                    attempt_progress,
                                    attempt_completed,
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -146,6 +146,12 @@
   std::optional<double> per_second;
 };
 
+/// A target said in an answer that it leaves; it gets no further requests.
+struct target_leaves {
+  target_id target;
+  incarnation life;
+};
+
 /// Requests with a suspect are refused from now on, or no longer.
 struct suspect_block_changed {
   crashes::pool_suspect suspect;
@@ -168,7 +174,8 @@
                             lease_changed,
                             coordinator_changed,
                             suspect_block_changed,
-                            rate_limit_changed>;
+                            rate_limit_changed,
+                            target_leaves>;
 using effects = std::vector<effect>;
 
 }  // namespace burdocklock::routing
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -79,6 +79,7 @@
   known.cold_until = {};
   known.rate_limit = {};
   known.replaced = false;
+  known.said_leaving = false;
   IndexPools(known);
 }
 
@@ -382,6 +383,7 @@
                      .phase = entry.ramp.phase(),
                      .silent = now - entry.last_heard >= options_.silence,
                      .paused = entry.ramp.paused_until() > now,
+                     .said_leaving = entry.said_leaving,
                      .since_heard = now - entry.last_heard});
   }
   std::sort(views.begin(), views.end(),
@@ -406,7 +408,7 @@
           ? entry.lease_limit > 0 && now < entry.lease_until
           : now - entry.last_heard < options_.silence &&
                 entry.ramp.paused_until() <= now && !entry.unreachable;
-  return is_available && !entry.replaced &&
+  return is_available && !entry.replaced && !entry.said_leaving &&
          entry.announced.state == target_state::kReady &&
          !IsDataCentreOut(entry.announced.data_centre);
 }
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -68,12 +68,15 @@
   ramp_phase phase = ramp_phase::kCold;
   bool silent = false;
   bool paused = false;
+  /// An answer of this incarnation said that it leaves.
+  bool said_leaving = false;
   duration since_heard{};
 };
 
 /// Invariants: the requests in flight at a target never exceed its limit at the
 /// time of admission; no grant is issued for a target that is not ready,
-/// silent, paused or in a data centre out of service.
+/// silent, paused or in a data centre out of service, or that has said in an
+/// answer that it leaves.
 class target_directory {
  public:
   target_directory(directory_options options, i_random& random);
@@ -143,6 +146,18 @@
   /// Returns the load of this router at each target that it uses.
   [[nodiscard]] std::vector<admission::target_load> LocalLoad(
       time_point now) const;
+  // What targets say in their answers (target_answers.cc).
+
+  /// The target said that it leaves, which is final within its incarnation.
+  /// Returns whether that is new.
+  bool ReportLeaving(const slot_grant& grant);
+  /// A target other than the granted one said so at the granted address.
+  void ReportOtherLeaving(const slot_grant& grant);
+  /// Returns whether the target announces or has said that it leaves.
+  [[nodiscard]] bool IsLeaving(const slot_grant& grant) const;
+  /// Returns whether all targets of the pool that could be used leave, and at
+  /// least one does.
+  [[nodiscard]] bool AllLeave(const pool_id& pool, time_point now) const;
   /// Records that another process answers at the target's address.
   void MarkReplaced(const slot_grant& grant);
   /// Records that the target's address refuses connections. It is not used
@@ -280,6 +295,8 @@
     bool replaced = false;
     /// Its address has refused a connection since the last announcement.
     bool unreachable = false;
+    /// An answer of this incarnation said that it leaves.
+    bool said_leaving = false;
   };
   /// Initial value, typical of current engines; adjusted by measurements.
   static constexpr double kDefaultTokensPerMs = 55;
@@ -366,6 +383,7 @@
   void RemoveUnread(entry& entry, std::uint64_t grant);
 
   [[nodiscard]] bool IsUsable(const entry& entry, time_point now) const;
+  static bool IsLeaving(const entry& entry);
   [[nodiscard]] std::uint32_t UsableTargets(const pool_id& pool,
                                             time_point now) const;
   /// Returns the sum of `slots_of` over the usable targets of the pool.
