A target that answers 503 with Retry-After gets its pause

What callers saw: nothing yet; routers sent a target that had asked for a pause further requests within it, as far as its ramp allowed. Cause: a target's Retry-After was passed on or dropped, never read. Change: the dialect reads it strictly, with status 503 alone, cut at ten minutes. The directory gives the target no work from this router until the latest end asked for; another incarnation ends the pause. It counts once as a failure for the ramp, so what waited comes back step by step. The target still counts in the capacity that shares are taken from, as other routers use it. While all targets pause, requests that can't wait for the first end are refused at once as not run, with what remains of it as Retry-After.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -130,6 +130,7 @@
   void Perform(const routing::suspect_block_changed& effect, time_point now);
   void Perform(const routing::rate_limit_changed& effect, time_point now);
   void Perform(const routing::target_leaves& effect, time_point now);
+  void Perform(const routing::target_pause_began& effect, time_point now);
   // Runs `handle` immediately and performs the resulting effects.
   void Process(const handler& handle);
   bool OnPeerMessage(std::uint64_t link, const std::string& bytes);
--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -196,6 +196,13 @@
                   .Add("incarnation", effect.life.value()));
 }
 
+void control_loop::Perform(const routing::target_pause_began& effect,
+                           time_point) {
+  logger_.Log(log_record("target_pause")
+                  .Add("target", effect.target.value())
+                  .Add("remaining_ms", ToMilliseconds(effect.remaining)));
+}
+
 void control_loop::LogRefusal(const refusals::refusal& refusal) {
   ++metrics_.Counter(
       "burdocklock_refusals_total",
--- a/src/app/internal/status_report.cc
+++ b/src/app/internal/status_report.cc
@@ -18,7 +18,8 @@
   if (view.said_leaving) {
     return ToString(targets::target_state::kLeaving);
   }
-  return ToString(view.announced.state);
+  return view.asked_pause > duration::zero() ? "paused"
+                                             : ToString(view.announced.state);
 }
 
 ordered_json DescribeTarget(const targets::target_view& view) {
@@ -40,6 +41,10 @@
       {"in_flight", view.in_flight},
       {"heard_ms_ago",
        static_cast<std::int64_t>(ToMilliseconds(view.since_heard))}};
+  if (view.asked_pause > duration::zero()) {
+    target["pause_ms"] =
+        static_cast<std::int64_t>(ToMilliseconds(view.asked_pause));
+  }
   if (announced.load) {
     target["load"] = {{"running", announced.load->running},
                       {"waiting", announced.load->waiting},
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -1,6 +1,7 @@
 // See the header.
 #include "gateway/internal/attempt_runner.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <variant>
@@ -151,10 +152,11 @@
   if (head_) {
     // Of an answer to an earlier request that came first.
     said.leaving |= head_->leaving;
+    said.pause = std::max(said.pause, head_->pause);
   }
   head_ = said;
   // Output may follow much later.
-  if (verdict != head_verdict::kOtherTarget && said.leaving) {
+  if (verdict != head_verdict::kOtherTarget && (said.leaving || said.pause)) {
     Report(routing::attempt_head_read{.head = said});
   }
 }
--- a/src/gateway/internal/routed_dialect.cc
+++ b/src/gateway/internal/routed_dialect.cc
@@ -21,6 +21,9 @@
 
 // No target takes more requests per second; larger numbers are errors.
 constexpr double kMaxRateLimit = 1e9;
+// An absurd value must not keep a target from work for good.
+constexpr std::chrono::minutes kMaxPause{10};
+constexpr unsigned kServiceUnavailable = 503;
 
 std::optional<double> ParseNumber(std::string_view text) {
   double value = 0;
@@ -37,6 +40,19 @@
   return per_second && *per_second <= kMaxRateLimit ? per_second : std::nullopt;
 }
 
+std::optional<duration> ReadPause(const net::http_response_head& head) {
+  if (head.status != kServiceUnavailable) {
+    return std::nullopt;
+  }
+  const auto seconds = ParseNumber(head.fields[http::field::retry_after]);
+  if (!seconds || *seconds == 0) {
+    return std::nullopt;
+  }
+  using fractional_seconds = std::chrono::duration<double>;
+  return std::chrono::ceil<duration>(
+      std::min(fractional_seconds(*seconds), fractional_seconds(kMaxPause)));
+}
+
 }  // namespace
 
 routed_dialect::routed_dialect(call_fields fields)
@@ -86,7 +102,8 @@
     time_point received) const {
   return {.received = received,
           .rate_limit = ReadRateLimit(head.fields[fields_.rate_limit]),
-          .leaving = head.fields[fields_.leaving] == "1"};
+          .leaving = head.fields[fields_.leaving] == "1",
+          .pause = ReadPause(head)};
 }
 
 std::unique_ptr<i_stream_scanner> routed_dialect::MakeScanner(
--- a/src/gateway/routed_dialect.h
+++ b/src/gateway/routed_dialect.h
@@ -42,7 +42,10 @@
       const call_identity& identity) const override;
   void Prepare(const attempt_parameters& parameters,
                net::http_request& request) const override;
-  /// A rate limit that is not a number, negative or too large is ignored.
+  /// A rate limit that is not a number, negative or too large is ignored. So is
+  /// a Retry-After that is not a positive number of seconds; one that is too
+  /// large is cut. Only with status 503 does it ask for a pause: with others it
+  /// is about the one request.
   [[nodiscard]] routing::answer_head ReadAnswerHead(
       const net::http_response_head& head,
       time_point received) const override;
--- a/src/route_interface/tests/route_interface_unittest.cc
+++ b/src/route_interface/tests/route_interface_unittest.cc
@@ -17,6 +17,8 @@
 using gateway::head_verdict;
 using nlohmann::json;
 using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
 
 struct document_fixture {
   json document = json::parse(R"({
@@ -250,5 +252,45 @@
   }
 }
 
+struct pause_fixture {
+  route_dialect dialect;
+
+  std::optional<duration> Read(const char* text, unsigned status = 503) const {
+    net::http_response_head head{.status = status};
+    head.fields.set("Retry-After", text);
+    return dialect.ReadAnswerHead(head, {}).pause;
+  }
+};
+
+TEST_CASE_METHOD(pause_fixture,
+                 "pause in an answer: seconds, also fractions: read") {
+  CHECK(Read("3") == seconds(3));
+  CHECK(Read("0.25") == milliseconds(250));
+}
+
+TEST_CASE_METHOD(pause_fixture, "pause in an answer: absurdly long: cut") {
+  for (const char* text : {"601", "4294967296", "1e18", "1e300"}) {
+    CAPTURE(text);
+    CHECK(Read(text) == minutes(10));
+  }
+}
+
+TEST_CASE_METHOD(pause_fixture,
+                 "pause in an answer: zero or no number of seconds: none") {
+  for (const char* text :
+       {"", "0", "0.0", "-0", "-1", "nan", "inf", "-inf", "infinity", "1e999",
+        "3 s", "3,5", "0x10", "+3", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    CAPTURE(text);
+    CHECK_FALSE(Read(text).has_value());
+  }
+}
+
+TEST_CASE_METHOD(pause_fixture, "pause in an answer of another status: none") {
+  for (const unsigned status : {200U, 301U, 429U, 500U, 502U}) {
+    CAPTURE(status);
+    CHECK_FALSE(Read("3", status).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace burdocklock::route_interface
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -212,27 +212,39 @@
   }
   if (directory_.AllLeave(pool, now)) {
     state.no_target_refusal_at = *state.no_target_since;
+  } else if (directory_.FirstPauseEnd(pool, now)) {
+    state.no_target_refusal_at = kNever;
   } else {
     state.no_target_refusal_at =
         *state.no_target_since + options_.no_target_wait;
   }
 }
 
-void request_router::RefuseForNoTarget(time_point now, effects& out) {
-  std::vector<pool_id> pools_without_target;
+std::map<pool_id, std::optional<time_point>> request_router::PoolsWithoutTarget(
+    time_point now) const {
+  std::map<pool_id, std::optional<time_point>> found;
   for (const auto& [pool, state] : pools_) {
-    if (state.no_target_since && now >= state.no_target_refusal_at) {
-      pools_without_target.push_back(pool);
+    if (!state.no_target_since || state.queue.size() == 0) {
+      continue;
+    }
+    const auto pause_end = directory_.FirstPauseEnd(pool, now);
+    if (pause_end || now >= state.no_target_refusal_at) {
+      found.emplace(pool, pause_end);
     }
   }
+  return found;
+}
+
+void request_router::RefuseForNoTarget(time_point now, effects& out) {
+  const auto pools_without_target = PoolsWithoutTarget(now);
   if (pools_without_target.empty()) {
     return;
   }
   std::vector<request_seq> refused;
   for (const auto& [id, record] : records_) {
-    if (record.lifecycle.waiting() &&
-        std::find(pools_without_target.begin(), pools_without_target.end(),
-                  record.spec.pool) != pools_without_target.end()) {
+    const auto found = pools_without_target.find(record.spec.pool);
+    if (record.lifecycle.waiting() && found != pools_without_target.end() &&
+        !(found->second && MayAwaitPauseEnd(record, *found->second))) {
       refused.push_back(id);
     }
   }
--- a/src/routing/internal/request_outcome.cc
+++ b/src/routing/internal/request_outcome.cc
@@ -104,6 +104,15 @@
                ? std::chrono::ceil<std::chrono::milliseconds>(block->remaining)
                : kMinRetryAfter;
   }
+  if (reason == refusal_reason::kNoTarget) {
+    if (const auto end = directory_.FirstPauseEnd(record.spec.pool, now)) {
+      return std::clamp<std::chrono::milliseconds>(
+                 std::chrono::ceil<std::chrono::milliseconds>(*end - now),
+                 std::chrono::milliseconds(0), kMaxRetryAfter) +
+             std::chrono::milliseconds(
+                 random_.Below(kOverloadRetryAfterJitterMs));
+    }
+  }
   if (record.spec.prompt && run == run_state::kNotRun) {
     return kMinOverloadRetryAfter + std::chrono::milliseconds(random_.Below(
                                         kOverloadRetryAfterJitterMs));
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -101,7 +101,7 @@
       !record->lifecycle.attempt_running()) {
     return;
   }
-  const bool fewer_usable = ApplyAnswerHead(*record, event, out);
+  const bool fewer_usable = ApplyAnswerHead(*record, event, now, out);
   RecordEvidence(*record, event, now);
   const bool retry_allowed = ConsumeRetry(*record, event, now);
   Account(*record, event, now, out);
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -212,7 +212,8 @@
     double average_wait_s = 0;
     /// When requests began to wait with no usable target.
     std::optional<time_point> no_target_since;
-    /// When those that wait without a usable target are refused.
+    /// When those that wait without a usable target are refused; kNever if they
+    /// wait for a target whose pause ends.
     time_point no_target_refusal_at = kNever;
     /// When dispatch of the waiting requests must be retried.
     time_point next_dispatch_at = kNever;
@@ -267,6 +268,10 @@
                                 const pool_id& pool,
                                 time_point now);
   void RefuseForNoTarget(time_point now, effects& out);
+  /// Returns the pools whose waiting requests are refused, as no target is
+  /// usable, except those that may await the given end of a pause.
+  [[nodiscard]] std::map<pool_id, std::optional<time_point>> PoolsWithoutTarget(
+      time_point now) const;
   std::optional<refusals::refusal_reason> QueueLimitReached(
       const request_spec& spec);
 
@@ -310,11 +315,19 @@
   /// targets may be usable since.
   bool ApplyAnswerHead(const record& record,
                        const attempt_event& event,
+                       time_point now,
                        effects& out);
   void ReportRateLimit(const record& record,
                        const answer_head& head,
                        effects& out);
   bool ReportLeaving(const record& record, effects& out);
+  bool ReportPause(const record& record,
+                   const answer_head& head,
+                   time_point now,
+                   effects& out);
+  /// Whether the request may wait for that end of a pause.
+  [[nodiscard]] bool MayAwaitPauseEnd(const record& record,
+                                      time_point end) const;
 
   refusals::refusal MakeRefusal(const record& record,
                                 refusals::refusal_reason reason,
--- a/src/routing/tests/target_answers_unittest.cc
+++ b/src/routing/tests/target_answers_unittest.cc
@@ -1,4 +1,4 @@
-// What a router makes of answers whose targets leave.
+// What a router makes of answers whose targets leave or ask for a pause.
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -26,8 +26,8 @@
     warm.cold_slots = warm.slots;
     Announce(warm);
   }
-  answer_head Head(bool leaving) const {
-    return {.received = now, .leaving = leaving};
+  answer_head Head(bool leaving, std::optional<duration> pause = {}) const {
+    return {.received = now, .leaving = leaving, .pause = pause};
   }
   request_seq RequestOf(call_kind kind, duration limit, duration objective) {
     const request_seq id(++last_request);
@@ -48,6 +48,12 @@
     Report(id, attempt_sending{});
     Report(id, attempt_first_output{.head = head});
   }
+  void RefuseAdmission(request_seq id, const answer_head& head) {
+    Report(id, attempt_sending{});
+    Report(id,
+           attempt_failed{
+               .kind = failure_kind::kNotAdmitted, .sent = true, .head = head});
+  }
   target_id TargetOf(request_seq id) const {
     return running.contains(id) ? running.at(id).target : target_id();
   }
@@ -58,6 +64,15 @@
     }
     REQUIRE(end_counts.size() == before);
   }
+  // One target of two asked for a pause.
+  void PauseOne(const std::string& name, duration pause) {
+    AnnounceReady(name);
+    const request_seq id = Request("c", false);
+    REQUIRE(TargetOf(id) == target_id(name));
+    Report(id, attempt_sending{});
+    Report(id, attempt_first_output{.head = Head(false, pause)});
+    Report(id, attempt_completed{});
+  }
 };
 
 TEST_CASE_METHOD(answers_fixture,
@@ -157,5 +172,115 @@
   CHECK(router.totals().retries_withheld == 0);
 }
 
+TEST_CASE_METHOD(answers_fixture,
+                 "target asks for a pause: requests go elsewhere until its "
+                 "end, then its ramp begins anew") {
+  PauseOne("a", seconds(2));
+  AnnounceReady("b");
+  for (int i = 0; i < 8; ++i) {
+    CHECK(TargetOf(Request("c")) != target_id("a"));
+  }
+  Advance(seconds(2) - milliseconds(1));
+  CHECK(held_slots[target_id("a")] == 0);
+  const std::size_t waiting = router.totals().waiting;
+  REQUIRE(waiting > 2);
+  Advance(milliseconds(1));
+  CHECK(held_slots[target_id("a")] > 0);
+  CHECK(held_slots[target_id("a")] <= 2);
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "target refuses many requests at once and asks for a pause: "
+                 "none is sent there until its end") {
+  AnnounceReady("a");
+  std::vector<request_seq> sent;
+  for (request_seq id = Request("c"); running.contains(id); id = Request("c")) {
+    sent.push_back(id);
+  }
+  REQUIRE(sent.size() > 1);
+  AnnounceReady("b");
+  for (const request_seq id : sent) {
+    RefuseAdmission(id, Head(false, seconds(3)));
+  }
+  for (int i = 0; i < 4; ++i) {
+    Request("d" + std::to_string(i));
+  }
+  REQUIRE(router.totals().waiting > 0);
+  CHECK(held_slots[target_id("a")] == 0);
+  Advance(seconds(3) - milliseconds(1));
+  CHECK(held_slots[target_id("a")] == 0);
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "only target asks for a pause that a request can await: it is "
+                 "sent at the end of it") {
+  PauseOne("a", milliseconds(800));
+  const request_seq id =
+      RequestOf(call_kind::kServiceCall, seconds(10), seconds(2));
+  Advance(milliseconds(799));
+  CHECK_FALSE(running.contains(id));
+  CHECK(refusals.empty());
+  Advance(milliseconds(1));
+  CHECK(running.contains(id));
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "all targets ask for pauses that a request cannot await: it "
+                 "is refused at once, to come back at the first end") {
+  PauseOne("a", seconds(40));
+  const request_seq paused = Request("c", false);
+  AnnounceReady("b");
+  const request_seq id = Request("c", false);
+  REQUIRE(TargetOf(id) == target_id("b"));
+  refusals.clear();
+  RefuseAdmission(id, Head(false, seconds(20)));
+  Advance(seconds(1));
+  const request_seq late =
+      RequestOf(call_kind::kServiceCall, seconds(60), seconds(2));
+  CHECK_FALSE(running.contains(late));
+  CHECK(end_counts[late] == 1);
+  REQUIRE_FALSE(refusals.empty());
+  for (const auto& refusal : refusals) {
+    CHECK(refusal.reason == refusal_reason::kNoTarget);
+    CHECK(refusal.run == run_state::kNotRun);
+    REQUIRE(refusal.retry_after.has_value());
+    CHECK(*refusal.retry_after >= seconds(19));
+    CHECK(*refusal.retry_after < seconds(22));
+  }
+  CHECK(end_counts[paused] == 1);
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "only target asks for a longer pause while a request awaits "
+                 "the end: it is refused at once") {
+  AnnounceReady("a");
+  const request_seq first = Request("c", false);
+  const request_seq second = Request("c", false);
+  RefuseAdmission(first, Head(false, milliseconds(500)));
+  const request_seq waits =
+      RequestOf(call_kind::kServiceCall, seconds(60), seconds(2));
+  CHECK(end_counts[waits] == 0);
+  RefuseAdmission(second, Head(false, seconds(30)));
+  CHECK(end_counts[waits] == 1);
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "stream broke and the only target asks for a pause: it goes "
+                 "on at the end of it") {
+  AnnounceReady("a");
+  const request_seq stream =
+      RequestOf(call_kind::kStreamedGeneration, seconds(60), seconds(1));
+  const request_seq other = Request("c", false);
+  Begin(stream, Head(false));
+  RefuseAdmission(other, Head(false, seconds(5)));
+  Report(stream,
+         attempt_failed{
+             .kind = failure_kind::kBroken, .sent = true, .delivered = true});
+  CHECK(end_counts[stream] == 0);
+  CHECK_FALSE(running.contains(stream));
+  Advance(seconds(5));
+  CHECK(TargetOf(stream) == target_id("a"));
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -73,6 +73,9 @@
   std::optional<double> rate_limit = std::nullopt;
   /// The target is about to end and wants no further requests.
   bool leaving = false;
+  /// For how long from `received` the target wants no further requests from
+  /// this router; absent if it did not ask.
+  std::optional<duration> pause = std::nullopt;
 };
 
 /// The first byte of the request is about to be written to the target.
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -152,6 +152,12 @@
   incarnation life;
 };
 
+/// A target asked this router for no requests for some time.
+struct target_pause_began {
+  target_id target;
+  duration remaining{};
+};
+
 /// Requests with a suspect are refused from now on, or no longer.
 struct suspect_block_changed {
   crashes::pool_suspect suspect;
@@ -175,7 +181,8 @@
                             coordinator_changed,
                             suspect_block_changed,
                             rate_limit_changed,
-                            target_leaves>;
+                            target_leaves,
+                            target_pause_began>;
 using effects = std::vector<effect>;
 
 }  // namespace burdocklock::routing
--- a/src/targets/internal/target_answers.cc
+++ b/src/targets/internal/target_answers.cc
@@ -1,4 +1,7 @@
-// Part of target_directory: targets that say in their answers that they leave.
+// Part of target_directory: targets that say in their answers that they leave,
+// or that they want no requests from this router for some time.
+#include <algorithm>
+
 #include "targets/target_directory.h"
 
 namespace burdocklock::targets {
@@ -30,6 +33,23 @@
   }
 }
 
+target_directory::pause_report target_directory::ReportPause(
+    const slot_grant& grant,
+    duration pause,
+    time_point received,
+    time_point now) {
+  entry* known = Find(grant.target, grant.life);
+  const time_point end = received + pause;
+  if (known == nullptr || end <= now || end <= known->asked_pause_until) {
+    return pause_report::kNone;
+  }
+  const bool began = known->asked_pause_until <= now;
+  known->asked_pause_until = end;
+  known->ramp.OnFailure(grant.epoch, now);
+  next_deadline_ = std::min(next_deadline_, NextDeadlineOf(*known, now));
+  return began ? pause_report::kBegan : pause_report::kExtended;
+}
+
 bool target_directory::AllLeave(const pool_id& pool, time_point now) const {
   const auto found = by_pool_.find(pool);
   if (options_.leased || found == by_pool_.end()) {
@@ -47,4 +67,25 @@
   return leaves;
 }
 
+std::optional<time_point> target_directory::FirstPauseEnd(
+    const pool_id& pool,
+    time_point now) const {
+  const auto found = by_pool_.find(pool);
+  if (options_.leased || found == by_pool_.end()) {
+    return std::nullopt;
+  }
+  time_point first = kNever;
+  for (const entry* entry : found->second) {
+    if (!IsPresent(*entry, now)) {
+      continue;
+    }
+    if (now >= entry->asked_pause_until) {
+      return std::nullopt;
+    }
+    first = std::min(
+        first, std::max(entry->asked_pause_until, entry->ramp.paused_until()));
+  }
+  return first == kNever ? std::nullopt : std::optional(first);
+}
+
 }  // namespace burdocklock::targets
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -80,6 +80,7 @@
   known.rate_limit = {};
   known.replaced = false;
   known.said_leaving = false;
+  known.asked_pause_until = {};
   IndexPools(known);
 }
 
@@ -174,7 +175,8 @@
   // flight.
   const time_point next =
       heard_deadline > now ? heard_deadline : now + options_.silence;
-  const time_point resume = entry.ramp.paused_until();
+  const time_point resume =
+      std::max(entry.ramp.paused_until(), entry.asked_pause_until);
   return resume > now ? std::min(next, resume) : next;
 }
 
@@ -367,8 +369,15 @@
 
 std::uint32_t target_directory::AnnouncedSlots(const pool_id& pool,
                                                time_point now) const {
-  return SumUsable(pool, now,
-                   [](const entry& entry) { return entry.announced.slots; });
+  const auto found = by_pool_.find(pool);
+  if (found == by_pool_.end()) {
+    return 0;
+  }
+  std::uint32_t slots = 0;
+  for (const entry* entry : found->second) {
+    slots += IsInService(*entry, now) ? entry->announced.slots : 0;
+  }
+  return slots;
 }
 
 std::vector<target_view> target_directory::View(time_point now) const {
@@ -384,6 +393,8 @@
                      .silent = now - entry.last_heard >= options_.silence,
                      .paused = entry.ramp.paused_until() > now,
                      .said_leaving = entry.said_leaving,
+                     .asked_pause = std::max(entry.asked_pause_until - now,
+                                             duration::zero()),
                      .since_heard = now - entry.last_heard});
   }
   std::sort(views.begin(), views.end(),
@@ -403,11 +414,19 @@
 }
 
 bool target_directory::IsUsable(const entry& entry, time_point now) const {
+  return IsInService(entry, now) && now >= entry.asked_pause_until;
+}
+
+bool target_directory::IsInService(const entry& entry, time_point now) const {
+  return IsPresent(entry, now) &&
+         (options_.leased || now >= entry.ramp.paused_until());
+}
+
+bool target_directory::IsPresent(const entry& entry, time_point now) const {
   const bool is_available =
       options_.leased
           ? entry.lease_limit > 0 && now < entry.lease_until
-          : now - entry.last_heard < options_.silence &&
-                entry.ramp.paused_until() <= now && !entry.unreachable;
+          : now - entry.last_heard < options_.silence && !entry.unreachable;
   return is_available && !entry.replaced && !entry.said_leaving &&
          entry.announced.state == target_state::kReady &&
          !IsDataCentreOut(entry.announced.data_centre);
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -70,13 +70,15 @@
   bool paused = false;
   /// An answer of this incarnation said that it leaves.
   bool said_leaving = false;
+  /// How much longer it wants no requests from this router.
+  duration asked_pause{};
   duration since_heard{};
 };
 
 /// Invariants: the requests in flight at a target never exceed its limit at the
 /// time of admission; no grant is issued for a target that is not ready,
-/// silent, paused or in a data centre out of service, or that has said in an
-/// answer that it leaves.
+/// silent, paused or in a data centre out of service, that has said in an
+/// answer that it leaves, or that has asked for a pause.
 class target_directory {
  public:
   target_directory(directory_options options, i_random& random);
@@ -153,11 +155,24 @@
   bool ReportLeaving(const slot_grant& grant);
   /// A target other than the granted one said so at the granted address.
   void ReportOtherLeaving(const slot_grant& grant);
+  /// The target wants no requests from this router for `pause` from `received`.
+  /// A later end that is known already holds. Its ramp takes this for a
+  /// failure.
+  enum class pause_report { kNone, kBegan, kExtended };
+  pause_report ReportPause(const slot_grant& grant,
+                           duration pause,
+                           time_point received,
+                           time_point now);
   /// Returns whether the target announces or has said that it leaves.
   [[nodiscard]] bool IsLeaving(const slot_grant& grant) const;
   /// Returns whether all targets of the pool that could be used leave, and at
   /// least one does.
   [[nodiscard]] bool AllLeave(const pool_id& pool, time_point now) const;
+  /// Returns when the first pause ends that targets of the pool have asked for;
+  /// nullopt if none has, or another target is usable now or after failures.
+  [[nodiscard]] std::optional<time_point> FirstPauseEnd(const pool_id& pool,
+                                                        time_point now) const;
+
   /// Records that another process answers at the target's address.
   void MarkReplaced(const slot_grant& grant);
   /// Records that the target's address refuses connections. It is not used
@@ -246,13 +261,14 @@
   [[nodiscard]] std::uint32_t UsableSlots(const pool_id& pool,
                                           time_point now) const;
 
-  /// Returns the throughput of the usable targets of the pool, given that of a
-  /// slot, where a named rate limit admits requests of this cost.
+  /// Returns the throughput of the targets of the pool in service, given that
+  /// of a slot, where a named rate limit admits requests of this cost. Those
+  /// that asked this router for a pause work for other routers and count.
   [[nodiscard]] double UsableThroughput(const pool_id& pool,
                                         double per_slot,
                                         double request_cost,
                                         time_point now) const;
-  /// Returns the sum of the slots that usable targets of the pool announce.
+  /// Returns the sum of the slots that these targets announce.
   [[nodiscard]] std::uint32_t AnnouncedSlots(const pool_id& pool,
                                              time_point now) const;
 
@@ -297,6 +313,8 @@
     bool unreachable = false;
     /// An answer of this incarnation said that it leaves.
     bool said_leaving = false;
+    /// It wants no requests from this router before this time.
+    time_point asked_pause_until{};
   };
   /// Initial value, typical of current engines; adjusted by measurements.
   static constexpr double kDefaultTokensPerMs = 55;
@@ -383,6 +401,10 @@
   void RemoveUnread(entry& entry, std::uint64_t grant);
 
   [[nodiscard]] bool IsUsable(const entry& entry, time_point now) const;
+  /// Whether the target could be used but for a pause that it asked for.
+  [[nodiscard]] bool IsInService(const entry& entry, time_point now) const;
+  /// Whether it could be used but for pauses, asked for or after failures.
+  [[nodiscard]] bool IsPresent(const entry& entry, time_point now) const;
   static bool IsLeaving(const entry& entry);
   [[nodiscard]] std::uint32_t UsableTargets(const pool_id& pool,
                                             time_point now) const;
--- a/src/targets/tests/target_answers_unittest.cc
+++ b/src/targets/tests/target_answers_unittest.cc
@@ -1,4 +1,4 @@
-// Targets that say in their answers that they leave.
+// Targets that say in their answers that they leave or want a pause.
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -18,6 +18,8 @@
 constexpr std::uint32_t kSlots = 8;
 
 struct answers_fixture {
+  using pause_report = target_directory::pause_report;
+
   time_point now{seconds(1000)};
   seeded_random random{5};
   target_directory directory{directory_options{}, random};
@@ -45,6 +47,9 @@
     REQUIRE(chosen.has_value());
     return chosen->grant;
   }
+  pause_report Pause(const slot_grant& grant, duration pause) {
+    return directory.ReportPause(grant, pause, now, now);
+  }
   bool IsUsable() const { return directory.IsUsable(target_id("a"), now); }
 };
 
@@ -69,6 +74,7 @@
   CHECK(Choose().has_value());
   // A late answer of the earlier one.
   CHECK_FALSE(directory.ReportLeaving(grant));
+  CHECK(Pause(grant, seconds(2)) == pause_report::kNone);
   CHECK(IsUsable());
 }
 
@@ -106,7 +112,117 @@
   CHECK(directory.HasUsable(pool_id("llm"), now));
 }
 
-TEST_CASE_METHOD(answers_fixture, "target that leaves: not read from") {
+TEST_CASE_METHOD(answers_fixture,
+                 "target asked for a pause: not used until its end") {
+  Announce("a");
+  CHECK(Pause(Grant(), milliseconds(1500)) == pause_report::kBegan);
+  CHECK(directory.next_deadline() == now + milliseconds(1500));
+  CHECK(directory.FirstPauseEnd(pool_id("llm"), now) ==
+        now + milliseconds(1500));
+  CHECK_FALSE(Choose().has_value());
+  CHECK_FALSE(directory.HasUsable(pool_id("llm"), now));
+  now += milliseconds(1499);
+  CHECK_FALSE(Choose().has_value());
+  now += milliseconds(1);
+  CHECK(Choose().has_value());
+  CHECK_FALSE(directory.FirstPauseEnd(pool_id("llm"), now).has_value());
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "target asked for a pause: answers to earlier requests ask "
+                 "for none or a shorter one: the pause holds") {
+  Announce("a");
+  const slot_grant first = Grant();
+  const slot_grant second = Grant();
+  Pause(first, seconds(3));
+  CHECK(Pause(second, seconds(1)) == pause_report::kNone);
+  directory.ReleaseSucceeded(second);
+  now += seconds(2);
+  CHECK_FALSE(IsUsable());
+  now += seconds(1);
+  CHECK(IsUsable());
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "target asks many requests in flight for a pause: it is as "
+                 "if one had failed") {
+  Announce("a");
+  std::vector<slot_grant> grants;
+  for (std::uint32_t i = 0; i < kSlots; ++i) {
+    grants.push_back(Grant());
+  }
+  for (const slot_grant& grant : grants) {
+    Pause(grant, seconds(1));
+    directory.ReleaseFailed(grant, now);
+  }
+  CHECK(directory.RampLimit(target_id("a")) == kSlots / 4);
+  now += seconds(1);
+  std::uint32_t sent = 0;
+  while (Choose().has_value()) {
+    ++sent;
+  }
+  CHECK(sent == kSlots / 4);
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "targets asked for pauses, one has also failed: the first "
+                 "that is usable again counts") {
+  Announce("a");
+  const slot_grant grant = Grant();
+  Announce("b");
+  Pause(grant, seconds(3));
+  const slot_grant other = Grant();
+  REQUIRE(other.target == target_id("b"));
+  Pause(other, milliseconds(1));
+  now += milliseconds(1);
+  const slot_grant again = Grant();
+  REQUIRE(again.target == target_id("b"));
+  Pause(again, milliseconds(1));
+  CHECK(directory.FirstPauseEnd(pool_id("llm"), now) ==
+        now + milliseconds(500));
+  now += milliseconds(1);
+  // A target that is kept back after failures alone is no reason to refuse.
+  CHECK_FALSE(directory.FirstPauseEnd(pool_id("llm"), now).has_value());
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "target asked for a pause, then is silent and comes back: the "
+                 "pause holds") {
+  Announce("a");
+  Pause(Grant(), seconds(9));
+  now += seconds(7);
+  directory.CollectSilent(now);
+  CHECK(directory.next_deadline() == now + seconds(2));
+  CHECK_FALSE(directory.FirstPauseEnd(pool_id("llm"), now).has_value());
+  Announce("a");
+  CHECK_FALSE(IsUsable());
+  now += seconds(2);
+  CHECK(IsUsable());
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "target asked for a pause: a later incarnation is used") {
+  Announce("a");
+  Pause(Grant(), seconds(9));
+  Announce("a", 2);
+  CHECK(IsUsable());
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "target asked this router for a pause: it counts in the "
+                 "capacity that all routers share") {
+  Announce("a");
+  const slot_grant grant = Grant();
+  Announce("b");
+  Pause(grant, seconds(9));
+  CHECK_FALSE(IsUsable());
+  CHECK(directory.AnnouncedSlots(pool_id("llm"), now) == 2 * kSlots);
+  CHECK(directory.UsableThroughput(pool_id("llm"), 100, 0, now) ==
+        200 * kSlots);
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "target that asked for a pause or leaves: not read from") {
   const prompt asked{.input_tokens = 2000,
                      .parts = {{.id = 9, .tokens = 2000}}};
   const auto place = [&] {
@@ -118,7 +234,12 @@
   const auto first = place();
   REQUIRE(first.has_value());
   directory.ReportFirstOutput(first->grant, milliseconds(40));
-  directory.ReportLeaving(first->grant);
+  SECTION("pause") {
+    Pause(first->grant, seconds(3));
+  }
+  SECTION("leaves") {
+    directory.ReportLeaving(first->grant);
+  }
   announcement other = Target("b");
   other.address = {.port = 2};
   directory.Announce(other, now);
