--- a/src/route_interface/internal/route_dialect.cc
+++ b/src/route_interface/internal/route_dialect.cc
@@ -32,6 +32,8 @@
 constexpr char kCopyFrom[] = "X-Copy-From";
 // Requests per second that the target takes from all routers together.
 constexpr char kRateLimit[] = "X-Rate-Limit";
+// "1" in the responses of a target that is about to end.
+constexpr char kLeaving[] = "X-Leaving";
 constexpr char kLastEventId[] = "Last-Event-ID";
 // The caller's request that received the first event of the stream.
 constexpr char kResumes[] = "X-Resumes";
@@ -66,6 +68,7 @@
                       .resume_after = kLastEventId,
                       .copy_from = kCopyFrom,
                       .rate_limit = kRateLimit,
+                      .leaving = kLeaving,
                       .set_by_routers = {}}) {}
 
 result<gateway::call_facts> route_dialect::ReadCall(
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -56,6 +56,7 @@
   const targets::announce_result result =
       directory_.Announce(announcement, now);
   DispatchAll(now, out);
+  RefuseForNoTarget(now, out);
   return result;
 }
 
@@ -111,6 +112,7 @@
       !record->lifecycle.attempt_running()) {
     return;
   }
+  const bool fewer_usable = ApplyAnswerHead(*record, event, now, out);
   RecordEvidence(*record, event, now);
   const auto cancelled_for = record->lifecycle.cancel_reason();
   Account(*record, event, now, out);
@@ -139,9 +141,12 @@
   Apply(record->lifecycle.OnAttempt(event, may_queue, now), *record, now, out);
   EraseIfDone(request);
   ApplyBlocks(now, out);
-  if (slot_freed) {
+  if (slot_freed || fewer_usable) {
     DispatchAll(now, out);
   }
+  if (fewer_usable) {
+    RefuseForNoTarget(now, out);
+  }
 }
 
 bool request_router::HasTargetFor(const record& record, time_point now) const {
@@ -267,7 +272,7 @@
       next = std::min(next, state.next_dispatch_at);
     }
     if (state.no_target_since && state.queue.size() > 0) {
-      next = std::min(next, *state.no_target_since + options_.no_target_wait);
+      next = std::min(next, state.no_target_refusal_at);
     }
   }
   return next;
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -176,6 +176,18 @@
   std::optional<double> per_second;
 };
 
+/// A target said in an answer that it leaves; it gets no further requests.
+struct target_leaves {
+  target_id target;
+  incarnation life;
+};
+
+/// A target asked this router for no requests for some time.
+struct target_pause_began {
+  target_id target;
+  duration remaining{};
+};
+
 /// Requests with a suspect are refused from now on, or no longer.
 struct suspect_block_changed {
   crashes::pool_suspect suspect;
@@ -200,7 +212,9 @@
                             suspect_block_changed,
                             rate_limit_changed,
                             stream_began,
-                            ask_stream_origin>;
+                            ask_stream_origin,
+                            target_leaves,
+                            target_pause_began>;
 using effects = std::vector<effect>;
 
 }  // namespace burdocklock::routing
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -74,7 +74,7 @@
          std::any_of(entries->second.begin(), entries->second.end(),
                      [&](const entry* candidate) {
                        const announcement& announced = candidate->announced;
-                       return (!version || announced.version == *version) &&
+                       return Fits(*candidate, version) &&
                               IsUsable(*candidate, now) &&
                               std::find(tried.begin(), tried.end(),
                                         announced.target) == tried.end();
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -68,12 +68,17 @@
   ramp_phase phase = ramp_phase::kCold;
   bool silent = false;
   bool paused = false;
+  /// An answer of this incarnation said that it leaves.
+  bool said_leaving = false;
+  /// How much longer it wants no requests from this router.
+  duration asked_pause{};
   duration since_heard{};
 };
 
 /// Invariants: the requests in flight at a target never exceed its limit at the
 /// time of admission; no grant is issued for a target that is not ready,
-/// silent, paused or in a data centre out of service.
+/// silent, paused or in a data centre out of service, that has said in an
+/// answer that it leaves, or that has asked for a pause.
 class target_directory {
  public:
   target_directory(directory_options options, i_random& random);
@@ -146,6 +151,31 @@
   /// Returns the load of this router at each target that it uses.
   [[nodiscard]] std::vector<admission::target_load> LocalLoad(
       time_point now) const;
+  // What targets say in their answers (target_answers.cc).
+
+  /// The target said that it leaves, which is final within its incarnation.
+  /// Returns whether that is new.
+  bool ReportLeaving(const slot_grant& grant);
+  /// A target other than the granted one said so at the granted address.
+  void ReportOtherLeaving(const slot_grant& grant);
+  /// The target wants no requests from this router for `pause` from `received`.
+  /// A later end that is known already holds. Its ramp takes this for a
+  /// failure.
+  enum class pause_report { kNone, kBegan, kExtended };
+  pause_report ReportPause(const slot_grant& grant,
+                           duration pause,
+                           time_point received,
+                           time_point now);
+  /// Returns whether the target announces or has said that it leaves.
+  [[nodiscard]] bool IsLeaving(const slot_grant& grant) const;
+  /// Returns whether all targets of the pool that could be used leave, and at
+  /// least one does.
+  [[nodiscard]] bool AllLeave(const pool_id& pool, time_point now) const;
+  /// Returns when the first pause ends that targets of the pool have asked for;
+  /// nullopt if none has, or another target is usable now or after failures.
+  [[nodiscard]] std::optional<time_point> FirstPauseEnd(const pool_id& pool,
+                                                        time_point now) const;
+
   /// Records that another process answers at the target's address.
   void MarkReplaced(const slot_grant& grant);
   /// Records that the target's address refuses connections. It is not used
@@ -252,13 +282,14 @@
   [[nodiscard]] std::uint32_t UsableSlots(const pool_id& pool,
                                           time_point now) const;
 
-  /// Returns the throughput of the usable targets of the pool, given that of a
-  /// slot, where a named rate limit admits requests of this cost.
+  /// Returns the throughput of the targets of the pool in service, given that
+  /// of a slot, where a named rate limit admits requests of this cost. Those
+  /// that asked this router for a pause work for other routers and count.
   [[nodiscard]] double UsableThroughput(const pool_id& pool,
                                         double per_slot,
                                         double request_cost,
                                         time_point now) const;
-  /// Returns the sum of the slots that usable targets of the pool announce.
+  /// Returns the sum of the slots that these targets announce.
   [[nodiscard]] std::uint32_t AnnouncedSlots(const pool_id& pool,
                                              time_point now) const;
 
@@ -305,6 +336,10 @@
     bool broken = false;
     /// Grants with lower numbers belong to an earlier incarnation or version.
     std::uint64_t first_grant = 0;
+    /// An answer of this incarnation said that it leaves.
+    bool said_leaving = false;
+    /// It wants no requests from this router before this time.
+    time_point asked_pause_until{};
   };
   /// Initial value, typical of current engines; adjusted by measurements.
   static constexpr double kDefaultTokensPerMs = 55;
@@ -405,8 +440,13 @@
       const std::optional<software_version>& version);
   /// Whether the target is known to be there, although it may be starting or
   /// paused.
-  [[nodiscard]] bool IsPresent(const entry& entry, time_point now) const;
+  [[nodiscard]] bool MayServe(const entry& entry, time_point now) const;
   [[nodiscard]] bool IsUsable(const entry& entry, time_point now) const;
+  /// Whether the target could be used but for a pause that it asked for.
+  [[nodiscard]] bool IsInService(const entry& entry, time_point now) const;
+  /// Whether it could be used but for pauses, asked for or after failures.
+  [[nodiscard]] bool IsPresent(const entry& entry, time_point now) const;
+  static bool IsLeaving(const entry& entry);
   [[nodiscard]] std::uint32_t UsableTargets(const pool_id& pool,
                                             time_point now) const;
   /// Returns the sum of `slots_of` over the usable targets of the pool.
