A refusal that names no request is not believed on a kept connection

Callers saw: a request that is not idempotent ran at two replicas, or was answered 503 although a replica ran it, after a faulty replica had written an answer too many on a connection that is kept.

Cause: an answer to another request is told by its id. A refusal (not executed, or 421) without an id was taken for the answer to the request just sent, also on a connection that had carried others before. Routers reuse connections for all first sends. The native interface took a 421 with another request's id in the same way.

Change: on a connection that has carried a request, an answer that says that the request did not run is believed only if it names the request; otherwise the attempt ends as one that may have run, and the connection is closed. A connection on which an answer to another request was skipped is not kept.

--- a/src/app/tests/fake_target.h
+++ b/src/app/tests/fake_target.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -27,6 +28,14 @@
   std::string endless = {};
   /// Refuses connections from then on, then closes this one.
   bool end = false;
+  /// Written first if the connection has carried a request before.
+  std::string stale = {};
+  /// Written after `bytes`.
+  std::string extra = {};
+  /// Between `stale` and `bytes`, and between `bytes` and `extra`.
+  std::chrono::milliseconds pause{};
+  /// Takes further requests on the connection.
+  bool keep = false;
 };
 
 class fake_target : public net::i_http_handler {
@@ -44,8 +53,13 @@
          at = answer.bytes.find("NAME")) {
       answer.bytes.replace(at, 4, name);
     }
+    WriteStale(connection, answer);
     net::asio::async_write(connection.stream, net::asio::buffer(answer.bytes),
                            use_fiber);
+    WriteExtra(connection, answer);
+    if (answer.keep) {
+      return net::keep_alive::kYes;
+    }
     if (!answer.endless.empty()) {
       WriteEndlessly(connection, answer.endless);
       ++closed_by_peer;
@@ -69,8 +83,30 @@
   std::atomic<int> requests{0};
   std::atomic<int> closed_by_peer{0};
   std::atomic<std::size_t> endless_bytes{0};
+  /// How often `stale` was written.
+  std::atomic<int> stale_answers{0};
 
  private:
+  void WriteStale(net::http_connection& connection, const fake_answer& answer) {
+    const bool is_used =
+        !ports_.insert(connection.stream.socket().remote_endpoint().port())
+             .second;
+    if (answer.stale.empty() || !is_used) {
+      return;
+    }
+    net::asio::async_write(connection.stream, net::asio::buffer(answer.stale),
+                           use_fiber);
+    ++stale_answers;
+    SleepFor(server_.io(), answer.pause);
+  }
+  void WriteExtra(net::http_connection& connection, const fake_answer& answer) {
+    if (answer.extra.empty()) {
+      return;
+    }
+    SleepFor(server_.io(), answer.pause);
+    net::asio::async_write(connection.stream, net::asio::buffer(answer.extra),
+                           use_fiber);
+  }
   void WriteEndlessly(net::http_connection& connection,
                       const std::string& piece) {
     for (;;) {
@@ -84,6 +120,8 @@
   }
 
   script script_;
+  /// Ports of the peers whose connections have carried a request.
+  std::set<std::uint16_t> ports_;
   // Last, as its thread calls this object.
   server_thread server_{*this};
 };
--- a/src/gateway/i_target_dialect.h
+++ b/src/gateway/i_target_dialect.h
@@ -69,6 +69,9 @@
                        net::http_request& request) const = 0;
   [[nodiscard]] virtual head_verdict Judge(const net::http_response_head& head,
                                            const outgoing_call& call) const = 0;
+  /// True if the response names this request.
+  [[nodiscard]] virtual bool IsNamed(const net::http_response_head& head,
+                                     const outgoing_call& call) const = 0;
   /// Requests per second that the target takes from all routers together, if
   /// the response names a limit.
   [[nodiscard]] virtual std::optional<double> ReadRateLimit(
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -119,8 +119,9 @@
     if (!head) {
       return FailFrom(head.error());
     }
-    const head_verdict verdict = context_.dialect.Judge(head.value(), call_);
+    const head_verdict verdict = Judge(head.value());
     if (verdict == head_verdict::kOtherRequest && reused_connection_) {
+      wrote_extra_ = true;
       std::string skipped;
       if (auto failure = ReadBody(skipped)) {
         return *failure;
@@ -146,6 +147,17 @@
               "only answers to other requests");
 }
 
+head_verdict attempt_runner::Judge(const net::http_response_head& head) const {
+  const head_verdict verdict = context_.dialect.Judge(head, call_);
+  const bool says_not_run = verdict == head_verdict::kNotAdmitted ||
+                            verdict == head_verdict::kOtherTarget;
+  if (says_not_run && reused_connection_ &&
+      !context_.dialect.IsNamed(head, call_)) {
+    return head_verdict::kMalformed;
+  }
+  return verdict;
+}
+
 std::optional<attempt_failed> attempt_runner::CheckHead(
     head_verdict verdict,
     const net::http_response_head& head) const {
@@ -287,7 +299,8 @@
 }
 
 void attempt_runner::ReleaseConnection() {
-  if (!cancelled_ && connection_->Reusable()) {
+  // A target that has written an answer too many may do so again.
+  if (!cancelled_ && !wrote_extra_ && connection_->Reusable()) {
     context_.idle_connections.Put(order_.life, std::move(connection_));
   }
 }
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -67,6 +67,9 @@
   std::optional<routing::attempt_failed> CheckHead(
       head_verdict verdict,
       const net::http_response_head& head) const;
+  /// As the dialect judges it, but an answer that says that the request did not
+  /// run is believed only if it cannot belong to an earlier request.
+  [[nodiscard]] head_verdict Judge(const net::http_response_head& head) const;
   /// Reads the rest of a response into `body`; nullopt on success.
   std::optional<routing::attempt_failed> ReadBody(std::string& body);
   routing::attempt_event ReceiveResponse(const net::http_response_head& head);
@@ -93,6 +96,8 @@
   bool sent_ = false;
   bool cancelled_ = false;
   bool reused_connection_ = false;
+  /// The target has answered an earlier request once more.
+  bool wrote_extra_ = false;
   /// Set once a response to this request has arrived.
   std::optional<routing::answer_head> head_;
   saved_response saved_response_;
--- a/src/gateway/internal/openai_dialect.cc
+++ b/src/gateway/internal/openai_dialect.cc
@@ -21,9 +21,14 @@
 void openai_dialect::Prepare(const attempt_parameters&,
                              net::http_request&) const {}
 
+bool openai_dialect::IsNamed(const net::http_response_head& head,
+                             const outgoing_call& call) const {
+  return head.fields[kRequestIdField] == call.request_name;
+}
+
 head_verdict openai_dialect::Judge(const net::http_response_head& head,
                                    const outgoing_call& call) const {
-  if (head.fields[kRequestIdField] != call.request_name) {
+  if (!IsNamed(head, call)) {
     return head_verdict::kMalformed;
   }
   if (boost::beast::iequals(head.fields[kAdmittedField], "no")) {
--- a/src/gateway/internal/openai_dialect.h
+++ b/src/gateway/internal/openai_dialect.h
@@ -12,6 +12,8 @@
   [[nodiscard]] head_verdict Judge(const net::http_response_head& head,
                                    const outgoing_call& call) const override;
   /// This protocol has no such field.
+  [[nodiscard]] bool IsNamed(const net::http_response_head& head,
+                             const outgoing_call& call) const override;
   [[nodiscard]] std::optional<double> ReadRateLimit(
       const net::http_response_head&) const override {
     return std::nullopt;
--- a/src/gateway/internal/routed_dialect.cc
+++ b/src/gateway/internal/routed_dialect.cc
@@ -65,6 +65,11 @@
   }
 }
 
+bool routed_dialect::IsNamed(const net::http_response_head& head,
+                             const outgoing_call& call) const {
+  return head.fields[fields_.name] == call.request_name;
+}
+
 std::optional<double> routed_dialect::ReadRateLimit(
     const net::http_response_head& head) const {
   const std::string_view text = head.fields[fields_.rate_limit];
--- a/src/gateway/routed_dialect.h
+++ b/src/gateway/routed_dialect.h
@@ -40,6 +40,8 @@
       const call_identity& identity) const override;
   void Prepare(const attempt_parameters& parameters,
                net::http_request& request) const override;
+  [[nodiscard]] bool IsNamed(const net::http_response_head& head,
+                             const outgoing_call& call) const override;
   /// A limit that is not a number, negative or too large is ignored.
   [[nodiscard]] std::optional<double> ReadRateLimit(
       const net::http_response_head& head) const override;
--- a/src/route_interface/internal/route_dialect.cc
+++ b/src/route_interface/internal/route_dialect.cc
@@ -99,15 +99,15 @@
 head_verdict route_dialect::Judge(const net::http_response_head& head,
                                   const gateway::outgoing_call& call) const {
   const std::string_view name = head.fields[kRequestId];
+  if (!name.empty() && name != call.request_name) {
+    return head_verdict::kOtherRequest;
+  }
   if (head.status == kOtherTargetStatus) {
     return head_verdict::kOtherTarget;
   }
   if (name.empty()) {
     return head_verdict::kMalformed;
   }
-  if (name != call.request_name) {
-    return head_verdict::kOtherRequest;
-  }
   if (boost::beast::iequals(head.fields[kAdmitted], "no")) {
     return head_verdict::kNotAdmitted;
   }
--- a/src/route_interface/tests/route_interface_unittest.cc
+++ b/src/route_interface/tests/route_interface_unittest.cc
@@ -205,6 +205,14 @@
   CHECK(built.count(http::field::authorization) == 0);
 }
 
+TEST_CASE_METHOD(dialect_fixture,
+                 "421 that names another request: answers that one") {
+  head.status = 421;
+  CHECK(dialect.Judge(head, call) == head_verdict::kOtherTarget);
+  head.fields.set("X-Request-Id", "n2");
+  CHECK(dialect.Judge(head, call) == head_verdict::kOtherRequest);
+}
+
 TEST_CASE_METHOD(dialect_fixture,
                  "response on a route: classified by its fields") {
   CHECK(dialect.Judge(head, call) == head_verdict::kAnswer);
