One request id is not sent twice over one connection to a target

Callers saw: a caller that used a request id again got, on a kept connection, the answer to its earlier request once more.

Cause: an answer is told by its id, and the id was the same for both.

--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -73,7 +73,10 @@
 
 std::optional<attempt_failed> attempt_runner::Connect() {
   if (order_.connection == routing::connection_choice::kReuseAllowed) {
-    connection_ = context_.idle_connections.Take(order_.address, order_.life);
+    named_connection taken = context_.idle_connections.Take(
+        order_.address, order_.life, call_.request_name);
+    connection_ = std::move(taken.client);
+    names_ = taken.names;
   }
   if (connection_) {
     reused_connection_ = true;
@@ -95,6 +98,7 @@
     return Fail(failure_kind::kCancelled, "send request", "cancelled");
   }
   sent_ = true;
+  names_.Add(call_.request_name);
   Report(routing::attempt_sending{});
   net::http_request request = call_.request;
   attempt_parameters parameters{.target = order_.target,
@@ -301,7 +305,8 @@
 void attempt_runner::ReleaseConnection() {
   // A target that has written an answer too many may do so again.
   if (!cancelled_ && !wrote_extra_ && connection_->Reusable()) {
-    context_.idle_connections.Put(order_.life, std::move(connection_));
+    context_.idle_connections.Put(
+        order_.life, {.client = std::move(connection_), .names = names_});
   }
 }
 
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -92,6 +92,8 @@
   const routing::start_attempt& order_;
   response_writer& writer_;
   std::unique_ptr<net::http_client> connection_;
+  /// Names of the requests that `connection_` has carried.
+  recent_names names_;
   attempt_progress_meter* meter_ = nullptr;
   bool sent_ = false;
   bool cancelled_ = false;
--- a/src/gateway/internal/target_connections.cc
+++ b/src/gateway/internal/target_connections.cc
@@ -18,37 +18,43 @@
                                        duration max_idle)
     : context_(context), max_idle_(max_idle), sweep_timer_(context) {}
 
-std::unique_ptr<net::http_client> target_connections::Take(
-    const endpoint& address,
-    incarnation target_incarnation) {
+named_connection target_connections::Take(const endpoint& address,
+                                          incarnation target_incarnation,
+                                          std::string_view request_name) {
   const auto found = idle_.find({address, target_incarnation});
   if (found == idle_.end()) {
-    return nullptr;
+    return {};
   }
   const time_point now = std::chrono::steady_clock::now();
   std::vector<idle_connection>& connections = found->second;
-  while (!connections.empty()) {
-    idle_connection candidate = std::move(connections.back());
-    connections.pop_back();
-    if (candidate.until > now && candidate.connection->IsQuiet()) {
-      return std::move(candidate.connection);
+  named_connection taken;
+  for (auto it = connections.end();
+       it != connections.begin() && !taken.client;) {
+    --it;
+    if (it->until <= now || !it->connection.client->IsQuiet()) {
+      it = connections.erase(it);
+    } else if (!it->connection.names.Contains(request_name)) {
+      taken = std::move(it->connection);
+      it = connections.erase(it);
     }
   }
-  idle_.erase(found);
-  return nullptr;
+  if (connections.empty()) {
+    idle_.erase(found);
+  }
+  return taken;
 }
 
 void target_connections::Put(incarnation target_incarnation,
-                             std::unique_ptr<net::http_client> connection) {
-  connection->ExpiresNever();
+                             named_connection connection) {
+  connection.client->ExpiresNever();
   duration limit = max_idle_;
-  if (const auto stated = connection->idle_limit()) {
+  if (const auto stated = connection.client->idle_limit()) {
     limit = std::min<duration>(limit, *stated - kIdleMargin);
   }
   if (limit <= duration::zero()) {
     return;
   }
-  const key key{connection->peer(), target_incarnation};
+  const key key{connection.client->peer(), target_incarnation};
   idle_[key].push_back({.connection = std::move(connection),
                         .until = std::chrono::steady_clock::now() + limit});
   ScheduleSweep();
@@ -63,7 +69,7 @@
   const time_point now = std::chrono::steady_clock::now();
   for (auto it = idle_.begin(); it != idle_.end();) {
     std::erase_if(it->second, [now](const idle_connection& idle) {
-      return idle.until <= now || !idle.connection->IsQuiet();
+      return idle.until <= now || !idle.connection.client->IsQuiet();
     });
     it = it->second.empty() ? idle_.erase(it) : std::next(it);
   }
