Bytes that are no text no longer end a control host or a router

Operators would see: a control host ends on a heartbeat or a configuration with a byte that is no UTF-8, each time it is sent.

Cause: the parser's message holds the byte, and json::dump throws for it while the refusal (or a status report with a target's id) is written.

Change: values with text from elsewhere are formatted by one function, which replaces such bytes.

Measured: "heartbeats with bytes that are no text" (bl_platform, control host and router over loopback): before SIGABRT (type_error.316); passes now.

--- a/src/app/internal/command_call.cc
+++ b/src/app/internal/command_call.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/codec/format_text.h"
 #include "framework/fiber/use_fiber.h"
 #include "routes/configuration_checks.h"
 
@@ -58,7 +59,8 @@
 }  // namespace
 
 net::json_reply MakeProblem(http::status status, const std::string& detail) {
-  return {.status = status, .body = nlohmann::json{{"error", detail}}.dump()};
+  return {.status = status,
+          .body = FormatText(nlohmann::json{{"error", detail}})};
 }
 
 net::json_reply RunCommand(
--- a/src/app/internal/control_report.cc
+++ b/src/app/internal/control_report.cc
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/codec/format_text.h"
+
 namespace burdocklock::app {
 
 using nlohmann::ordered_json;
@@ -10,16 +12,15 @@
 std::string DescribeControlStatus(const config::settings& settings,
                                   const control::control_node& node) {
   const quorum::raft_node& raft = node.raft();
-  return ordered_json{{"daemon", settings.daemon.value()},
-                      {"data_centre", settings.data_centre.value()},
-                      {"role", ToString(raft.role())},
-                      {"term", raft.term().value()},
-                      {"leader", raft.leader().value()},
-                      {"commit", raft.commit().value()},
-                      {"version", node.state().contents().version},
-                      {"routers", node.router_count()},
-                      {"targets", node.registry().size()}}
-      .dump();
+  return FormatText(ordered_json{{"daemon", settings.daemon.value()},
+                                 {"data_centre", settings.data_centre.value()},
+                                 {"role", ToString(raft.role())},
+                                 {"term", raft.term().value()},
+                                 {"leader", raft.leader().value()},
+                                 {"commit", raft.commit().value()},
+                                 {"version", node.state().contents().version},
+                                 {"routers", node.router_count()},
+                                 {"targets", node.registry().size()}});
 }
 
 std::string DescribeRegisteredTargets(const control::control_node& node) {
@@ -32,7 +33,7 @@
                     {"state", ToString(entry.announced.state)},
                     {"slots", entry.announced.slots}});
   }
-  return ordered_json{{"targets", list}}.dump();
+  return FormatText(ordered_json{{"targets", list}});
 }
 
 std::string DescribeLogMembers(const control::control_node& node) {
@@ -42,7 +43,7 @@
                     {"links", ToString(member.peer_endpoint)},
                     {"voter", member.voter}});
   }
-  return ordered_json{{"members", list}}.dump();
+  return FormatText(ordered_json{{"members", list}});
 }
 
 }  // namespace burdocklock::app
--- a/src/app/internal/status_report.cc
+++ b/src/app/internal/status_report.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "app/control_loop.h"
+#include "framework/codec/format_text.h"
 
 namespace burdocklock::app {
 
@@ -98,7 +99,7 @@
       {"retries", totals.retries},
       {"coordinator", node_ && node_->IsCoordinator()},
       {"data_centres_out", out}};
-  return document.dump();
+  return FormatText(document);
 }
 
 std::string control_loop::TargetsJson() {
@@ -107,13 +108,13 @@
   for (const targets::target_view& view : TargetViews(now)) {
     list.push_back(DescribeTarget(view));
   }
-  return ordered_json{{"targets", list}}.dump();
+  return FormatText(ordered_json{{"targets", list}});
 }
 
 std::string control_loop::CustomersJson() {
   ordered_json list = ordered_json::array();
   if (!node_) {
-    return ordered_json{{"customers", list}}.dump();
+    return FormatText(ordered_json{{"customers", list}});
   }
   for (const auto& entry : node_->coordinator().Customers()) {
     list.push_back({{"customer", entry.customer.value()},
@@ -123,16 +124,15 @@
                     {"running", entry.running},
                     {"weighted_service", entry.virtual_service}});
   }
-  return ordered_json{{"coordinator", node_->IsCoordinator()},
-                      {"customers", list}}
-      .dump();
+  return FormatText(ordered_json{{"coordinator", node_->IsCoordinator()},
+                                 {"customers", list}});
 }
 
 std::string control_loop::MembersJson() {
   ordered_json list = ordered_json::array();
   const time_point now = std::chrono::steady_clock::now();
   if (!node_) {
-    return ordered_json{{"members", list}}.dump();
+    return FormatText(ordered_json{{"members", list}});
   }
   for (const membership::member& member : node_->members().Alive(now)) {
     const auto coordinator =
@@ -145,7 +145,7 @@
          {"role", member.has_control_role ? "control" : "router"},
          {"coordinates", coordinator && coordinator->daemon == member.daemon}});
   }
-  return ordered_json{{"members", list}}.dump();
+  return FormatText(ordered_json{{"members", list}});
 }
 
 }  // namespace burdocklock::app
--- a/src/gateway/internal/caller_handler.cc
+++ b/src/gateway/internal/caller_handler.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/key_hashing.h"
+#include "framework/codec/format_text.h"
 #include "gateway/call_parser.h"
 #include "gateway/forwarded_fields.h"
 #include "targets/announcement_parser.h"
@@ -134,7 +135,7 @@
                       {"owned_by", "burdocklock"}});
   }
   const nlohmann::ordered_json list = {{"object", "list"}, {"data", models}};
-  return Reply(connection, request, 200, kJson, list.dump());
+  return Reply(connection, request, 200, kJson, FormatText(list));
 }
 
 net::keep_alive caller_handler::HandleAnnouncement(
@@ -153,7 +154,7 @@
   const auto announcement = targets::ParseAnnouncement(request.body());
   if (!announcement) {
     const nlohmann::json problem = {{"error", announcement.error().detail}};
-    return Reply(connection, request, 400, kJson, problem.dump());
+    return Reply(connection, request, 400, kJson, FormatText(problem));
   }
   context_.control.Announce(announcement.value());
   return Reply(connection, request, 202, kJson, R"({"accepted":true})");
