Documents and messages that nest deeply are rejected

Operators would see: machines that read a heartbeat or a list of targets with an entry that nests thousands of levels deep end, again and again.

Cause: nlohmann::json parses CBOR, copies and formats values recursively, on the small stacks of fibers.

--- a/src/control/internal/operator_state.cc
+++ b/src/control/internal/operator_state.cc
@@ -27,7 +27,7 @@
 }
 
 operator_command DecodeCommand(const std::string& bytes) {
-  const json j = ParseCbor(bytes);
+  const json j = ParseIntegers(bytes);
   const auto& kind = j.at(0).get_ref<const std::string&>();
   if (kind == kConfiguration) {
     return set_configuration{.version = j.at(1).get<std::uint64_t>(),
@@ -95,7 +95,7 @@
 
 result<void> operator_state::Restore(const std::string& encoded) {
   try {
-    const json j = ParseCbor(encoded);
+    const json j = ParseIntegers(encoded);
     state_contents contents;
     j.at(1).get_to(contents.version);
     j.at(2).get_to(contents.document);
--- a/src/framework/codec/cbor_types.h
+++ b/src/framework/codec/cbor_types.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/codec/bounded_parse.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/strong_type.h"
 
@@ -49,9 +50,10 @@
   }
 }
 
-/// Parses CBOR; throws if it is malformed.
-inline nlohmann::json ParseCbor(std::string_view bytes) {
-  nlohmann::json j = nlohmann::json::from_cbor(bytes);
+/// Parses CBOR without numbers out of the range accepted for integers; throws
+/// if it is malformed.
+inline nlohmann::json ParseIntegers(std::string_view bytes) {
+  nlohmann::json j = ParseCbor(bytes);
   CheckFloatRange(j);
   return j;
 }
--- a/src/peer/internal/message_codec.cc
+++ b/src/peer/internal/message_codec.cc
@@ -214,8 +214,7 @@
   // nlohmann::json throws on missing and invalid members, and on excessive
   // sizes even if exceptions are disabled.
   try {
-    const json document = json::from_cbor(bytes, /*strict=*/true,
-                                          /*allow_exceptions=*/false);
+    const json document = ParseCbor(bytes);
     if (!document.is_object()) {
       return Malformed("not a CBOR map");
     }
--- a/src/quorum/internal/quorum_codec.cc
+++ b/src/quorum/internal/quorum_codec.cc
@@ -183,7 +183,7 @@
 result<storage_record> DecodeRecord(std::string_view bytes) {
   // nlohmann::json reports malformed input only by exception.
   try {
-    return ToVariant<storage_record>(ParseCbor(bytes));
+    return ToVariant<storage_record>(ParseIntegers(bytes));
   } catch (const std::exception& exception) {
     return error{.code = error_code::kMalformed,
                  .step = "decode record",
--- a/src/route_interface/internal/command_handler.cc
+++ b/src/route_interface/internal/command_handler.cc
@@ -9,6 +9,7 @@
 
 #include "app/command_call.h"
 #include "config/key_hashing.h"
+#include "framework/codec/bounded_parse.h"
 #include "framework/codec/member_reader.h"
 #include "gateway/call_parser.h"
 #include "targets/announcement_parser.h"
@@ -130,8 +131,7 @@
 
 net::json_reply command_handler::HandleWithdraw(
     const net::http_request& request) {
-  const auto parsed = nlohmann::json::parse(request.body(), nullptr,
-                                            /*allow_exceptions=*/false);
+  const auto parsed = ParseTextOrDiscard(request.body());
   std::string problem;
   member_reader reader(parsed, "", problem);
   const target_id target(reader.String("target"));
--- a/src/route_interface/internal/configuration_document.cc
+++ b/src/route_interface/internal/configuration_document.cc
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/codec/bounded_parse.h"
 #include "framework/codec/member_reader.h"
 
 namespace burdocklock::route_interface {
@@ -138,8 +139,7 @@
 
 result<routes::configuration> configuration_document::Read(
     std::string_view document) const {
-  const json parsed =
-      json::parse(document, nullptr, /*allow_exceptions=*/false);
+  const json parsed = ParseTextOrDiscard(document);
   std::string problem;
   routes::configuration configuration = ReadDocument(parsed, problem);
   if (!problem.empty()) {
--- a/src/targets/internal/announcement_parser.cc
+++ b/src/targets/internal/announcement_parser.cc
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/codec/bounded_parse.h"
 #include "framework/codec/member_reader.h"
 
 namespace burdocklock::targets {
@@ -93,7 +94,7 @@
 }  // namespace
 
 result<announcement> ParseAnnouncement(std::string_view body) {
-  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const json parsed = ParseTextOrDiscard(body);
   std::string problem;
   member_reader reader(parsed, "", problem);
   announcement out;
