Numbers in documents of replicas and operators are read with their ranges

Operators would see: slots past 32 bits cut to a small number, a heartbeat whose number is the last of all and counts as not numbered, a fraction or a negative number taken for another one, periods that overflow.

Cause: nlohmann::json converts numbers without a range check.

Change: one checked reader for whole numbers and one for others; bounds of what a target announces (slots, cold period, length of names, port) in one place for all formats. An odd heartbeat is refused, and what was held before stays. Whole numbers written as fractions (6.0) are still accepted.

--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -292,7 +292,7 @@
 result<message> Decode(const std::string& bytes) {
   // nlohmann::json reports malformed input by exception only.
   try {
-    return DecodeMessage(ParseIntegers(bytes));
+    return DecodeMessage(ParseCbor(bytes));
   } catch (const std::exception& problem) {
     return error{.code = error_code::kMalformed,
                  .step = "decode control message",
--- a/src/control/internal/operator_state.cc
+++ b/src/control/internal/operator_state.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "framework/codec/cbor_types.h"
+#include "framework/codec/whole_number.h"
 
 namespace burdocklock::control {
 
@@ -27,10 +28,10 @@
 }
 
 operator_command DecodeCommand(const std::string& bytes) {
-  const json j = ParseIntegers(bytes);
+  const json j = ParseCbor(bytes);
   const auto& kind = j.at(0).get_ref<const std::string&>();
   if (kind == kConfiguration) {
-    return set_configuration{.version = j.at(1).get<std::uint64_t>(),
+    return set_configuration{.version = ReadWhole<std::uint64_t>(j.at(1)),
                              .document = j.at(2).get<std::string>()};
   }
   if (kind == kOutage) {
@@ -95,11 +96,11 @@
 
 result<void> operator_state::Restore(const std::string& encoded) {
   try {
-    const json j = ParseIntegers(encoded);
+    const json j = ParseCbor(encoded);
     state_contents contents;
-    j.at(1).get_to(contents.version);
-    j.at(2).get_to(contents.document);
-    j.at(3).get_to(contents.out);
+    ReadElement(j, 1, contents.version);
+    ReadElement(j, 2, contents.document);
+    ReadElement(j, 3, contents.out);
     revision_ = j.at(0).get<state_revision>();
     contents_ = std::move(contents);
   } catch (const std::exception& problem) {
--- a/src/quorum/internal/quorum_codec.cc
+++ b/src/quorum/internal/quorum_codec.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "framework/codec/cbor_types.h"
+#include "framework/codec/whole_number.h"
 
 namespace burdocklock::quorum {
 
@@ -18,10 +19,10 @@
   j = json::array({m.id, m.peer_endpoint, m.command_endpoint, m.voter});
 }
 void from_json(const json& j, member& m) {
-  j.at(0).get_to(m.id);
-  j.at(1).get_to(m.peer_endpoint);
-  j.at(2).get_to(m.command_endpoint);
-  j.at(3).get_to(m.voter);
+  ReadElement(j, 0, m.id);
+  ReadElement(j, 1, m.peer_endpoint);
+  ReadElement(j, 2, m.command_endpoint);
+  ReadElement(j, 3, m.voter);
 }
 
 void to_json(json& j, const log_entry& e) {
@@ -29,21 +30,21 @@
       {e.index, e.term, static_cast<unsigned>(e.kind), e.command, e.members});
 }
 void from_json(const json& j, log_entry& e) {
-  j.at(0).get_to(e.index);
-  j.at(1).get_to(e.term);
+  ReadElement(j, 0, e.index);
+  ReadElement(j, 1, e.term);
   e.kind = ToEnum(j.at(2), entry_kind::kMembership);
-  j.at(3).get_to(e.command);
-  j.at(4).get_to(e.members);
+  ReadElement(j, 3, e.command);
+  ReadElement(j, 4, e.members);
 }
 
 void to_json(json& j, const snapshot& s) {
   j = json::array({s.last_index, s.last_term, s.members, s.state});
 }
 void from_json(const json& j, snapshot& s) {
-  j.at(0).get_to(s.last_index);
-  j.at(1).get_to(s.last_term);
-  j.at(2).get_to(s.members);
-  j.at(3).get_to(s.state);
+  ReadElement(j, 0, s.last_index);
+  ReadElement(j, 1, s.last_term);
+  ReadElement(j, 2, s.members);
+  ReadElement(j, 3, s.state);
 }
 
 namespace {
@@ -52,19 +53,19 @@
   return json::array({m.term, m.last_index, m.last_term, m.pre_vote});
 }
 void FromJson(const json& j, vote_request& m) {
-  j.at(1).get_to(m.term);
-  j.at(2).get_to(m.last_index);
-  j.at(3).get_to(m.last_term);
-  j.at(4).get_to(m.pre_vote);
+  ReadElement(j, 1, m.term);
+  ReadElement(j, 2, m.last_index);
+  ReadElement(j, 3, m.last_term);
+  ReadElement(j, 4, m.pre_vote);
 }
 
 json ToJson(const vote_response& m) {
   return json::array({m.term, m.granted, m.pre_vote});
 }
 void FromJson(const json& j, vote_response& m) {
-  j.at(1).get_to(m.term);
-  j.at(2).get_to(m.granted);
-  j.at(3).get_to(m.pre_vote);
+  ReadElement(j, 1, m.term);
+  ReadElement(j, 2, m.granted);
+  ReadElement(j, 3, m.pre_vote);
 }
 
 json ToJson(const append_request& m) {
@@ -72,60 +73,60 @@
                       m.commit, m.round});
 }
 void FromJson(const json& j, append_request& m) {
-  j.at(1).get_to(m.term);
-  j.at(2).get_to(m.previous_index);
-  j.at(3).get_to(m.previous_term);
-  j.at(4).get_to(m.entries);
-  j.at(5).get_to(m.commit);
-  j.at(6).get_to(m.round);
+  ReadElement(j, 1, m.term);
+  ReadElement(j, 2, m.previous_index);
+  ReadElement(j, 3, m.previous_term);
+  ReadElement(j, 4, m.entries);
+  ReadElement(j, 5, m.commit);
+  ReadElement(j, 6, m.round);
 }
 
 json ToJson(const append_response& m) {
   return json::array({m.term, m.accepted, m.match, m.round});
 }
 void FromJson(const json& j, append_response& m) {
-  j.at(1).get_to(m.term);
-  j.at(2).get_to(m.accepted);
-  j.at(3).get_to(m.match);
-  j.at(4).get_to(m.round);
+  ReadElement(j, 1, m.term);
+  ReadElement(j, 2, m.accepted);
+  ReadElement(j, 3, m.match);
+  ReadElement(j, 4, m.round);
 }
 
 json ToJson(const snapshot_request& m) {
   return json::array({m.term, m.contents, m.round});
 }
 void FromJson(const json& j, snapshot_request& m) {
-  j.at(1).get_to(m.term);
-  j.at(2).get_to(m.contents);
-  j.at(3).get_to(m.round);
+  ReadElement(j, 1, m.term);
+  ReadElement(j, 2, m.contents);
+  ReadElement(j, 3, m.round);
 }
 
 json ToJson(const join_request& m) {
   return json::array({m.new_member});
 }
 void FromJson(const json& j, join_request& m) {
-  j.at(1).get_to(m.new_member);
+  ReadElement(j, 1, m.new_member);
 }
 
 json ToJson(const vote_record& r) {
   return json::array({r.term, r.vote});
 }
 void FromJson(const json& j, vote_record& r) {
-  j.at(1).get_to(r.term);
-  j.at(2).get_to(r.vote);
+  ReadElement(j, 1, r.term);
+  ReadElement(j, 2, r.vote);
 }
 
 json ToJson(const append_record& r) {
   return json::array({r.entry});
 }
 void FromJson(const json& j, append_record& r) {
-  j.at(1).get_to(r.entry);
+  ReadElement(j, 1, r.entry);
 }
 
 json ToJson(const truncate_record& r) {
   return json::array({r.first});
 }
 void FromJson(const json& j, truncate_record& r) {
-  j.at(1).get_to(r.first);
+  ReadElement(j, 1, r.first);
 }
 
 json ToJson(const rewrite_record& r) {
@@ -134,11 +135,11 @@
 }
 void FromJson(const json& j, rewrite_record& r) {
   durable_state& s = r.state;
-  j.at(1).get_to(s.self);
-  j.at(2).get_to(s.term);
-  j.at(3).get_to(s.vote);
-  j.at(4).get_to(s.base);
-  j.at(5).get_to(s.entries);
+  ReadElement(j, 1, s.self);
+  ReadElement(j, 2, s.term);
+  ReadElement(j, 3, s.vote);
+  ReadElement(j, 4, s.base);
+  ReadElement(j, 5, s.entries);
 }
 
 // A variant is encoded as an array that begins with the index of the
@@ -156,7 +157,7 @@
   if constexpr (Index == std::variant_size_v<Variant>) {
     throw std::out_of_range("alternative");
   } else {
-    if (j.at(0).get<std::size_t>() != Index) {
+    if (ReadWhole<std::size_t>(j.at(0)) != Index) {
       return ToVariant<Variant, Index + 1>(j);
     }
     std::variant_alternative_t<Index, Variant> value;
@@ -183,7 +184,7 @@
 result<storage_record> DecodeRecord(std::string_view bytes) {
   // nlohmann::json reports malformed input only by exception.
   try {
-    return ToVariant<storage_record>(ParseIntegers(bytes));
+    return ToVariant<storage_record>(ParseCbor(bytes));
   } catch (const std::exception& exception) {
     return error{.code = error_code::kMalformed,
                  .step = "decode record",
--- a/src/targets/internal/announcement_codec.cc
+++ b/src/targets/internal/announcement_codec.cc
@@ -2,24 +2,31 @@
 // encoded as CBOR.
 #include "targets/announcement_codec.h"
 
-#include <stdexcept>
-
 #include <nlohmann/json.hpp>
 
 #include "framework/codec/cbor_types.h"
+#include "framework/codec/whole_number.h"
+#include "targets/announcement_checks.h"
 
 namespace burdocklock::targets {
 
 using nlohmann::json;
 
+namespace {
+
+// A fraction; targets may round it up a little.
+constexpr double kMaxCacheUse = 10;
+
+}  // namespace
+
 void to_json(json& j, const load_report& l) {
   j = json::array({l.running, l.waiting, l.kv_used, l.at_ms});
 }
 void from_json(const json& j, load_report& l) {
-  j.at(0).get_to(l.running);
-  j.at(1).get_to(l.waiting);
-  j.at(2).get_to(l.kv_used);
-  j.at(3).get_to(l.at_ms);
+  ReadElement(j, 0, l.running);
+  ReadElement(j, 1, l.waiting);
+  l.kv_used = ReadNumber(j.at(2), 0, kMaxCacheUse);
+  ReadElement(j, 3, l.at_ms);
 }
 
 void to_json(json& j, const announcement& a) {
@@ -38,20 +45,19 @@
   j.at(4).get_to(a.address);
   j.at(5).get_to(a.pools);
   a.state = ToEnum(j.at(6), target_state::kLeaving);
-  j.at(7).get_to(a.slots);
-  j.at(8).get_to(a.cold_slots);
+  ReadElement(j, 7, a.slots);
+  ReadElement(j, 8, a.cold_slots);
   a.fencing = ToEnum(j.at(9), fencing_support::kIgnores);
   if (!j.at(10).is_null()) {
     a.load = j.at(10).get<load_report>();
   }
-  j.at(11).get_to(a.sequence);
+  ReadElement(j, 11, a.sequence);
   if (!j.at(12).is_null()) {
-    a.cold_for = std::chrono::milliseconds(j.at(12).get<std::int64_t>());
-  }
-  if (a.pools.empty() || a.slots == 0 || a.cold_slots == 0 ||
-      a.cold_slots > a.slots) {
-    throw std::out_of_range("announcement");
+    constexpr std::chrono::milliseconds kMaxCold = kMaxColdFor;
+    a.cold_for = std::chrono::milliseconds(
+        ReadWhole<std::int64_t>(j.at(12), 0, kMaxCold.count()));
   }
+  Check(a);
 }
 
 }  // namespace burdocklock::targets
--- a/src/targets/internal/announcement_parser.cc
+++ b/src/targets/internal/announcement_parser.cc
@@ -2,6 +2,7 @@
 #include "targets/announcement_parser.h"
 
 #include <limits>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -9,6 +10,7 @@
 
 #include "framework/codec/bounded_parse.h"
 #include "framework/codec/member_reader.h"
+#include "targets/announcement_checks.h"
 
 namespace burdocklock::targets {
 
@@ -16,8 +18,8 @@
 
 using nlohmann::json;
 
-constexpr std::uint32_t kMaxSlots = 1'000'000;
-constexpr std::uint64_t kMaxColdMilliseconds = 24ULL * 3600 * 1000;
+constexpr std::uint64_t kMaxColdMilliseconds =
+    std::chrono::milliseconds(kMaxColdFor).count();
 
 target_state ParseState(member_reader& reader) {
   const std::string name = reader.String("state");
@@ -124,6 +126,11 @@
   if (!problem.empty()) {
     return Malformed(problem);
   }
+  try {
+    Check(out);
+  } catch (const std::out_of_range& odd) {
+    return Malformed(std::string(odd.what()) + ": is out of range");
+  }
   return out;
 }
 
