One odd entry in a list no longer costs the whole message and its link

Operators would see: routers stop following the list of targets while one entry is odd; the link is closed and opened again, and the same list ends it once more.

Cause: the message was rejected whole, and a malformed message closes its link.

--- a/src/app/internal/control_links.cc
+++ b/src/app/internal/control_links.cc
@@ -69,7 +69,14 @@
 }
 
 bool control_links::Receive(std::uint64_t link, const std::string& bytes) {
-  const result<control::message> message = control::Decode(bytes);
+  dropped_entries dropped;
+  const result<control::message> message = control::Decode(bytes, dropped);
+  if (dropped.count > 0) {
+    logger_.Log(log_record("link_entries_dropped", log_level::kWarning)
+                    .Add("link", link)
+                    .Add("count", dropped.count)
+                    .Add("detail", dropped.problem));
+  }
   if (!message) {
     logger_.Log(log_record("link_message_malformed", log_level::kError)
                     .Add("link", link)
--- a/src/control/internal/message_codec.cc
+++ b/src/control/internal/message_codec.cc
@@ -12,13 +12,36 @@
 #include <nlohmann/json.hpp>
 
 #include "framework/codec/cbor_types.h"
+#include "framework/codec/entry_list.h"
+#include "framework/codec/whole_number.h"
 #include "quorum/quorum_codec.h"
 #include "targets/announcement_codec.h"
 
+namespace burdocklock {
+
+namespace {
+
+using nlohmann::json;
+
+// One day; nothing that is exchanged is as old.
+constexpr std::uint64_t kMaxAgeMs = 24ULL * 3600 * 1000;
+
+// Older than that makes no difference.
+std::uint64_t ReadAge(const json& j) {
+  return std::min(ReadWhole<std::uint64_t>(j), kMaxAgeMs);
+}
+
+}  // namespace
+
+}  // namespace burdocklock
+
 namespace burdocklock::admission {
 
 using nlohmann::json;
 
+// Thousandths of a request per second; more are a fault of the sender.
+constexpr std::uint64_t kMaxRate = 1'000'000'000'000;
+
 void to_json(json& j, const target_load& l) {
   j = json::array({l.target, l.in_flight, l.unread_tokens});
   if (l.rate_limit) {
@@ -30,23 +53,24 @@
   }
 }
 void from_json(const json& j, target_load& l) {
-  j.at(0).get_to(l.target);
-  j.at(1).get_to(l.in_flight);
-  j.at(2).get_to(l.unread_tokens);
+  ReadElement(j, 0, l.target);
+  ReadElement(j, 1, l.in_flight);
+  ReadElement(j, 2, l.unread_tokens);
   constexpr std::size_t kSizeWithRate = 5;
   if (j.size() < kSizeWithRate) {
     return;
   }
   l.rate_limit.emplace();
-  j.at(3).get_to(l.rate_limit->age_ms);
+  l.rate_limit->age_ms = ReadAge(j.at(3));
   if (!j.at(4).is_null()) {
     l.rate_limit->per_second =
-        static_cast<double>(j.at(4).get<std::uint64_t>()) / 1000;
+        static_cast<double>(ReadWhole<std::uint64_t>(j.at(4), 0, kMaxRate)) /
+        1000;
   }
 }
 
-// Tokens; more are a fault of the sender.
-constexpr double kMaxWaiting = 1e12;
+// Tokens, and tokens per second; more are a fault of the sender.
+constexpr double kMaxTokens = 1e12;
 
 // Rounded to whole tokens, which is precise enough and encodes shorter.
 void to_json(json& j, const customer_flow& f) {
@@ -57,16 +81,17 @@
   }
 }
 void from_json(const json& j, customer_flow& f) {
-  j.at(0).get_to(f.pool);
-  j.at(1).get_to(f.customer);
-  j.at(2).get_to(f.demand);
-  j.at(3).get_to(f.started);
+  ReadElement(j, 0, f.pool);
+  ReadElement(j, 1, f.customer);
+  // Differences of sums, so rounding may make them negative.
+  f.demand = std::max(0.0, ReadNumber(j.at(2), -kMaxTokens, kMaxTokens));
+  f.started = std::max(0.0, ReadNumber(j.at(3), -kMaxTokens, kMaxTokens));
   // Absent if nothing waits, and from routers that do not report it.
   constexpr std::size_t kSizeWithWaiting = 5;
   if (j.size() >= kSizeWithWaiting) {
     j.at(4).get_to(f.waiting);
     // Also false for what is not a number.
-    if (!(f.waiting >= 0 && f.waiting <= kMaxWaiting)) {
+    if (!(f.waiting >= 0 && f.waiting <= kMaxTokens)) {
       f.waiting = 0;
     }
   }
@@ -75,11 +100,18 @@
 void to_json(json& j, const fleet_load& l) {
   j = json::array({l.targets, l.customers});
 }
-void from_json(const json& j, fleet_load& l) {
-  j.at(0).get_to(l.targets);
-  j.at(1).get_to(l.customers);
+
+namespace {
+
+fleet_load ReadLoad(const json& j, dropped_entries& dropped) {
+  fleet_load load;
+  ReadEntries(j.at(0), load.targets, dropped);
+  ReadEntries(j.at(1), load.customers, dropped);
+  return load;
 }
 
+}  // namespace
+
 }  // namespace burdocklock::admission
 
 namespace burdocklock::crashes {
@@ -102,10 +134,13 @@
 }
 
 template <typename Entry>
-void AppendRequests(const json& j, std::vector<Entry>& entries) {
-  for (Entry& entry : j.get<std::vector<Entry>>()) {
-    entry.key.kind = suspect_kind::kRequest;
-    entries.push_back(std::move(entry));
+void ReadRequests(const json& j,
+                  std::vector<Entry>& entries,
+                  dropped_entries& dropped) {
+  const std::size_t parts = entries.size();
+  ReadEntries(j, entries, dropped);
+  for (std::size_t i = parts; i < entries.size(); ++i) {
+    entries[i].key.kind = suspect_kind::kRequest;
   }
 }
 
@@ -115,11 +150,13 @@
   j = json::array({e.target, e.life, e.pool, e.age_ms, e.parts, e.requests});
 }
 void from_json(const json& j, target_end& e) {
-  j.at(0).get_to(e.target);
-  j.at(1).get_to(e.life);
-  j.at(2).get_to(e.pool);
-  j.at(3).get_to(e.age_ms);
-  j.at(4).get_to(e.parts);
+  ReadElement(j, 0, e.target);
+  ReadElement(j, 1, e.life);
+  ReadElement(j, 2, e.pool);
+  e.age_ms = ReadAge(j.at(3));
+  for (const json& part : j.at(4)) {
+    e.parts.push_back(ReadWhole<std::uint64_t>(part));
+  }
   if (j.size() > kFieldsOfEarlierEnd) {
     j.at(kFieldsOfEarlierEnd).get_to(e.requests);
   }
@@ -129,19 +166,19 @@
   j = json::array({s.key.pool, s.key.id, s.age_ms});
 }
 void from_json(const json& j, served_suspect& s) {
-  j.at(0).get_to(s.key.pool);
-  j.at(1).get_to(s.key.id);
-  j.at(2).get_to(s.age_ms);
+  ReadElement(j, 0, s.key.pool);
+  ReadElement(j, 1, s.key.id);
+  s.age_ms = ReadAge(j.at(2));
 }
 
 void to_json(json& j, const blocked_suspect& b) {
   j = json::array({b.key.pool, b.key.id, b.age_ms, b.times_blocked});
 }
 void from_json(const json& j, blocked_suspect& b) {
-  j.at(0).get_to(b.key.pool);
-  j.at(1).get_to(b.key.id);
-  j.at(2).get_to(b.age_ms);
-  j.at(3).get_to(b.times_blocked);
+  ReadElement(j, 0, b.key.pool);
+  ReadElement(j, 1, b.key.id);
+  b.age_ms = ReadAge(j.at(2));
+  ReadElement(j, 3, b.times_blocked);
 }
 
 void to_json(json& j, const evidence& e) {
@@ -150,16 +187,23 @@
                    OfKind(e.served, suspect_kind::kRequest),
                    OfKind(e.blocked, suspect_kind::kRequest)});
 }
-void from_json(const json& j, evidence& e) {
-  j.at(0).get_to(e.ends);
-  j.at(1).get_to(e.served);
-  j.at(2).get_to(e.blocked);
+
+namespace {
+
+evidence ReadEvidence(const json& j, dropped_entries& dropped) {
+  evidence e;
+  ReadEntries(j.at(0), e.ends, dropped);
+  ReadEntries(j.at(1), e.served, dropped);
+  ReadEntries(j.at(2), e.blocked, dropped);
   if (j.size() > kFieldsOfEarlierEvidence) {
-    AppendRequests(j.at(kFieldsOfEarlierEvidence), e.served);
-    AppendRequests(j.at(kFieldsOfEarlierEvidence + 1), e.blocked);
+    ReadRequests(j.at(kFieldsOfEarlierEvidence), e.served, dropped);
+    ReadRequests(j.at(kFieldsOfEarlierEvidence + 1), e.blocked, dropped);
   }
+  return e;
 }
 
+}  // namespace
+
 }  // namespace burdocklock::crashes
 
 namespace burdocklock::control {
@@ -170,17 +214,17 @@
   j = json::array({c.version, c.document, c.out});
 }
 void from_json(const json& j, state_contents& c) {
-  j.at(0).get_to(c.version);
-  j.at(1).get_to(c.document);
-  j.at(2).get_to(c.out);
+  ReadElement(j, 0, c.version);
+  ReadElement(j, 1, c.document);
+  ReadElement(j, 2, c.out);
 }
 
 void to_json(json& j, const aged_announcement& t) {
   j = json::array({t.announced, t.age_ms});
 }
 void from_json(const json& j, aged_announcement& t) {
-  j.at(0).get_to(t.announced);
-  j.at(1).get_to(t.age_ms);
+  ReadElement(j, 0, t.announced);
+  t.age_ms = ReadWhole<std::uint64_t>(j.at(1), 0, kMaxAgeMs);
 }
 
 namespace {
@@ -231,51 +275,51 @@
   }
 };
 
-message DecodeMessage(const json& j) {
+message DecodeMessage(const json& j, dropped_entries& dropped) {
   const auto& kind = j.at(0).get_ref<const std::string&>();
   if (kind == kIntroduction) {
     introduction m;
-    j.at(1).get_to(m.daemon);
+    ReadElement(j, 1, m.daemon);
     ReadOptional(j.at(2), m.member);
-    j.at(3).get_to(m.applied_revision);
+    ReadElement(j, 3, m.applied_revision);
     return m;
   }
   if (kind == kStateUpdate) {
     state_update m;
-    j.at(1).get_to(m.revision);
-    j.at(2).get_to(m.current);
+    ReadElement(j, 1, m.revision);
+    ReadElement(j, 2, m.current);
     ReadOptional(j.at(3), m.contents);
-    j.at(4).get_to(m.control_hosts);
-    j.at(5).get_to(m.routers);
-    j.at(6).get_to(m.is_leader);
+    ReadElement(j, 4, m.control_hosts);
+    ReadElement(j, 5, m.routers);
+    ReadElement(j, 6, m.is_leader);
     return m;
   }
   if (kind == kTargetUpdate) {
     target_update m;
-    j.at(1).get_to(m.targets);
+    ReadEntries(j.at(1), m.targets, dropped);
     return m;
   }
   if (kind == kQuorum) {
     quorum_envelope m;
-    j.at(1).get_to(m.from);
-    j.at(2).get_to(m.to);
-    j.at(3).get_to(m.contents);
+    ReadElement(j, 1, m.from);
+    ReadElement(j, 2, m.to);
+    ReadElement(j, 3, m.contents);
     return m;
   }
   if (kind == kLoadReport) {
     load_report m;
-    j.at(1).get_to(m.daemon);
-    j.at(2).get_to(m.load);
+    ReadElement(j, 1, m.daemon);
+    m.load = admission::ReadLoad(j.at(2), dropped);
     return m;
   }
   if (kind == kLoadSummary) {
     load_summary m;
-    j.at(1).get_to(m.others);
+    m.others = admission::ReadLoad(j.at(1), dropped);
     return m;
   }
   if (kind == kEvidence) {
     evidence_update m;
-    j.at(1).get_to(m.contents);
+    m.contents = crashes::ReadEvidence(j.at(1), dropped);
     return m;
   }
   throw std::out_of_range("unknown message kind");
@@ -289,10 +333,10 @@
   return bytes;
 }
 
-result<message> Decode(const std::string& bytes) {
+result<message> Decode(const std::string& bytes, dropped_entries& dropped) {
   // nlohmann::json reports malformed input by exception only.
   try {
-    return DecodeMessage(ParseCbor(bytes));
+    return DecodeMessage(ParseCbor(bytes), dropped);
   } catch (const std::exception& problem) {
     return error{.code = error_code::kMalformed,
                  .step = "decode control message",
@@ -301,4 +345,9 @@
   }
 }
 
+result<message> Decode(const std::string& bytes) {
+  dropped_entries ignored;
+  return Decode(bytes, ignored);
+}
+
 }  // namespace burdocklock::control
