Messages between daemons: numbers checked, odd announcements left out

Cause: a fraction, a negative number or one past 32 bits was converted unchecked; one odd announcement cost the whole report and its link.

Change: the checked reader, and lists of announcements read one by one, with a log line. Large fractions are accepted as before.

Measured (bl_peer): "codec: fraction or number out of range": before 43 of 96 checks failed; "codec: a report with an odd announcement" failed. Both pass now.

--- a/src/app/internal/control_fleet.cc
+++ b/src/app/internal/control_fleet.cc
@@ -84,7 +84,14 @@
 }
 
 bool control_loop::OnPeerMessage(std::uint64_t link, const std::string& bytes) {
-  const result<fleet::message> message = peer::Decode(bytes);
+  dropped_entries dropped;
+  const result<fleet::message> message = peer::Decode(bytes, dropped);
+  if (dropped.count > 0) {
+    logger_.Log(log_record("peer_entries_dropped", log_level::kWarning)
+                    .Add("link", link)
+                    .Add("count", dropped.count)
+                    .Add("detail", dropped.problem));
+  }
   if (!message) {
     logger_.Log(log_record("peer_message_malformed", log_level::kError)
                     .Add("link", link)
--- a/src/peer/internal/message_codec.cc
+++ b/src/peer/internal/message_codec.cc
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 
 #include "framework/codec/cbor_types.h"
+#include "framework/codec/entry_list.h"
+#include "framework/codec/whole_number.h"
 #include "targets/announcement_codec.h"
 
 namespace burdocklock {
@@ -23,21 +25,21 @@
       {m.daemon, m.life, m.data_centre, m.region, m.has_control_role});
 }
 void from_json(const json& j, member& m) {
-  j.at(0).get_to(m.daemon);
-  j.at(1).get_to(m.life);
-  j.at(2).get_to(m.data_centre);
-  j.at(3).get_to(m.region);
-  j.at(4).get_to(m.has_control_role);
+  ReadElement(j, 0, m.daemon);
+  ReadElement(j, 1, m.life);
+  ReadElement(j, 2, m.data_centre);
+  ReadElement(j, 3, m.region);
+  ReadElement(j, 4, m.has_control_role);
 }
 
 void to_json(json& j, const data_centre_order& o) {
   j = json::array({o.data_centre, o.out, o.version, o.accepted_by});
 }
 void from_json(const json& j, data_centre_order& o) {
-  j.at(0).get_to(o.data_centre);
-  j.at(1).get_to(o.out);
-  j.at(2).get_to(o.version);
-  j.at(3).get_to(o.accepted_by);
+  ReadElement(j, 0, o.data_centre);
+  ReadElement(j, 1, o.out);
+  ReadElement(j, 2, o.version);
+  ReadElement(j, 3, o.accepted_by);
 }
 
 }  // namespace membership
@@ -49,22 +51,22 @@
                    e.first_output_jumped});
 }
 void from_json(const json& j, lease_evidence& e) {
-  j.at(0).get_to(e.target);
-  j.at(1).get_to(e.life);
-  j.at(2).get_to(e.epoch);
-  j.at(3).get_to(e.successes);
-  j.at(4).get_to(e.failures);
-  j.at(5).get_to(e.first_output_jumped);
+  ReadElement(j, 0, e.target);
+  ReadElement(j, 1, e.life);
+  ReadElement(j, 2, e.epoch);
+  ReadElement(j, 3, e.successes);
+  ReadElement(j, 4, e.failures);
+  ReadElement(j, 5, e.first_output_jumped);
 }
 
 void to_json(json& j, const target_lease& l) {
   j = json::array({l.target, l.limit, l.ramp_limit, l.epoch});
 }
 void from_json(const json& j, target_lease& l) {
-  j.at(0).get_to(l.target);
-  j.at(1).get_to(l.limit);
-  j.at(2).get_to(l.ramp_limit);
-  j.at(3).get_to(l.epoch);
+  ReadElement(j, 0, l.target);
+  ReadElement(j, 1, l.limit);
+  ReadElement(j, 2, l.ramp_limit);
+  ReadElement(j, 3, l.epoch);
 }
 
 }  // namespace targets
@@ -75,13 +77,13 @@
   j = json::array({d.customer, d.share, d.waiting, d.running, d.service});
 }
 void from_json(const json& j, customer_demand& d) {
-  j.at(0).get_to(d.customer);
-  j.at(1).get_to(d.share);
-  j.at(2).get_to(d.waiting);
-  j.at(3).get_to(d.running);
-  j.at(4).get_to(d.service);
-  if (!(d.share > 0)) {
-    throw std::out_of_range("share");
+  ReadElement(j, 0, d.customer);
+  ReadElement(j, 1, d.share);
+  ReadElement(j, 2, d.waiting);
+  ReadElement(j, 3, d.running);
+  ReadElement(j, 4, d.service);
+  if (!(d.share > 0) || !(d.service >= 0)) {
+    throw std::out_of_range("share or service");
   }
 }
 
@@ -89,37 +91,37 @@
   j = json::array({d.pool, d.customers});
 }
 void from_json(const json& j, pool_demand& d) {
-  j.at(0).get_to(d.pool);
-  j.at(1).get_to(d.customers);
+  ReadElement(j, 0, d.pool);
+  ReadElement(j, 1, d.customers);
 }
 
 void to_json(json& j, const slot_holding& h) {
   j = json::array({h.target, h.life, h.limit, h.in_use, h.ramp_limit});
 }
 void from_json(const json& j, slot_holding& h) {
-  j.at(0).get_to(h.target);
-  j.at(1).get_to(h.life);
-  j.at(2).get_to(h.limit);
-  j.at(3).get_to(h.in_use);
-  j.at(4).get_to(h.ramp_limit);
+  ReadElement(j, 0, h.target);
+  ReadElement(j, 1, h.life);
+  ReadElement(j, 2, h.limit);
+  ReadElement(j, 3, h.in_use);
+  ReadElement(j, 4, h.ramp_limit);
 }
 
 void to_json(json& j, const customer_status& s) {
   j = json::array({s.customer, s.virtual_service});
 }
 void from_json(const json& j, customer_status& s) {
-  j.at(0).get_to(s.customer);
-  j.at(1).get_to(s.virtual_service);
+  ReadElement(j, 0, s.customer);
+  ReadElement(j, 1, s.virtual_service);
 }
 
 void to_json(json& j, const pool_status& s) {
   j = json::array({s.pool, s.capacity, s.scarce, s.customers});
 }
 void from_json(const json& j, pool_status& s) {
-  j.at(0).get_to(s.pool);
-  j.at(1).get_to(s.capacity);
-  j.at(2).get_to(s.scarce);
-  j.at(3).get_to(s.customers);
+  ReadElement(j, 0, s.pool);
+  ReadElement(j, 1, s.capacity);
+  ReadElement(j, 2, s.scarce);
+  ReadElement(j, 3, s.customers);
 }
 
 void to_json(json& j, const router_report& r) {
@@ -128,19 +130,26 @@
        {"e", r.evidence},     {"a", r.announcements}, {"o", r.orders},
        {"l", r.leaving}};
 }
-void from_json(const json& j, router_report& r) {
+
+namespace {
+
+router_report ReadReport(const json& j, dropped_entries& dropped) {
+  router_report r;
   j.at("f").get_to(r.sender);
-  j.at("n").get_to(r.sequence);
-  j.at("g").get_to(r.applied_grant);
+  r.sequence = ReadWhole<std::uint64_t>(j.at("n"));
+  r.applied_grant = ReadWhole<std::uint64_t>(j.at("g"));
   j.at("c").get_to(r.applied_from);
   j.at("d").get_to(r.demand);
   j.at("h").get_to(r.holdings);
   j.at("e").get_to(r.evidence);
-  j.at("a").get_to(r.announcements);
+  ReadEntries(j.at("a"), r.announcements, dropped);
   j.at("o").get_to(r.orders);
   j.at("l").get_to(r.leaving);
+  return r;
 }
 
+}  // namespace
+
 void to_json(json& j, const grant_table& g) {
   j = {{"f", g.sender}, {"v", g.version}, {"n", g.answers},
        {"s", g.served}, {"l", g.leases},  {"p", g.pool_statuses},
@@ -148,8 +157,8 @@
 }
 void from_json(const json& j, grant_table& g) {
   j.at("f").get_to(g.sender);
-  j.at("v").get_to(g.version);
-  j.at("n").get_to(g.answers);
+  g.version = ReadWhole<std::uint64_t>(j.at("v"));
+  g.answers = ReadWhole<std::uint64_t>(j.at("n"));
   j.at("s").get_to(g.served);
   j.at("l").get_to(g.leases);
   j.at("p").get_to(g.pool_statuses);
@@ -186,12 +195,14 @@
                .detail = std::move(detail)};
 }
 
-fleet::message DecodeBody(std::size_t kind, const json& body) {
+fleet::message DecodeBody(std::size_t kind,
+                          const json& body,
+                          dropped_entries& dropped) {
   switch (kind) {
     case 0:
       return body.get<fleet::heartbeat>();
     case 1:
-      return body.get<allocation::router_report>();
+      return allocation::ReadReport(body, dropped);
     case 2:
       return body.get<allocation::grant_table>();
     default:
@@ -210,7 +221,8 @@
   return bytes;
 }
 
-result<fleet::message> Decode(std::string_view bytes) {
+result<fleet::message> Decode(std::string_view bytes,
+                              dropped_entries& dropped) {
   // nlohmann::json throws on missing and invalid members, and on excessive
   // sizes even if exceptions are disabled.
   try {
@@ -218,15 +230,20 @@
     if (!document.is_object()) {
       return Malformed("not a CBOR map");
     }
-    if (document.at(kVersionKey).get<int>() != kProtocolVersion) {
+    if (ReadWhole<int>(document.at(kVersionKey)) != kProtocolVersion) {
       return Malformed("unsupported protocol version");
     }
-    return DecodeBody(document.at(kKindKey).get<std::size_t>(),
-                      document.at(kBodyKey));
+    return DecodeBody(ReadWhole<std::size_t>(document.at(kKindKey)),
+                      document.at(kBodyKey), dropped);
   } catch (const std::exception& problem) {
     return Malformed(problem.what());
   }
 }
 
+result<fleet::message> Decode(std::string_view bytes) {
+  dropped_entries ignored;
+  return Decode(bytes, ignored);
+}
+
 }  // namespace peer
 }  // namespace burdocklock
