--- a/src/app/tests/fake_target.h
+++ b/src/app/tests/fake_target.h
@@ -4,6 +4,8 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -27,6 +29,16 @@
   std::string endless = {};
   /// Refuses connections from then on, then closes this one.
   bool end = false;
+  /// Written first if the connection has carried a request before.
+  std::string stale = {};
+  /// `stale` only if it has carried a request with the same id.
+  bool stale_for_same_id = false;
+  /// Written after `bytes`.
+  std::string extra = {};
+  /// Between `stale` and `bytes`, and between `bytes` and `extra`.
+  std::chrono::milliseconds pause{};
+  /// Takes further requests on the connection.
+  bool keep = false;
 };
 
 class fake_target : public net::i_http_handler {
@@ -39,13 +51,20 @@
                          net::http_request& request) override {
     ++requests;
     fake_answer answer = script_(request);
-    const std::string name(request["X-Request-Id"]);
+    const std::string name(
+        request[request.count("X-Attempt-Id") > 0 ? "X-Attempt-Id"
+                                                  : "X-Request-Id"]);
     for (std::size_t at = answer.bytes.find("NAME"); at != std::string::npos;
          at = answer.bytes.find("NAME")) {
       answer.bytes.replace(at, 4, name);
     }
+    WriteStale(connection, answer, name);
     net::asio::async_write(connection.stream, net::asio::buffer(answer.bytes),
                            use_fiber);
+    WriteExtra(connection, answer);
+    if (answer.keep) {
+      return net::keep_alive::kYes;
+    }
     if (!answer.endless.empty()) {
       WriteEndlessly(connection, answer.endless);
       ++closed_by_peer;
@@ -69,8 +88,34 @@
   std::atomic<int> requests{0};
   std::atomic<int> closed_by_peer{0};
   std::atomic<std::size_t> endless_bytes{0};
+  /// How often `stale` was written.
+  std::atomic<int> stale_answers{0};
 
  private:
+  void WriteStale(net::http_connection& connection,
+                  const fake_answer& answer,
+                  const std::string& name) {
+    std::set<std::string>& carried =
+        carried_[connection.stream.socket().remote_endpoint().port()];
+    const bool is_stale =
+        answer.stale_for_same_id ? carried.contains(name) : !carried.empty();
+    carried.insert(name);
+    if (answer.stale.empty() || !is_stale) {
+      return;
+    }
+    net::asio::async_write(connection.stream, net::asio::buffer(answer.stale),
+                           use_fiber);
+    ++stale_answers;
+    SleepFor(server_.io(), answer.pause);
+  }
+  void WriteExtra(net::http_connection& connection, const fake_answer& answer) {
+    if (answer.extra.empty()) {
+      return;
+    }
+    SleepFor(server_.io(), answer.pause);
+    net::asio::async_write(connection.stream, net::asio::buffer(answer.extra),
+                           use_fiber);
+  }
   void WriteEndlessly(net::http_connection& connection,
                       const std::string& piece) {
     for (;;) {
@@ -84,6 +129,8 @@
   }
 
   script script_;
+  /// Ids of the requests that each peer's port has carried.
+  std::map<std::uint16_t, std::set<std::string>> carried_;
   // Last, as its thread calls this object.
   server_thread server_{*this};
 };
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -74,7 +74,10 @@
 
 std::optional<attempt_failed> attempt_runner::Connect() {
   if (order_.connection == routing::connection_choice::kReuseAllowed) {
-    connection_ = context_.idle_connections.Take(order_.address, order_.life);
+    named_connection taken = context_.idle_connections.Take(
+        order_.address, order_.life, call_.request_name);
+    connection_ = std::move(taken.client);
+    names_ = taken.names;
   }
   if (connection_) {
     reused_connection_ = true;
@@ -96,6 +99,7 @@
     return Fail(failure_kind::kCancelled, "send request", "cancelled");
   }
   sent_ = true;
+  names_.Add(call_.request_name);
   Report(routing::attempt_sending{});
   net::http_request request = call_.request;
   attempt_parameters parameters{.target = order_.target,
@@ -120,9 +124,10 @@
     if (!head) {
       return FailFrom(head.error());
     }
-    const head_verdict verdict = context_.dialect.Judge(head.value(), call_);
+    const head_verdict verdict = Judge(head.value());
     NoteHead(head.value(), verdict);
     if (verdict == head_verdict::kOtherRequest && reused_connection_) {
+      wrote_extra_ = true;
       std::string skipped;
       if (auto failure = ReadBody(skipped)) {
         return *failure;
@@ -161,6 +166,17 @@
   }
 }
 
+head_verdict attempt_runner::Judge(const net::http_response_head& head) const {
+  const head_verdict verdict = context_.dialect.Judge(head, call_);
+  const bool says_not_run = verdict == head_verdict::kNotAdmitted ||
+                            verdict == head_verdict::kOtherTarget;
+  if (says_not_run && reused_connection_ &&
+      !context_.dialect.IsNamed(head, call_)) {
+    return head_verdict::kMalformed;
+  }
+  return verdict;
+}
+
 std::optional<attempt_failed> attempt_runner::CheckHead(
     head_verdict verdict,
     const net::http_response_head& head) const {
@@ -302,8 +318,10 @@
 }
 
 void attempt_runner::ReleaseConnection() {
-  if (!cancelled_ && connection_->Reusable()) {
-    context_.idle_connections.Put(order_.life, std::move(connection_));
+  // A target that has written an answer too many may do so again.
+  if (!cancelled_ && !wrote_extra_ && connection_->Reusable()) {
+    context_.idle_connections.Put(
+        order_.life, {.client = std::move(connection_), .names = names_});
   }
 }
 
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -69,6 +69,9 @@
   std::optional<routing::attempt_failed> CheckHead(
       head_verdict verdict,
       const net::http_response_head& head) const;
+  /// As the dialect judges it, but an answer that says that the request did not
+  /// run is believed only if it cannot belong to an earlier request.
+  [[nodiscard]] head_verdict Judge(const net::http_response_head& head) const;
   /// Reads the rest of a response into `body`; nullopt on success.
   std::optional<routing::attempt_failed> ReadBody(std::string& body);
   routing::attempt_event ReceiveResponse(const net::http_response_head& head);
@@ -91,10 +94,14 @@
   const routing::start_attempt& order_;
   response_writer& writer_;
   std::unique_ptr<net::http_client> connection_;
+  /// Names of the requests that `connection_` has carried.
+  recent_names names_;
   attempt_progress_meter* meter_ = nullptr;
   bool sent_ = false;
   bool cancelled_ = false;
   bool reused_connection_ = false;
+  /// The target has answered an earlier request once more.
+  bool wrote_extra_ = false;
   /// Set once a response has arrived, if only to an earlier request.
   std::optional<routing::answer_head> head_;
   saved_response saved_response_;
--- a/src/gateway/internal/openai_dialect.h
+++ b/src/gateway/internal/openai_dialect.h
@@ -11,6 +11,8 @@
                net::http_request& request) const override;
   [[nodiscard]] head_verdict Judge(const net::http_response_head& head,
                                    const outgoing_call& call) const override;
+  [[nodiscard]] bool IsNamed(const net::http_response_head& head,
+                             const outgoing_call& call) const override;
   /// This protocol has no such fields.
   [[nodiscard]] routing::answer_head ReadAnswerHead(
       const net::http_response_head&,
--- a/src/gateway/internal/routed_dialect.cc
+++ b/src/gateway/internal/routed_dialect.cc
@@ -106,6 +106,11 @@
           .pause = ReadPause(head)};
 }
 
+bool routed_dialect::IsNamed(const net::http_response_head& head,
+                             const outgoing_call& call) const {
+  return head.fields[fields_.name] == call.request_name;
+}
+
 std::unique_ptr<i_stream_scanner> routed_dialect::MakeScanner(
     const outgoing_call&,
     const std::optional<std::string>& resume_after) const {
--- a/src/targets/internal/announcement_parser.cc
+++ b/src/targets/internal/announcement_parser.cc
@@ -3,12 +3,15 @@
 
 #include <cstddef>
 #include <limits>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "framework/codec/bounded_parse.h"
 #include "framework/codec/member_reader.h"
+#include "targets/announcement_checks.h"
 
 namespace burdocklock::targets {
 
@@ -16,9 +19,9 @@
 
 using nlohmann::json;
 
-constexpr std::uint32_t kMaxSlots = 1'000'000;
 constexpr std::size_t kMaxVersionLength = 128;
-constexpr std::uint64_t kMaxColdMilliseconds = 24ULL * 3600 * 1000;
+constexpr std::uint64_t kMaxColdMilliseconds =
+    std::chrono::milliseconds(kMaxColdFor).count();
 
 target_state ParseState(member_reader& reader) {
   const std::string name = reader.String("state");
@@ -103,7 +106,7 @@
 }  // namespace
 
 result<announcement> ParseAnnouncement(std::string_view body) {
-  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const json parsed = ParseTextOrDiscard(body);
   std::string problem;
   member_reader reader(parsed, "", problem);
   announcement out;
@@ -136,6 +139,11 @@
   if (!problem.empty()) {
     return Malformed(problem);
   }
+  try {
+    Check(out);
+  } catch (const std::out_of_range& odd) {
+    return Malformed(std::string(odd.what()) + ": is out of range");
+  }
   return out;
 }
 
