--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -114,6 +114,19 @@
        [this, engine, rate] { engines_[engine].rate_limit = rate; });
     At(start_ + to, [this, engine] { engines_[engine].rate_limit.reset(); });
   }
+  /// The engine refuses all requests and asks for pauses of that length.
+  void AskForPauses(std::size_t engine,
+                    duration pause,
+                    duration from,
+                    duration to) {
+    At(start_ + from,
+       [this, engine, pause] { engines_[engine].asks_pause = pause; });
+    At(start_ + to, [this, engine] { engines_[engine].asks_pause.reset(); });
+  }
+  /// The engine's answers say that it leaves, its announcements do not.
+  void LeaveInAnswers(std::size_t engine, duration at) {
+    At(start_ + at, [this, engine] { engines_[engine].leaves = true; });
+  }
   /// The new leader knows no load until routers report theirs.
   void ChangeLeader(duration at) {
     At(start_ + at, [this] { reports_ = control::load_collector(); });
@@ -150,6 +163,15 @@
   [[nodiscard]] const std::vector<arrival>& arrivals() const {
     return arrivals_;
   }
+  /// An answer to a router that asked for a pause, or with no end, said that
+  /// the engine leaves.
+  struct wish {
+    time_point at;
+    std::size_t engine = 0;
+    std::size_t router = 0;
+    time_point until = kNever;
+  };
+  [[nodiscard]] const std::vector<wish>& wishes() const { return wishes_; }
   [[nodiscard]] const std::map<std::size_t, time_point>& restarted() const {
     return restarted_;
   }
@@ -188,6 +210,8 @@
     std::uint32_t running = 0;
     time_point read_until{};
     std::optional<double> rate_limit;
+    std::optional<duration> asks_pause;
+    bool leaves = false;
     /// When each router first passed on an answer with the limit.
     std::map<std::size_t, time_point> told;
   };
@@ -393,6 +417,10 @@
     if (request.is_lost) {
       return;
     }
+    if (engine.asks_pause) {
+      RefuseWithPause(id, attempt, index);
+      return;
+    }
     ++engine.running;
     request.engine = index;
     const auto told = engine.told.find(request.router);
@@ -410,6 +438,22 @@
        [this, id, attempt, index] { Begin(id, attempt, index); });
   }
 
+  void RefuseWithPause(request_seq id,
+                       attempt_number attempt,
+                       std::size_t index) {
+    const std::size_t router = requests_.at(id).router;
+    const duration pause = *engines_[index].asks_pause;
+    arrivals_.push_back({.at = now_, .engine = index, .router = router});
+    wishes_.push_back(
+        {.at = now_, .engine = index, .router = router, .until = now_ + pause});
+    Later(std::chrono::milliseconds(2), id, attempt,
+          attempt_failed{.kind = failure_kind::kNotAdmitted,
+                         .sent = true,
+                         .head = answer_head{
+                             .received = now_ + std::chrono::milliseconds(2),
+                             .pause = pause}});
+  }
+
   void Begin(request_seq id, attempt_number attempt, std::size_t index) {
     open_request& request = requests_.at(id);
     if (request.engine != index || request.attempt != attempt) {
@@ -436,10 +480,15 @@
     if (engines_[index].rate_limit) {
       engines_[index].told.emplace(request.router, now_);
     }
-    Report(id, attempt,
-           attempt_first_output{
-               .head = {.received = now_,
-                        .rate_limit = engines_[index].rate_limit}});
+    if (engines_[index].leaves) {
+      wishes_.push_back(
+          {.at = now_, .engine = index, .router = request.router});
+    }
+    Report(
+        id, attempt,
+        attempt_first_output{.head = {.received = now_,
+                                      .rate_limit = engines_[index].rate_limit,
+                                      .leaving = engines_[index].leaves}});
     At(now_ + options_.output_time, [this, id, attempt, index] {
       open_request& ended = requests_.at(id);
       if (ended.engine == index && ended.attempt == attempt) {
@@ -528,6 +577,7 @@
   std::set<std::size_t> cut_;
   std::map<std::size_t, time_point> restarted_;
   std::vector<arrival> arrivals_;
+  std::vector<wish> wishes_;
   std::uint64_t last_request_ = 0;
 };
 
