Scripted targets tell requests apart by a label of the test

Instead of by a field name that only platform/ may hold. The same answers are written as before; the three cases of repeated_answer_unittest pass.

--- a/src/app/tests/fake_target.h
+++ b/src/app/tests/fake_target.h
@@ -29,10 +29,9 @@
   std::string endless = {};
   /// Refuses connections from then on, then closes this one.
   bool end = false;
-  /// Written first if the connection has carried a request before.
+  /// Written first if the connection has carried a request with the same label.
   std::string stale = {};
-  /// `stale` only if it has carried a request with the same id.
-  bool stale_for_same_id = false;
+  std::string label = {};
   /// Written after `bytes`.
   std::string extra = {};
   /// Between `stale` and `bytes`, and between `bytes` and `extra`.
@@ -51,14 +50,12 @@
                          net::http_request& request) override {
     ++requests;
     fake_answer answer = script_(request);
-    const std::string name(
-        request[request.count("X-Attempt-Id") > 0 ? "X-Attempt-Id"
-                                                  : "X-Request-Id"]);
+    const std::string name(request["X-Request-Id"]);
     for (std::size_t at = answer.bytes.find("NAME"); at != std::string::npos;
          at = answer.bytes.find("NAME")) {
       answer.bytes.replace(at, 4, name);
     }
-    WriteStale(connection, answer, name);
+    WriteStale(connection, answer);
     net::asio::async_write(connection.stream, net::asio::buffer(answer.bytes),
                            use_fiber);
     WriteExtra(connection, answer);
@@ -92,15 +89,12 @@
   std::atomic<int> stale_answers{0};
 
  private:
-  void WriteStale(net::http_connection& connection,
-                  const fake_answer& answer,
-                  const std::string& name) {
-    std::set<std::string>& carried =
-        carried_[connection.stream.socket().remote_endpoint().port()];
-    const bool is_stale =
-        answer.stale_for_same_id ? carried.contains(name) : !carried.empty();
-    carried.insert(name);
-    if (answer.stale.empty() || !is_stale) {
+  void WriteStale(net::http_connection& connection, const fake_answer& answer) {
+    const bool is_first =
+        carried_[connection.stream.socket().remote_endpoint().port()]
+            .insert(answer.label)
+            .second;
+    if (answer.stale.empty() || is_first) {
       return;
     }
     net::asio::async_write(connection.stream, net::asio::buffer(answer.stale),
@@ -129,7 +123,7 @@
   }
 
   script script_;
-  /// Ids of the requests that each peer's port has carried.
+  /// Labels of the requests that each peer's port has carried.
   std::map<std::uint16_t, std::set<std::string>> carried_;
   // Last, as its thread calls this object.
   server_thread server_{*this};
