--- a/src/targets/tests/targets_unittest.cc
+++ b/src/targets/tests/targets_unittest.cc
@@ -80,7 +80,7 @@
   announced.version = {};
   CHECK(directory.Announce(announced, now) == announce_result::kUpdated);
   CHECK(directory.HasVersion(pool_id("p"), software_version("v1"), now));
-  CHECK_FALSE(directory.HasOtherUsable(pool_id("p"), target_id("a"),
+  CHECK_FALSE(directory.HasUsableOther(pool_id("p"), {target_id("a")},
                                        software_version("v1"), now));
   announced.sequence = 3;
   announced.version = software_version("v2");
