A stream that broke off waits for room as long as its request may last

Callers saw a stream cut after an eighth of its time limit (or its objective) in the queue, though its version had room soon after. Cause: the queue time limit of new requests held for streams whose caller already has a part. Now the request's own time limit holds; callers leave by themselves before.

--- a/src/routing/internal/request_lifecycle.cc
+++ b/src/routing/internal/request_lifecycle.cc
@@ -257,7 +257,10 @@
 time_point request_lifecycle::PhaseDeadline() const {
   switch (phase_) {
     case phase::kQueued:
-      return queued_at_ + options_.queue_timeout;
+      // Its caller waits for the rest and leaves by itself.
+      return delivered_ && options_.has_time_limit
+                 ? kNever
+                 : queued_at_ + options_.queue_timeout;
     case phase::kConnecting:
       return phase_started_ + options_.connect_timeout;
     case phase::kAwaitingOutput:
