What was reserved for a silent stream is looked at again when it starts

The first event of a stream may arrive while its attempt is being cancelled for silence. The stream then began at that version, but went on at the target reserved before, of any version (rule ORDER); a reserved target may also have left meanwhile. Now the reservation is given back unless version, incarnation and use still hold. Found in a review.

--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -174,6 +174,9 @@
     ReleaseContinuation(record);
     return retry_denial::kVersionGone;
   }
+  if (!IsContinuationUsable(record, now)) {
+    ReleaseContinuation(record);
+  }
   // No target received anything that a retry would repeat.
   if (!failure.sent) {
     return std::nullopt;
@@ -253,6 +256,18 @@
   Apply(record.lifecycle.OnDeadline(now), record, now, out);
 }
 
+bool request_router::IsContinuationUsable(const record& record,
+                                          time_point now) const {
+  if (!record.continuation) {
+    return false;
+  }
+  const targets::slot_grant& grant = record.continuation->grant;
+  const auto version = RequiredVersion(record);
+  return (!version || grant.version == *version) &&
+         directory_.FindIncarnation(grant.target, grant.life) != nullptr &&
+         directory_.IsUsable(grant.target, now);
+}
+
 void request_router::ReleaseContinuation(record& record) {
   if (!record.continuation) {
     return;
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -256,6 +256,10 @@
   /// Cancels an attempt for its target's silence only if the request can go on
   /// at another target, which is reserved for it.
   void OnDeadline(record& record, time_point now, effects& out);
+  /// The request may have begun elsewhere, or the target may have left, between
+  /// the reservation and the end of the cancelled attempt.
+  [[nodiscard]] bool IsContinuationUsable(const record& record,
+                                          time_point now) const;
   void ReleaseContinuation(record& record);
   /// Takes a retry of the failed attempt from the budget, or says why not.
   std::optional<retry_denial> ConsumeRetry(record& record,
