A software version that has not been heard of is not taken for gone

Cause: what is not known counted as gone. Now a target that refused a connection counts as there for 2.5 s after its last announcement, and a version never heard of may come until 2.5 s after the first announcement. Found in a review.

--- a/src/routing/tests/stream_version_unittest.cc
+++ b/src/routing/tests/stream_version_unittest.cc
@@ -52,6 +52,14 @@
     running.at(id).delivered = true;
   }
   [[nodiscard]] bool Runs(request_seq id) const { return running.contains(id); }
+  [[nodiscard]] std::uint32_t InFlightAt(const std::string& target) const {
+    for (const targets::target_view& view : router.directory().View(now)) {
+      if (view.announced.target == target_id(target)) {
+        return view.in_flight;
+      }
+    }
+    return 0;
+  }
 
   std::uint64_t at_ms = 1;
 };
@@ -176,5 +184,83 @@
   CHECK(running.at(spec.id).target == target_id("b"));
 }
 
+TEST_CASE_METHOD(stream_fixture,
+                 "stream is cancelled for silence as its first event arrives: "
+                 "it goes on at that version, not where room was reserved") {
+  AnnounceVersion("a", "v1");
+  request_spec spec = StreamSpec();
+  spec.time_limit = seconds(10);
+  spec.max_attempts = 3;
+  Submit(spec);
+  Report(spec.id, attempt_sending{});
+  now += milliseconds(4900);
+  AnnounceVersion("a", "v1");
+  AnnounceVersion("b", "v2");
+  Advance(milliseconds(200));
+  REQUIRE(running.at(spec.id).cancelled);
+  Report(spec.id, attempt_first_output{});
+  running.at(spec.id).delivered = true;
+  Fail(spec.id, failure_kind::kCancelled);
+  if (Runs(spec.id)) {
+    CHECK(running.at(spec.id).target == target_id("a"));
+  }
+  CHECK(held_slots[target_id("b")] == 0);
+  CHECK(InFlightAt("b") == 0);
+}
+
+TEST_CASE_METHOD(stream_fixture,
+                 "stream breaks off and the last target of its version refuses "
+                 "a connection: it waits until that is known to be gone") {
+  AnnounceVersion("a", "v1");
+  const request_seq id = BeginStream();
+  AnnounceVersion("b", "v2");
+  const running_attempt& attempt = running.at(id);
+  Report(id,
+         attempt_failed{
+             .sent = attempt.sent, .delivered = true, .target_ended = true});
+  CHECK(end_counts[id] == 0);
+  SECTION("it announces itself again") {
+    Advance(seconds(1));
+    AnnounceVersion("a", "v1");
+    // Targets that have failed are left alone for a moment.
+    Advance(seconds(2));
+    REQUIRE(Runs(id));
+    CHECK(running.at(id).target == target_id("a"));
+  }
+  SECTION("it is not heard of again") {
+    Advance(seconds(4));
+    CHECK(end_counts[id] == 1);
+    CHECK_FALSE(Runs(id));
+  }
+}
+
+TEST_CASE_METHOD(
+    stream_fixture,
+    "stream breaks off and its version has no room for seconds: it "
+    "waits longer than a new request would") {
+  AnnounceVersion("a1", "v1");
+  request_spec spec = StreamSpec();
+  spec.time_limit = seconds(8);
+  spec.latency_objective = milliseconds(300);
+  spec.prompt =
+      targets::prompt{.input_tokens = 10, .parts = {{.id = 1, .tokens = 10}}};
+  Submit(spec);
+  REQUIRE(Runs(spec.id));
+  Deliver(spec.id);
+  targets::announcement full = Target("a2", 1, ++at_ms);
+  full.version = software_version("v1");
+  full.slots = full.cold_slots = 1;
+  AnnounceVersion("a1", "v1", targets::target_state::kLeaving);
+  Announce(full);
+  const request_seq other = BeginStream();
+  REQUIRE(running.at(other).target == target_id("a2"));
+  Fail(spec.id, failure_kind::kBroken);
+  Advance(seconds(3));
+  CHECK(end_counts[spec.id] == 0);
+  Report(other, attempt_completed{});
+  REQUIRE(Runs(spec.id));
+  CHECK(running.at(spec.id).target == target_id("a2"));
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
--- a/src/routing/tests/taken_up_stream_unittest.cc
+++ b/src/routing/tests/taken_up_stream_unittest.cc
@@ -254,5 +254,26 @@
   CHECK(streams.size() == 1);
 }
 
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up at a router that has just started and has "
+                 "not heard of its version: it waits for the targets") {
+  const request_seq id = Submit(stream_key(1), true);
+  Answer(stream_key(1), "v3");
+  CHECK(end_counts[id] == 0);
+  SECTION("they announce themselves") {
+    Advance(seconds(1));
+    AnnounceVersion("c1", "v3");
+    REQUIRE(running.contains(id));
+    CHECK(VersionOf(id) == 'c');
+  }
+  SECTION("they do not") {
+    Advance(seconds(4));
+    CheckRefused(id, refusal_reason::kVersionGone, false);
+    const request_seq later = Submit(stream_key(2), true);
+    Answer(stream_key(2), "v3");
+    CheckRefused(later, refusal_reason::kVersionGone, false);
+  }
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -4,14 +4,23 @@
 #include "targets/target_directory.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace burdocklock::targets {
 
+namespace {
+
+// Two announcements of a target that is there, and a margin.
+constexpr std::chrono::milliseconds kAnnouncementsHeard{2500};
+
+}  // namespace
+
 target_directory::target_directory(directory_options options, i_random& random)
     : options_(std::move(options)), random_(random) {}
 
 announce_result target_directory::Announce(const announcement& announcement,
                                            time_point now) {
+  NoteVersion(announcement, now);
   const auto found = entries_.find(announcement.target);
   if (found == entries_.end()) {
     entry fresh{
@@ -354,6 +363,9 @@
 bool target_directory::HasVersion(const pool_id& pool,
                                   const software_version& version,
                                   time_point now) const {
+  if (IsNew(now) && !early_versions_.contains({pool, version})) {
+    return true;
+  }
   const auto found = by_pool_.find(pool);
   return found != by_pool_.end() &&
          std::any_of(found->second.begin(), found->second.end(),
@@ -363,6 +375,22 @@
                      });
 }
 
+bool target_directory::IsNew(time_point now) const {
+  return !first_heard_ || now - *first_heard_ < kAnnouncementsHeard;
+}
+
+void target_directory::NoteVersion(const announcement& announcement,
+                                   time_point now) {
+  if (!IsNew(now)) {
+    early_versions_.clear();
+    return;
+  }
+  first_heard_ = first_heard_.value_or(now);
+  for (const pool_id& pool : announcement.pools) {
+    early_versions_.emplace(pool, announcement.version);
+  }
+}
+
 bool target_directory::NamesNoVersions(const pool_id& pool) const {
   const auto found = by_pool_.find(pool);
   return found != by_pool_.end() && !found->second.empty() &&
@@ -455,17 +483,23 @@
 }
 
 bool target_directory::MayServe(const entry& entry, time_point now) const {
-  const bool is_heard =
-      options_.leased
-          ? now < entry.lease_until
-          : now - entry.last_heard < options_.silence && !entry.unreachable;
+  // A refused connection may concern this router's path only; a target that is
+  // there announces itself again.
+  const duration silence =
+      entry.unreachable
+          ? std::min<duration>(kAnnouncementsHeard, options_.silence)
+          : options_.silence;
+  const bool is_heard = options_.leased ? now < entry.lease_until
+                                        : now - entry.last_heard < silence;
   return is_heard && !entry.replaced && !entry.said_leaving &&
          entry.announced.state != target_state::kLeaving &&
          !IsDataCentreOut(entry.announced.data_centre);
 }
 
 bool target_directory::IsPresent(const entry& entry, time_point now) const {
-  return MayServe(entry, now) && (!options_.leased || entry.lease_limit > 0) &&
+  const bool is_available =
+      options_.leased ? entry.lease_limit > 0 : !entry.unreachable;
+  return is_available && MayServe(entry, now) &&
          entry.announced.state == target_state::kReady;
 }
 
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "admission/types/fleet_load.h"
@@ -262,7 +264,9 @@
   [[nodiscard]] ramp_epoch RampEpoch(const target_id& target) const;
 
   /// Returns whether the pool has a target of this software version that can
-  /// take requests, now or later: it has neither left nor fallen silent.
+  /// take requests, now or later: it has neither left nor fallen silent. Also
+  /// true while this directory is too new to have heard of all targets and has
+  /// not heard of this version.
   [[nodiscard]] bool HasVersion(const pool_id& pool,
                                 const software_version& version,
                                 time_point now) const;
@@ -441,6 +445,8 @@
   /// Whether the target is known to be there, although it may be starting or
   /// paused.
   [[nodiscard]] bool MayServe(const entry& entry, time_point now) const;
+  /// Whether targets of a version that is not known may still be heard of.
+  [[nodiscard]] bool IsNew(time_point now) const;
   [[nodiscard]] bool IsUsable(const entry& entry, time_point now) const;
   /// Whether the target could be used but for a pause that it asked for.
   [[nodiscard]] bool IsInService(const entry& entry, time_point now) const;
@@ -469,6 +475,7 @@
   /// Whether the announcement, which is not stale, is of another run of the
   /// target's software than the known one.
   static bool IsOtherRun(const announcement& known, const announcement& update);
+  void NoteVersion(const announcement& announcement, time_point now);
   void Replace(entry& known, const announcement& announcement);
   void Refresh(entry& known, const announcement& announcement);
   /// Takes over what a further announcement of the same run says.
@@ -491,6 +498,10 @@
   /// Pools whose targets copy cached prompt parts from each other.
   std::unordered_set<pool_id> copying_pools_;
   std::vector<daemon_id> routers_;
+  /// Time of the first announcement.
+  std::optional<time_point> first_heard_;
+  /// Software versions announced while the directory was new.
+  std::set<std::pair<pool_id, software_version>> early_versions_;
   std::uint64_t last_grant_ = 0;
   double rate_fraction_ = 1;
   std::uint64_t granted_tokens_ = 0;
