Test of silent targets: the number of an attempt is copied before it is erased

With sanitizers the test read an erased element of its own map (heap-use-after-free). The router was not at fault. 27 tests of streams and silent targets pass with sanitizers now.

--- a/src/routing/tests/silent_target_unittest.cc
+++ b/src/routing/tests/silent_target_unittest.cc
@@ -175,8 +175,9 @@
     request_account& account = accounts_[id];
     const bool is_stream = specs_[id].kind == call_kind::kStreamedGeneration;
     if (!is_stream || ++account.pieces == kPieces) {
+      const attempt_number number = attempt.number;
       running_.erase(id);
-      return Report(id, attempt.number, attempt_completed{});
+      return Report(id, number, attempt_completed{});
     }
     attempt.next_piece = now_ + kPieceInterval;
     if (attempt.delivered) {
