What a target's earlier software version said does not count for the later

A target that announces another version within one life starts anew; an answer of a request granted before still marked it as leaving for good, or paused it. Now by grant, as all else.

--- a/src/targets/internal/target_answers.cc
+++ b/src/targets/internal/target_answers.cc
@@ -17,7 +17,7 @@
 }
 
 bool target_directory::ReportLeaving(const slot_grant& grant) {
-  entry* known = Find(grant.target, grant.life);
+  entry* known = Find(grant);
   if (known == nullptr || known->said_leaving) {
     return false;
   }
@@ -38,7 +38,7 @@
     duration pause,
     time_point received,
     time_point now) {
-  entry* known = Find(grant.target, grant.life);
+  entry* known = Find(grant);
   const time_point end = received + pause;
   if (known == nullptr || end <= now || end <= known->asked_pause_until) {
     return pause_report::kNone;
--- a/src/targets/tests/target_answers_unittest.cc
+++ b/src/targets/tests/target_answers_unittest.cc
@@ -249,5 +249,21 @@
   CHECK_FALSE(second->copy_from.has_value());
 }
 
+TEST_CASE_METHOD(answers_fixture,
+                 "target has started again at another software version within "
+                 "one life: what its earlier version said does not count") {
+  Announce("a");
+  announcement first = Target("a");
+  first.version = software_version("v1");
+  directory.Announce(first, now);
+  const slot_grant earlier = Grant();
+  announcement second = Target("a");
+  second.version = software_version("v2");
+  CHECK(directory.Announce(second, now) == announce_result::kNewIncarnation);
+  CHECK_FALSE(directory.ReportLeaving(earlier));
+  CHECK(Pause(earlier, seconds(2)) == pause_report::kNone);
+  CHECK(IsUsable());
+}
+
 }  // namespace
 }  // namespace burdocklock::targets
