--- a/src/routing/tests/taken_up_stream_unittest.cc
+++ b/src/routing/tests/taken_up_stream_unittest.cc
@@ -275,5 +275,39 @@
   }
 }
 
+struct late_version_fixture : take_up_fixture {
+  // Long after the start, with targets of one version only.
+  late_version_fixture() {
+    for (const char* name : {"b1", "b2", "b3"}) {
+      AnnounceVersion(name, "v2", targets::target_state::kLeaving);
+    }
+    now += seconds(5);
+    for (const char* name : {"a1", "a2"}) {
+      AnnounceVersion(name, "v1");
+    }
+  }
+};
+
+TEST_CASE_METHOD(late_version_fixture,
+                 "stream is taken up at a router that learns late of a new "
+                 "version: refused until then, goes on there afterwards") {
+  const request_seq early = Submit(stream_key(1), true);
+  Answer(stream_key(1), "v3");
+  CheckRefused(early, refusal_reason::kVersionGone, false);
+  AnnounceVersion("c1", "v3");
+  const request_seq late = Submit(stream_key(1), true);
+  Answer(stream_key(1), "v3");
+  REQUIRE(running.contains(late));
+  CHECK(VersionOf(late) == 'c');
+}
+
+TEST_CASE_METHOD(late_version_fixture,
+                 "stream is taken up, nobody knows where it began and one "
+                 "version is known: refused, as there may be another") {
+  const request_seq id = Submit(stream_key(1), true);
+  Answer(stream_key(1), std::nullopt);
+  CheckRefused(id, refusal_reason::kOriginUnknown, false);
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
