--- a/src/routing/tests/fleet_fairness_unittest.cc
+++ b/src/routing/tests/fleet_fairness_unittest.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "routing/tests/simulated_fleet.h"
+#include "routing/tests/starvation_check.h"
 
 namespace burdocklock::routing {
 namespace {
@@ -13,50 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::int64_t kWindowSeconds = 6;
-constexpr double kLargestRequests = 3;
-
-using account = simulated_fleet::account;
-
-simulated_fleet::second_account At(const account& seconds,
-                                   std::int64_t second) {
-  const auto found = seconds.find(second);
-  return found == seconds.end() ? simulated_fleet::second_account()
-                                : found->second;
-}
-
-// In any six seconds with a refused or late request of a customer in each, the
-// customer's started tokens are at least half of the lesser of its demand and
-// the most that any customer started, second by second, less three of its
-// largest requests.
-void CheckNoneStarved(const simulated_fleet& fleet,
-                      std::int64_t first,
-                      std::int64_t last) {
-  for (const auto& [customer, own] : fleet.accounts()) {
-    for (std::int64_t from = first; from + kWindowSeconds <= last; ++from) {
-      bool always_refused_or_late = true;
-      double due = 0;
-      double started = 0;
-      for (std::int64_t at = from; at < from + kWindowSeconds; ++at) {
-        double most = 0;
-        for (const auto& [other, seconds] : fleet.accounts()) {
-          most = std::max(most, At(seconds, at).started);
-        }
-        always_refused_or_late &= At(own, at).refused_or_late;
-        due += std::min(At(own, at).demand, most);
-        started += At(own, at).started;
-      }
-      INFO(customer.value()
-           << " from " << from << " s: due " << due << ", started " << started);
-      const bool starved =
-          always_refused_or_late &&
-          started <
-              due / 2 - kLargestRequests * fleet.largest_request(customer);
-      CHECK_FALSE(starved);
-    }
-  }
-}
-
 struct busy_fleet_fixture {
   static constexpr std::size_t kSmallCustomers = 8;
 
@@ -259,7 +216,7 @@
     double started = 0;
     for (const auto& [customer, seconds] : fleet.accounts()) {
       for (std::int64_t at = from; at < to; ++at) {
-        started += At(seconds, at).started;
+        started += AccountAt(seconds, at).started;
       }
     }
     return started / static_cast<double>(to - from);
--- a/src/routing/tests/target_pauses_unittest.cc
+++ b/src/routing/tests/target_pauses_unittest.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include "routing/tests/simulated_fleet.h"
+#include "routing/tests/starvation_check.h"
 
 namespace burdocklock::routing {
 namespace {
@@ -84,6 +85,27 @@
   }
 }
 
+TEST_CASE_METHOD(
+    wishing_targets_fixture,
+    "a third of the targets ask for pauses while one customer asks "
+    "for far more than its share: no other customer is starved") {
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    simulated_fleet fleet = Make(seed);
+    fleet.AddCustomer({.customer = customer_id("flood"),
+                       .requests_per_second = 150,
+                       .tokens = 5000,
+                       .begins = seconds(3)});
+    for (std::size_t engine = 0; engine < kTargets / 3; ++engine) {
+      fleet.AskForPauses(engine, milliseconds(1500), seconds(6), seconds(14));
+    }
+    fleet.Run(seconds(20));
+    REQUIRE_FALSE(fleet.wishes().empty());
+    CHECK(MostInPause(fleet) <= kMostInPause);
+    CheckNoneStarved(fleet, 6, 20);
+  }
+}
+
 TEST_CASE_METHOD(wishing_targets_fixture,
                  "targets leave and say so in answers alone: routers that "
                  "passed one on send them nothing more") {
