--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -278,21 +278,6 @@
   }
 }
 
-void target_directory::MarkBroken(const slot_grant& grant) {
-  if (entry* known = Find(grant)) {
-    known->broken = true;
-  }
-}
-
-bool target_directory::Fits(const entry& entry,
-                            const std::optional<software_version>& version) {
-  if (!version) {
-    return true;
-  }
-  const bool is_doubtful = entry.broken && !version->value().empty();
-  return entry.announced.version == *version && !is_doubtful;
-}
-
 void target_directory::MarkUnreachable(const slot_grant& grant) {
   if (entry* known = Find(grant)) {
     known->unreachable = true;
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -4,17 +4,9 @@
 #include "targets/target_directory.h"
 
 #include <algorithm>
-#include <chrono>
 
 namespace burdocklock::targets {
 
-namespace {
-
-// Two announcements of a target that is there, and a margin.
-constexpr std::chrono::milliseconds kAnnouncementsHeard{2500};
-
-}  // namespace
-
 target_directory::target_directory(directory_options options, i_random& random)
     : options_(std::move(options)), random_(random) {}
 
@@ -77,15 +69,6 @@
          announcement.state != target_state::kLeaving;
 }
 
-bool target_directory::IsOtherRun(const announcement& known,
-                                  const announcement& update) {
-  // Older peers leave the version out of the announcements that they pass on.
-  const bool other_version = !known.version.value().empty() &&
-                             !update.version.value().empty() &&
-                             known.version != update.version;
-  return update.life != known.life || other_version;
-}
-
 void target_directory::Replace(entry& known, const announcement& announcement) {
   UnindexPools(known);
   known.announced = announcement;
@@ -105,14 +88,6 @@
   IndexPools(known);
 }
 
-void target_directory::Adopt(entry& known, const announcement& announcement) {
-  software_version version = known.announced.version;
-  known.announced = announcement;
-  if (announcement.version.value().empty()) {
-    known.announced.version = std::move(version);
-  }
-}
-
 void target_directory::Refresh(entry& known, const announcement& announcement) {
   const bool started = known.announced.state != target_state::kReady &&
                        announcement.state == target_state::kReady;
@@ -360,46 +335,6 @@
   return found == entries_.end() ? ramp_epoch() : found->second.ramp.epoch();
 }
 
-bool target_directory::HasVersion(const pool_id& pool,
-                                  const software_version& version,
-                                  time_point now) const {
-  if (IsNew(now) && !early_versions_.contains({pool, version})) {
-    return true;
-  }
-  const auto found = by_pool_.find(pool);
-  return found != by_pool_.end() &&
-         std::any_of(found->second.begin(), found->second.end(),
-                     [&](const entry* entry) {
-                       return entry->announced.version == version &&
-                              MayServe(*entry, now);
-                     });
-}
-
-bool target_directory::IsNew(time_point now) const {
-  return !first_heard_ || now - *first_heard_ < kAnnouncementsHeard;
-}
-
-void target_directory::NoteVersion(const announcement& announcement,
-                                   time_point now) {
-  if (!IsNew(now)) {
-    early_versions_.clear();
-    return;
-  }
-  first_heard_ = first_heard_.value_or(now);
-  for (const pool_id& pool : announcement.pools) {
-    early_versions_.emplace(pool, announcement.version);
-  }
-}
-
-bool target_directory::NamesNoVersions(const pool_id& pool) const {
-  const auto found = by_pool_.find(pool);
-  return found != by_pool_.end() && !found->second.empty() &&
-         std::all_of(found->second.begin(), found->second.end(),
-                     [](const entry* entry) {
-                       return entry->announced.version.value().empty();
-                     });
-}
-
 bool target_directory::HasUsable(const pool_id& pool, time_point now) const {
   if (options_.leased) {
     const auto found = capacity_.find(pool);
@@ -482,20 +417,6 @@
   return found->second.ramp.limit();
 }
 
-bool target_directory::MayServe(const entry& entry, time_point now) const {
-  // A refused connection may concern this router's path only; a target that is
-  // there announces itself again.
-  const duration silence =
-      entry.unreachable
-          ? std::min<duration>(kAnnouncementsHeard, options_.silence)
-          : options_.silence;
-  const bool is_heard = options_.leased ? now < entry.lease_until
-                                        : now - entry.last_heard < silence;
-  return is_heard && !entry.replaced && !entry.said_leaving &&
-         entry.announced.state != target_state::kLeaving &&
-         !IsDataCentreOut(entry.announced.data_centre);
-}
-
 bool target_directory::IsPresent(const entry& entry, time_point now) const {
   const bool is_available =
       options_.leased ? entry.lease_limit > 0 : !entry.unreachable;
--- /dev/null
+++ b/src/targets/internal/target_versions.cc
@@ -0,0 +1,104 @@
+// Part of target_directory: software versions of targets, and what may run what
+// is restricted to one.
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "targets/target_directory.h"
+
+namespace burdocklock::targets {
+
+namespace {
+
+// Two announcements of a target that is there, and a margin.
+constexpr std::chrono::milliseconds kAnnouncementsHeard{2500};
+
+}  // namespace
+
+bool target_directory::HasVersion(const pool_id& pool,
+                                  const software_version& version,
+                                  time_point now) const {
+  if (IsNew(now) && !early_versions_.contains({pool, version})) {
+    return true;
+  }
+  const auto found = by_pool_.find(pool);
+  return found != by_pool_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const entry* entry) {
+                       return entry->announced.version == version &&
+                              MayServe(*entry, now);
+                     });
+}
+
+bool target_directory::IsNew(time_point now) const {
+  return !first_heard_ || now - *first_heard_ < kAnnouncementsHeard;
+}
+
+void target_directory::NoteVersion(const announcement& announcement,
+                                   time_point now) {
+  if (!IsNew(now)) {
+    early_versions_.clear();
+    return;
+  }
+  first_heard_ = first_heard_.value_or(now);
+  for (const pool_id& pool : announcement.pools) {
+    early_versions_.emplace(pool, announcement.version);
+  }
+}
+
+bool target_directory::NamesNoVersions(const pool_id& pool) const {
+  const auto found = by_pool_.find(pool);
+  return found != by_pool_.end() && !found->second.empty() &&
+         std::all_of(found->second.begin(), found->second.end(),
+                     [](const entry* entry) {
+                       return entry->announced.version.value().empty();
+                     });
+}
+
+bool target_directory::MayServe(const entry& entry, time_point now) const {
+  // A refused connection may concern this router's path only; a target that is
+  // there announces itself again.
+  const duration silence =
+      entry.unreachable
+          ? std::min<duration>(kAnnouncementsHeard, options_.silence)
+          : options_.silence;
+  const bool is_heard = options_.leased ? now < entry.lease_until
+                                        : now - entry.last_heard < silence;
+  return is_heard && !entry.replaced && !entry.said_leaving &&
+         entry.announced.state != target_state::kLeaving &&
+         !IsDataCentreOut(entry.announced.data_centre);
+}
+
+bool target_directory::IsOtherRun(const announcement& known,
+                                  const announcement& update) {
+  // Older peers leave the version out of the announcements that they pass on.
+  const bool other_version = !known.version.value().empty() &&
+                             !update.version.value().empty() &&
+                             known.version != update.version;
+  return update.life != known.life || other_version;
+}
+
+void target_directory::Adopt(entry& known, const announcement& announcement) {
+  software_version version = known.announced.version;
+  known.announced = announcement;
+  if (announcement.version.value().empty()) {
+    known.announced.version = std::move(version);
+  }
+}
+
+bool target_directory::Fits(const entry& entry,
+                            const std::optional<software_version>& version) {
+  if (!version) {
+    return true;
+  }
+  const bool is_doubtful = entry.broken && !version->value().empty();
+  return entry.announced.version == *version && !is_doubtful;
+}
+
+void target_directory::MarkBroken(const slot_grant& grant) {
+  if (entry* known = Find(grant)) {
+    known->broken = true;
+  }
+}
+
+}  // namespace burdocklock::targets
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -23,60 +23,14 @@
 #include "targets/prefix_memory.h"
 #include "targets/shared_rate.h"
 #include "targets/types/announcement.h"
+#include "targets/types/directory_options.h"
 #include "targets/types/lease.h"
 #include "targets/types/placement.h"
 #include "targets/types/prompt.h"
+#include "targets/types/target_view.h"
 
 namespace burdocklock::targets {
 
-struct directory_options {
-  data_centre_id local_data_centre;
-  /// A target that has not announced itself for this long receives no new
-  /// requests.
-  duration silence = std::chrono::seconds(6);
-  /// A target that has not announced itself for this long is removed.
-  duration retention = std::chrono::minutes(10);
-  /// Whether limits come from leases (`ApplyLeases`) instead of this
-  /// directory's own ramps.
-  bool leased = false;
-  ramp_options ramp;
-  /// Name of this router, used to compute its share of cold targets.
-  daemon_id self;
-};
-
-enum class announce_result { kNew, kNewIncarnation, kUpdated, kStale };
-
-constexpr const char* ToString(announce_result result) {
-  switch (result) {
-    case announce_result::kNew:
-      return "new";
-    case announce_result::kNewIncarnation:
-      return "new_incarnation";
-    case announce_result::kUpdated:
-      return "updated";
-    case announce_result::kStale:
-      return "stale";
-  }
-  return "stale";
-}
-
-/// State of one target as shown to operators.
-struct target_view {
-  announcement announced;
-  std::uint32_t in_flight = 0;
-  std::uint32_t limit = 0;
-  /// The lessor's ramp limit; equal to `limit` without leases.
-  std::uint32_t ramp_limit = 0;
-  ramp_phase phase = ramp_phase::kCold;
-  bool silent = false;
-  bool paused = false;
-  /// An answer of this incarnation said that it leaves.
-  bool said_leaving = false;
-  /// How much longer it wants no requests from this router.
-  duration asked_pause{};
-  duration since_heard{};
-};
-
 /// Invariants: the requests in flight at a target never exceed its limit at the
 /// time of admission; no grant is issued for a target that is not ready,
 /// silent, paused or in a data centre out of service, that has said in an
--- /dev/null
+++ b/src/targets/types/target_view.h
@@ -0,0 +1,29 @@
+// A target as operators see it.
+#pragma once
+
+#include <cstdint>
+
+#include "framework/types/time.h"
+#include "targets/admission_ramp.h"
+#include "targets/types/announcement.h"
+
+namespace burdocklock::targets {
+
+/// State of one target as shown to operators.
+struct target_view {
+  announcement announced;
+  std::uint32_t in_flight = 0;
+  std::uint32_t limit = 0;
+  /// The lessor's ramp limit; equal to `limit` without leases.
+  std::uint32_t ramp_limit = 0;
+  ramp_phase phase = ramp_phase::kCold;
+  bool silent = false;
+  bool paused = false;
+  /// An answer of this incarnation said that it leaves.
+  bool said_leaving = false;
+  /// How much longer it wants no requests from this router.
+  duration asked_pause{};
+  duration since_heard{};
+};
+
+}  // namespace burdocklock::targets
