--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -15,30 +15,21 @@
 #include "admission/types/fleet_load.h"
 #include "control/load_collector.h"
 #include "routing/request_router.h"
+#include "routing/tests/simulated_fleet_types.h"
 #include "routing/tests/virtual_timeline.h"
 
 namespace burdocklock::routing {
 
-struct simulated_fleet_options {
-  std::size_t routers = 12;
-  std::size_t targets = 30;
-  /// Prompt tokens that one engine reads in a second.
-  double reading_rate = 20'000;
-  /// Stated throughput of the pool, as a fraction of what its engines read.
-  double stated_throughput = 0.9;
-  duration silence = std::chrono::seconds(8);
-  /// How long a request holds its slot after its first output.
-  duration output_time = std::chrono::milliseconds(600);
-  /// One in this many load reports is lost.
-  std::uint32_t lost_report_in = 10;
-  std::uint32_t seed = 1;
-};
-
 /// Engines read prompts one after the other; a request starts with its first
 /// output and ends `output_time` later. Callers that are refused come back once
 /// at another router.
 class simulated_fleet : public virtual_timeline {
  public:
+  using customer_profile = simulated_customer;
+  using arrival = simulated_arrival;
+  using wish = simulated_wish;
+  using second_account = simulated_second;
+
   static constexpr std::uint32_t kSlots = 48;
   static constexpr double kColdPerSecond = 12;
 
@@ -64,15 +55,6 @@
     }
   }
 
-  struct customer_profile {
-    customer_id customer;
-    double requests_per_second = 1;
-    std::uint32_t tokens = 2000;
-    /// The router of all its requests; a random one each time if absent.
-    std::optional<std::size_t> router;
-    duration begins{};
-    duration ends = std::chrono::hours(1);
-  };
   void AddCustomer(const customer_profile& profile) {
     At(start_ + profile.begins + RandomGap(profile.requests_per_second),
        [this, profile] { Generate(profile); });
@@ -153,37 +135,14 @@
       restarted_[router] = now_;
     });
   }
-  struct arrival {
-    time_point at;
-    std::size_t engine = 0;
-    std::size_t router = 0;
-    /// When the router first passed an answer on that named the limit.
-    std::optional<time_point> told;
-  };
   [[nodiscard]] const std::vector<arrival>& arrivals() const {
     return arrivals_;
   }
-  /// An answer to a router that asked for a pause, or with no end, said that
-  /// the engine leaves.
-  struct wish {
-    time_point at;
-    std::size_t engine = 0;
-    std::size_t router = 0;
-    time_point until = kNever;
-  };
   [[nodiscard]] const std::vector<wish>& wishes() const { return wishes_; }
   [[nodiscard]] const std::map<std::size_t, time_point>& restarted() const {
     return restarted_;
   }
 
-  /// Prompt tokens of one customer in one second: those of its new requests,
-  /// and those of requests whose output started.
-  struct second_account {
-    double demand = 0;
-    double started = 0;
-    /// A request was refused or waited longer than its objective.
-    bool refused_or_late = false;
-  };
   using account = std::map<std::int64_t, second_account>;
   [[nodiscard]] const std::map<customer_id, account>& accounts() const {
     return accounts_;
@@ -197,36 +156,8 @@
   }
 
  private:
-  struct engine {
-    std::uint64_t life = 1;
-    /// Until then the engine says that it is cold.
-    time_point cold_until{};
-    /// Until then the engine answers and announces nothing.
-    time_point silent_until{};
-    /// Fraction of the usual reading rate.
-    double rate = 1;
-    bool stopped = false;
-    std::uint64_t sequence = 0;
-    std::uint32_t running = 0;
-    time_point read_until{};
-    std::optional<double> rate_limit;
-    std::optional<duration> asks_pause;
-    bool leaves = false;
-    /// When each router first passed on an answer with the limit.
-    std::map<std::size_t, time_point> told;
-  };
-  struct open_request {
-    customer_profile profile;
-    std::size_t router = 0;
-    bool is_retry = false;
-    time_point arrived;
-    std::optional<std::size_t> engine;
-    std::uint64_t engine_life = 0;
-    attempt_number attempt;
-    bool started = false;
-    /// Its router has restarted.
-    bool is_lost = false;
-  };
+  using engine = simulated_engine;
+  using open_request = simulated_request;
 
   static pool_id Pool() { return pool_id("llm"); }
   static daemon_id RouterName(std::size_t router) {
--- /dev/null
+++ b/src/routing/tests/simulated_fleet_types.h
@@ -0,0 +1,98 @@
+// What a simulated fleet is made of, and what it records.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
+
+namespace burdocklock::routing {
+
+struct simulated_fleet_options {
+  std::size_t routers = 12;
+  std::size_t targets = 30;
+  /// Prompt tokens that one engine reads in a second.
+  double reading_rate = 20'000;
+  /// Stated throughput of the pool, as a fraction of what its engines read.
+  double stated_throughput = 0.9;
+  duration silence = std::chrono::seconds(8);
+  /// How long a request holds its slot after its first output.
+  duration output_time = std::chrono::milliseconds(600);
+  /// One in this many load reports is lost.
+  std::uint32_t lost_report_in = 10;
+  std::uint32_t seed = 1;
+};
+
+struct simulated_customer {
+  customer_id customer;
+  double requests_per_second = 1;
+  std::uint32_t tokens = 2000;
+  /// The router of all its requests; a random one each time if absent.
+  std::optional<std::size_t> router;
+  duration begins{};
+  duration ends = std::chrono::hours(1);
+};
+
+struct simulated_arrival {
+  time_point at;
+  std::size_t engine = 0;
+  std::size_t router = 0;
+  /// When the router first passed an answer on that named the limit.
+  std::optional<time_point> told;
+};
+
+/// An answer to a router that asked for a pause, or with no end, said that
+/// the engine leaves.
+struct simulated_wish {
+  time_point at;
+  std::size_t engine = 0;
+  std::size_t router = 0;
+  time_point until = kNever;
+};
+
+/// Prompt tokens of one customer in one second: those of its new requests,
+/// and those of requests whose output started.
+struct simulated_second {
+  double demand = 0;
+  double started = 0;
+  /// A request was refused or waited longer than its objective.
+  bool refused_or_late = false;
+};
+
+struct simulated_engine {
+  std::uint64_t life = 1;
+  /// Until then the engine says that it is cold.
+  time_point cold_until{};
+  /// Until then the engine answers and announces nothing.
+  time_point silent_until{};
+  /// Fraction of the usual reading rate.
+  double rate = 1;
+  bool stopped = false;
+  std::uint64_t sequence = 0;
+  std::uint32_t running = 0;
+  time_point read_until{};
+  std::optional<double> rate_limit;
+  std::optional<duration> asks_pause;
+  bool leaves = false;
+  /// When each router first passed on an answer with the limit.
+  std::map<std::size_t, time_point> told;
+};
+
+struct simulated_request {
+  simulated_customer profile;
+  std::size_t router = 0;
+  bool is_retry = false;
+  time_point arrived;
+  std::optional<std::size_t> engine;
+  std::uint64_t engine_life = 0;
+  attempt_number attempt;
+  bool started = false;
+  /// Its router has restarted.
+  bool is_lost = false;
+};
+
+}  // namespace burdocklock::routing
