Where a stream began is kept once at its router

The request router and the client of control hosts each held the records of the router's own streams, bounded apart (32,768 and 16,384).

--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -34,10 +34,8 @@
 
 const char* SourceName(routing::origin_source source) {
   switch (source) {
-    case routing::origin_source::kThisRouter:
-      return "known_here";
-    case routing::origin_source::kFleet:
-      return "asked";
+    case routing::origin_source::kRecord:
+      return "record";
     case routing::origin_source::kNoVersions:
       return "no_versions";
   }
--- a/src/routing/internal/taken_up_streams.cc
+++ b/src/routing/internal/taken_up_streams.cc
@@ -26,11 +26,6 @@
     GoOnFrom(record, std::nullopt, now, out);
     return;
   }
-  if (const auto origin = begun_streams_.Find(*record.spec.stream, now)) {
-    record.taken_up_from = origin_source::kThisRouter;
-    GoOnFrom(record, origin, now, out);
-    return;
-  }
   HoldForOrigin(record, now, out);
 }
 
@@ -66,7 +61,7 @@
   for (const request_seq id : waiting) {
     record& record = *Find(id);
     record.origin_due.reset();
-    record.taken_up_from = origin_source::kFleet;
+    record.taken_up_from = origin_source::kRecord;
     GoOnFrom(record, origin, now, out);
   }
 }
@@ -127,7 +122,6 @@
   const time_point until =
       record.lifecycle.arrived() +
       spec.time_limit.value_or(options_.lifecycle.total_timeout) + kTakeUpSlack;
-  begun_streams_.Add(*spec.stream, *record.origin, until, now);
   out.emplace_back(stream_began{
       .record = {.key = *spec.stream,
                  .origin = *record.origin,
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -21,7 +21,6 @@
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "refusals/types/refusal.h"
-#include "routing/begun_streams.h"
 #include "routing/i_routing_observer.h"
 #include "routing/request_lifecycle.h"
 #include "routing/retry_budget.h"
@@ -413,7 +412,6 @@
   std::unordered_map<customer_id, customer_options> customers_;
   std::unordered_map<request_seq, record> records_;
   std::set<std::pair<time_point, request_seq>> deadlines_;
-  begun_streams begun_streams_;
   /// Requests with `origin_due`, by the stream that they take up.
   std::set<std::pair<stream_key, request_seq>> held_;
   refusal_seq last_refusal_{0};
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -65,8 +65,7 @@
 
 /// From where it is known where a stream began that is taken up.
 enum class origin_source {
-  kThisRouter,
-  kFleet,
+  kRecord,
   /// The targets of the pool name no versions.
   kNoVersions,
 };
