--- a/src/route_interface/tests/disruptive_target.h
+++ b/src/route_interface/tests/disruptive_target.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -56,13 +57,17 @@
   return path.find(kTargetPlans[static_cast<std::size_t>(plan)]) !=
          std::string_view::npos;
 }
-inline std::string StreamEvent(int number) {
-  return "id: " + std::to_string(number) + "\ndata: a\n\n";
+inline std::string StreamEvent(int number, const std::string& data = "a") {
+  return "id: " + std::to_string(number) + "\ndata: " + data + "\n\n";
 }
 
 class disruptive_target {
  public:
-  disruptive_target() {
+  /// `data` is that of the events of its streams, a few characters at most.
+  /// One in `pause_every` requests that it fails or turns away asks for a
+  /// pause.
+  explicit disruptive_target(std::string data = "a", int pause_every = 2)
+      : data_(std::move(data)), pause_every_(pause_every) {
     std::promise<void> bound;
     thread_ = std::thread([this, &bound] {
       RunFiberThread(io_, [this, &bound] {
@@ -109,6 +114,9 @@
         continue;
       }
       SpawnFiber([this, stream] {
+        if (stopped_) {
+          return;
+        }
         open_.insert(stream.get());
         for (bool kept = false; Exchange(*stream, kept); kept = true) {
         }
@@ -169,7 +177,7 @@
     const bool turns_away = HasPlan(path, target_plan::kTurnsAway);
     if ((turns_away || HasPlan(path, target_plan::kFails)) &&
         failed_.insert(name).second) {
-      const bool waits = failed_.size() % 2 == 0;
+      const bool waits = failed_.size() % pause_every_ == 0;
       return Write(stream, Head("503 Busy", name) +
                                (turns_away ? "X-Admitted: no\r\n" : "") +
                                (waits ? "Retry-After: 1\r\n" : "") +
@@ -204,7 +212,7 @@
       return false;
     }
     for (int i = first_event; i <= kStreamEvents; ++i) {
-      const std::string event = StreamEvent(i);
+      const std::string event = StreamEvent(i, data_);
       const std::size_t half = event.size() / 2;
       if (!Write(stream, Chunk(event.substr(0, half))) ||
           !Write(stream, Chunk(event.substr(half))) ||
@@ -236,6 +244,8 @@
     }
   }
 
+  const std::string data_;
+  const std::size_t pause_every_;
   boost::asio::io_context io_{1};
   boost::asio::ip::tcp::acceptor acceptor_{io_};
   std::set<net::tcp_stream*> open_;
