--- a/src/route_interface/tests/disrupted_targets_unittest.cc
+++ b/src/route_interface/tests/disrupted_targets_unittest.cc
@@ -335,9 +335,9 @@
     constexpr int kTries = 5;
     unsigned status = 0;
     for (int i = 0; i < kTries && status == 0; ++i) {
-      status = Command(http::verb::post, "/v1/targets/announce", kTargetToken,
-                       entry)
-                   .status;
+      status =
+          Command(http::verb::post, "/v1/targets/announce", kTargetToken, entry)
+              .status;
     }
     return status;
   }
