Streams that wait for room at their version no longer take the router's time

A router with many broken streams sought a target for each of them at every event, and went through all of them to see whether their version was gone: the record of what finds no room left streams with an origin out. Now a version's failures count as others' do, after four, and versions are looked at and not streams.

Searches are counted (target_searches).

--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -1,5 +1,6 @@
 // Part of request_router: queueing and dispatch.
 #include <algorithm>
+#include <map>
 
 #include "routing/request_router.h"
 
@@ -19,20 +20,46 @@
 constexpr double kReservedRetries = 2;
 
 // Limits the tries for one customer's waiting requests: a prompt finds no room
-// where a shorter one found none, and each try halves the length.
+// where a shorter one found none, and each try halves the length. That one
+// software version has no room says nothing of the others.
 class no_room_record {
  public:
-  [[nodiscard]] bool IsWorthTrying(const request_spec& spec) const {
-    return customer_ != spec.customer || spec.prompt_tokens < shortest_ / 2;
+  using version = std::optional<software_version>;
+
+  [[nodiscard]] bool IsWorthTrying(const request_spec& spec,
+                                   const version& required) const {
+    if (customer_ != spec.customer) {
+      return true;
+    }
+    const auto found = failures_.find(required);
+    if (found == failures_.end()) {
+      return true;
+    }
+    const bool may_differ = required && found->second.count < kStreamTries;
+    return may_differ || spec.prompt_tokens < found->second.shortest / 2;
   }
-  void Add(const request_spec& spec) {
+  void Add(const request_spec& spec, const version& required) {
+    if (customer_ != spec.customer) {
+      failures_.clear();
+    }
     customer_ = spec.customer;
-    shortest_ = spec.prompt_tokens;
+    failure& known = failures_[required];
+    ++known.count;
+    known.shortest = spec.prompt_tokens;
   }
 
  private:
+  // Streams avoid the targets that they were at, so that another one may find
+  // room.
+  static constexpr int kStreamTries = 4;
+
+  struct failure {
+    int count = 0;
+    std::uint32_t shortest = 0;
+  };
+
   std::optional<customer_id> customer_;
-  std::uint32_t shortest_ = 0;
+  std::map<version, failure> failures_;
 };
 
 }  // namespace
@@ -62,7 +89,7 @@
   const request_seq id = record.spec.id;
   state.queue.Push(record.spec.customer, id, now);
   if (record.origin) {
-    state.waiting_streams.insert(id);
+    state.waiting_streams[record.origin->version].insert(id);
   }
   ++totals_.waiting;
   ScheduleDeadline(id, record);
@@ -91,13 +118,13 @@
     dispatched = state.queue.TakeNext(now, [&](request_seq request) {
       const record& record = *Find(request);
       const request_spec& spec = record.spec;
-      if (!no_room.IsWorthTrying(spec)) {
+      const auto required = RequiredVersion(record);
+      if (!no_room.IsWorthTrying(spec, required)) {
         return false;
       }
       const bool sent = TryDispatch(state, request, now, out);
-      // That one software version has no room says nothing of the others.
-      if (!sent && !record.origin) {
-        no_room.Add(spec);
+      if (!sent) {
+        no_room.Add(spec, required);
       }
       return sent;
     });
@@ -105,19 +132,36 @@
   UpdateTargetAvailability(state, pool, now);
 }
 
+void request_router::ForgetWaitingStream(pool_state& state,
+                                         const record& record) {
+  if (!record.origin) {
+    return;
+  }
+  const auto found = state.waiting_streams.find(record.origin->version);
+  if (found == state.waiting_streams.end()) {
+    return;
+  }
+  found->second.erase(record.spec.id);
+  if (found->second.empty()) {
+    state.waiting_streams.erase(found);
+  }
+}
+
 void request_router::EndStreamsWithoutVersion(pool_state& state,
                                               time_point now,
                                               effects& out) {
-  const std::vector<request_seq> streams(state.waiting_streams.begin(),
-                                         state.waiting_streams.end());
-  for (const request_seq id : streams) {
-    record& record = *Find(id);
-    if (!HasTargetFor(record, now)) {
-      Apply(record.lifecycle.Refuse(refusal_reason::kVersionGone), record, now,
-            out);
-      EraseIfDone(id);
+  std::vector<request_seq> ended;
+  for (const auto& [version, streams] : state.waiting_streams) {
+    if (!HasTargetFor(*Find(*streams.begin()), now)) {
+      ended.insert(ended.end(), streams.begin(), streams.end());
     }
   }
+  for (const request_seq id : ended) {
+    record& record = *Find(id);
+    Apply(record.lifecycle.Refuse(refusal_reason::kVersionGone), record, now,
+          out);
+    EraseIfDone(id);
+  }
 }
 
 bool request_router::TryDispatch(pool_state& state,
@@ -153,7 +197,7 @@
   const request_seq request = record.spec.id;
   pool_state& state = PoolOf(record.spec.pool);
   const bool is_retry = !record.tried_targets.empty();
-  state.waiting_streams.erase(request);
+  ForgetWaitingStream(state, record);
   record.lifecycle.Dispatch(now);
   record.tried_targets.push_back(choice.grant.target);
   record.grant = choice.grant;
@@ -212,6 +256,7 @@
     const record& record,
     bool over_share,
     time_point now) {
+  ++totals_.target_searches;
   const auto version = RequiredVersion(record);
   if (!record.spec.prompt) {
     return directory_.Choose(record.spec.pool, record.tried_targets, now,
--- a/src/routing/internal/request_outcome.cc
+++ b/src/routing/internal/request_outcome.cc
@@ -40,7 +40,7 @@
   if (state.queue.Remove(record.spec.customer, id)) {
     --totals_.waiting;
   }
-  state.waiting_streams.erase(id);
+  ForgetWaitingStream(state, record);
   if (record.lifecycle.attempt_running()) {
     out.emplace_back(
         cancel_attempt{.request = id, .attempt = record.lifecycle.attempt()});
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -356,7 +356,7 @@
       } else {
         state.queue.PushFront(record.spec.customer, id, now);
         if (record.origin) {
-          state.waiting_streams.insert(id);
+          state.waiting_streams[record.origin->version].insert(id);
         }
         ++totals_.waiting;
       }
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -63,6 +63,8 @@
   std::uint64_t retries_denied = 0;
   /// Not retried because the request may have ended its target.
   std::uint64_t retries_withheld = 0;
+  /// How often a target was sought for a request, with or without success.
+  std::uint64_t target_searches = 0;
 };
 
 /// Deterministic: the same events at the same times with the same random
@@ -219,8 +221,8 @@
         : queue(age_limit), shares(pool) {}
 
     fairness::fair_queue queue;
-    /// Waiting requests that have an origin.
-    std::set<request_seq> waiting_streams;
+    /// Waiting requests that have an origin, by its version; no set is empty.
+    std::map<software_version, std::set<request_seq>> waiting_streams;
     admission::share_limiter shares;
     /// Known throughput with all targets, in tokens per second; 0 if unknown.
     double throughput = 0;
@@ -289,6 +291,7 @@
                     const pool_id& pool,
                     time_point now,
                     effects& out);
+  static void ForgetWaitingStream(pool_state& state, const record& record);
   /// Ends the waiting streams whose software version is gone.
   void EndStreamsWithoutVersion(pool_state& state,
                                 time_point now,
--- a/src/routing/tests/stream_version_unittest.cc
+++ b/src/routing/tests/stream_version_unittest.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -263,5 +264,34 @@
   CHECK(running.at(spec.id).target == target_id("a2"));
 }
 
+TEST_CASE_METHOD(stream_fixture,
+                 "many streams wait for room at their version: an event seeks "
+                 "a target for a few of them only") {
+  constexpr int kStreams = 60;
+  targets::announcement full = Target("a", 1, ++at_ms);
+  full.version = software_version("v1");
+  full.slots = full.cold_slots = kStreams;
+  Announce(full);
+  std::vector<request_seq> streams;
+  for (int i = 0; i < kStreams; ++i) {
+    streams.push_back(BeginStream());
+  }
+  targets::announcement small = Target("a2", 1, ++at_ms);
+  small.version = software_version("v1");
+  small.slots = small.cold_slots = 1;
+  Announce(small);
+  BeginStream();
+  full.state = targets::target_state::kLeaving;
+  full.load = targets::load_report{.at_ms = ++at_ms};
+  Announce(full);
+  for (const request_seq id : streams) {
+    Fail(id, failure_kind::kBroken);
+  }
+  REQUIRE(router.totals().waiting > kStreams / 2);
+  const std::uint64_t before = router.totals().target_searches;
+  AnnounceVersion("b", "v2");
+  CHECK(router.totals().target_searches - before < 10);
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
