--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -1,12 +1,21 @@
-# burdocklock_module(NAME SOURCES ... LINK ... TESTS ...)
-# Declares the static library of one module and its tests.
+# burdocklock_module(NAME SOURCES ... LINK ... TESTS ... [TEST_FILES_APART])
+# Declares the static library of one module and its tests. With TEST_FILES_APART
+# each file of tests is a test of its own, so that they run side by side.
 function(burdocklock_module name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;LINK;TESTS" ${ARGN})
+  cmake_parse_arguments(ARG "TEST_FILES_APART" "" "SOURCES;LINK;TESTS" ${ARGN})
   add_library(${name} STATIC ${ARG_SOURCES})
   target_link_libraries(${name} PUBLIC ${ARG_LINK})
   if(ARG_TESTS AND BURDOCKLOCK_TESTS)
     add_executable(${name}_tests ${ARG_TESTS})
     target_link_libraries(${name}_tests PRIVATE ${name} bl_testing)
-    add_test(NAME ${name} COMMAND ${name}_tests)
+    if(ARG_TEST_FILES_APART)
+      foreach(source ${ARG_TESTS})
+        get_filename_component(file ${source} NAME_WE)
+        add_test(NAME ${name}.${file}
+                 COMMAND ${name}_tests -w NoTests "-#" "[#${file}]~[.]")
+      endforeach()
+    else()
+      add_test(NAME ${name} COMMAND ${name}_tests)
+    endif()
   endif()
 endfunction()
