Broken streams that wait for their version are not reported as waiting work

Callers of a customer whose streams had broken off were refused as over its share, and room of other software versions was kept for work that cannot use it. Cause: what waits within its share was told to all routers with the whole cost of streams that wait for room at their own version, although that had been charged when they were first sent. So the pool counted as backlogged, and its capacity as what had been started. Now what is charged already is not reported.

Test: 8,000 tokens of 8 streams reported before, none now; a new request that waits is.

--- a/src/routing/internal/router_load.cc
+++ b/src/routing/internal/router_load.cc
@@ -55,7 +55,9 @@
   }
   for (const auto& [id, record] : records_) {
     const request_spec& spec = record.spec;
-    if (spec.pool == pool && spec.prompt && record.lifecycle.waiting() &&
+    // What was charged when it was sent first is not asked for once more.
+    const bool is_new = spec.prompt && !record.share_charged;
+    if (spec.pool == pool && is_new && record.lifecycle.waiting() &&
         now - record.lifecycle.arrived() >= CachedTargetWait(spec) &&
         !state.shares.IsOverShare(spec.customer, now)) {
       waiting[spec.customer] += record.share_cost;
