Broken streams do not hide a stream that is taken up at the same version

A caller that took its stream up was refused after its time in the queue although a target of its version had room. Cause: four failures of a customer at one version end the tries for that version at an event; broken streams stand first and avoid the targets they were at, while one that is taken up has none to avoid. Now failures of requests with and without targets to avoid are counted apart. The shortest prompt that found no room is the shortest, not the last.

--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -1,6 +1,8 @@
 // Part of request_router: queueing and dispatch.
 #include <algorithm>
+#include <limits>
 #include <map>
+#include <utility>
 
 #include "routing/request_router.h"
 
@@ -21,31 +23,35 @@
 
 // Limits the tries for one customer's waiting requests: a prompt finds no room
 // where a shorter one found none, and each try halves the length. That one
-// software version has no room says nothing of the others.
+// software version has no room says nothing of the others, nor does it of
+// requests that have no target to avoid.
 class no_room_record {
  public:
   using version = std::optional<software_version>;
 
   [[nodiscard]] bool IsWorthTrying(const request_spec& spec,
-                                   const version& required) const {
+                                   const version& required,
+                                   bool is_first_try) const {
     if (customer_ != spec.customer) {
       return true;
     }
-    const auto found = failures_.find(required);
+    const auto found = failures_.find({required, is_first_try});
     if (found == failures_.end()) {
       return true;
     }
     const bool may_differ = required && found->second.count < kStreamTries;
     return may_differ || spec.prompt_tokens < found->second.shortest / 2;
   }
-  void Add(const request_spec& spec, const version& required) {
+  void Add(const request_spec& spec,
+           const version& required,
+           bool is_first_try) {
     if (customer_ != spec.customer) {
       failures_.clear();
     }
     customer_ = spec.customer;
-    failure& known = failures_[required];
+    failure& known = failures_[{required, is_first_try}];
     ++known.count;
-    known.shortest = spec.prompt_tokens;
+    known.shortest = std::min(known.shortest, spec.prompt_tokens);
   }
 
  private:
@@ -55,11 +61,11 @@
 
   struct failure {
     int count = 0;
-    std::uint32_t shortest = 0;
+    std::uint32_t shortest = std::numeric_limits<std::uint32_t>::max();
   };
 
   std::optional<customer_id> customer_;
-  std::map<version, failure> failures_;
+  std::map<std::pair<version, bool>, failure> failures_;
 };
 
 }  // namespace
@@ -119,12 +125,13 @@
       const record& record = *Find(request);
       const request_spec& spec = record.spec;
       const auto required = RequiredVersion(record);
-      if (!no_room.IsWorthTrying(spec, required)) {
+      const bool is_first_try = record.tried_targets.empty();
+      if (!no_room.IsWorthTrying(spec, required, is_first_try)) {
         return false;
       }
       const bool sent = TryDispatch(state, request, now, out);
       if (!sent) {
-        no_room.Add(spec, required);
+        no_room.Add(spec, required, is_first_try);
       }
       return sent;
     });
--- a/src/routing/tests/waiting_stream_unittest.cc
+++ b/src/routing/tests/waiting_stream_unittest.cc
@@ -106,5 +106,27 @@
   CHECK(ReportedWaiting("c2") > 0);
 }
 
+TEST_CASE_METHOD(waiting_stream_fixture,
+                 "broken streams wait that a target of their version has "
+                 "turned away: one that is taken up gets its room") {
+  constexpr int kStreams = 6;
+  const std::vector<request_seq> streams = BeginWhereNoneCanGoOn(kStreams);
+  AnnounceSlots("b", "v1", kStreams);
+  BreakOff(streams);
+  for (const request_seq id : streams) {
+    REQUIRE(running.at(id).target == target_id("b"));
+    Report(id, attempt_sending{});
+    Fail(id, failure_kind::kNotAdmitted);
+  }
+  REQUIRE(router.totals().waiting == kStreams);
+  const stream_key key(77);
+  const request_seq id = Submit("c1", key);
+  Answer(key, "v1");
+  // "b" is left alone for a moment after it has turned requests away.
+  Advance(std::chrono::seconds(2));
+  REQUIRE(running.contains(id));
+  CHECK(running.at(id).target == target_id("b"));
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
