Announcements passed on late no longer clear what was seen at a target since

Callers: a stream could go on at another software version (rule ORDER) where a target started again under its id and a control host passed on what the target had announced before. A stream whose last target was gone was ended after the silence limit (8 s) instead of 2.5 s. A router that had just started sent calls to targets that had been silent for up to 30 s.

Cause: control hosts hold renewals for up to 500 ms and tell their age; the router logged it and took each announcement as received now.

Change: the directory gets the time at which the announcement was received. A target counts as heard of at the latest such time. Marks keep their time: that of a refused connection goes with an announcement received since (no margin: it costs one more refused connection), that of a broken stream with one received 100 ms after it, as the way on links is not in the age. An announcement of another run clears both at once. A version whose target was heard of long ago alone is not taken for gone while the directory is new: another control host may know better.

--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -286,7 +286,7 @@
   }
   scaled.cold_slots = std::min(announcement.cold_slots, scaled.slots);
   const targets::announce_result result =
-      router_.OnAnnouncement(scaled, now_, *out_);
+      router_.OnAnnouncement(scaled, heard, now_, *out_);
   if (result == targets::announce_result::kStale ||
       (result == targets::announce_result::kUpdated &&
        announcement.state == targets::target_state::kReady)) {
--- a/src/route_interface/tests/route_path_unittest.cc
+++ b/src/route_interface/tests/route_path_unittest.cc
@@ -2,6 +2,7 @@
 // a router, targets, callers and operators.
 #include <chrono>
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -109,6 +110,36 @@
             .status == 404);
 }
 
+struct short_silence_fixture : route_path_fixture {
+  static constexpr std::chrono::seconds kSilence{2};
+
+  short_silence_fixture()
+      : route_path_fixture({.settings = [](config::settings& settings) {
+          settings.timeouts.target_silence = kSilence;
+        }}) {}
+};
+
+TEST_CASE_METHOD(short_silence_fixture,
+                 "routes: router starts again, a target has been silent since "
+                 "before: no calls are sent there until it is heard of") {
+  app::fake_target target([&](const net::http_request& request) {
+    return app::fake_answer{.bytes = BuildResponse(request, "200 OK", "b")};
+  });
+  Replace(1);
+  Announce("t", target.address());
+  REQUIRE(BecomesServed());
+  StopRouter();
+  std::this_thread::sleep_for(kSilence);
+  StartRouter();
+  // The routes come after the targets.
+  REQUIRE(Until([&] { return CallRoute("/none/1").status == 404; }));
+  const int before = target.requests;
+  CHECK(CallRoute("/stock/1").status == 503);
+  CHECK(target.requests == before);
+  Announce("t", target.address());
+  CHECK(BecomesServed());
+}
+
 TEST_CASE_METHOD(route_path_fixture,
                  "routes: latest configuration: read back unchanged") {
   Replace(3);
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -115,13 +115,13 @@
   }
   --totals_.in_flight;
   if (failure.kind == failure_kind::kBroken && record.origin) {
-    directory_.MarkBroken(*record.grant);
+    directory_.MarkBroken(*record.grant, now);
   }
   if (failure.kind == failure_kind::kOtherTarget) {
     directory_.MarkReplaced(*record.grant);
   }
   if (failure.kind == failure_kind::kConnectFailed || failure.target_ended) {
-    directory_.MarkUnreachable(*record.grant);
+    directory_.MarkUnreachable(*record.grant, now);
   }
   if (IsNeutral(failure, record.lifecycle.cancel_reason())) {
     directory_.ReleaseNeutral(*record.grant);
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -51,10 +51,11 @@
 
 targets::announce_result request_router::OnAnnouncement(
     const targets::announcement& announcement,
+    time_point heard,
     time_point now,
     effects& out) {
   const targets::announce_result result =
-      directory_.Announce(announcement, now);
+      directory_.Announce(announcement, heard, now);
   DispatchAll(now, out);
   RefuseForNoTarget(now, out);
   return result;
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -108,8 +108,10 @@
                         time_point now,
                         effects& out_effects);
 
+  /// A control host received the announcement at `heard`.
   targets::announce_result OnAnnouncement(
       const targets::announcement& announcement,
+      time_point heard,
       time_point now,
       effects& out);
   void OnRequest(const request_spec& spec, time_point now, effects& out);
--- a/src/routing/tests/router_fixture.h
+++ b/src/routing/tests/router_fixture.h
@@ -56,9 +56,10 @@
             .load = targets::load_report{.at_ms = at_ms}};
   }
 
-  void Announce(const targets::announcement& announcement) {
+  void Announce(const targets::announcement& announcement,
+                duration age = duration::zero()) {
     effects out;
-    router.OnAnnouncement(announcement, now, out);
+    router.OnAnnouncement(announcement, now - age, now, out);
     Record(out);
   }
 
--- a/src/routing/tests/silent_target_unittest.cc
+++ b/src/routing/tests/silent_target_unittest.cc
@@ -58,7 +58,7 @@
     announcement.slots = slots;
     announcement.cold_slots = slots;
     effects out;
-    router_.OnAnnouncement(announcement, now_, out);
+    router_.OnAnnouncement(announcement, now_, now_, out);
     Take(out);
   }
   void Send(const request_spec& terms) {
--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -223,7 +223,7 @@
       At(now_ + std::chrono::milliseconds(5 + random_.Below(500)),
          [this, i, announcement] {
            Handle(i, [&](effects& out) {
-             routers_[i]->OnAnnouncement(announcement, now_, out);
+             routers_[i]->OnAnnouncement(announcement, now_, now_, out);
            });
          });
     }
--- a/src/routing/tests/simulated_routers.h
+++ b/src/routing/tests/simulated_routers.h
@@ -289,7 +289,7 @@
     const targets::announcement announcement = AnnouncementOf(target);
     At(now_ + delay, [this, router, announcement] {
       Handle(router, [&](effects& out) {
-        routers_[router].router->OnAnnouncement(announcement, now_, out);
+        routers_[router].router->OnAnnouncement(announcement, now_, now_, out);
       });
     });
   }
--- a/src/routing/tests/stream_version_unittest.cc
+++ b/src/routing/tests/stream_version_unittest.cc
@@ -19,12 +19,19 @@
       const std::string& name,
       const std::string& version,
       targets::target_state state = targets::target_state::kReady,
-      std::uint64_t life = 1) {
+      std::uint64_t life = 1,
+      duration age = duration::zero()) {
     targets::announcement announcement = Target(name, life, ++at_ms);
     announcement.version = software_version(version);
     announcement.state = state;
     announcement.cold_slots = announcement.slots;
-    Announce(announcement);
+    Announce(announcement, age);
+  }
+  // A control host passes on what it has received some time ago.
+  void PassOn(const std::string& name,
+              const std::string& version,
+              duration age) {
+    AnnounceVersion(name, version, targets::target_state::kReady, 1, age);
   }
   request_spec StreamSpec() {
     return {.id = request_seq(++last_request),
@@ -179,6 +186,32 @@
   }
 }
 
+TEST_CASE_METHOD(
+    stream_fixture,
+    "stream breaks off, its target's announcement from before comes: it waits "
+    "for a later one") {
+  AnnounceVersion("a", "v1");
+  const request_seq id = BeginStream();
+  AnnounceVersion("b", "v2");
+  now += milliseconds(100);
+  Fail(id, failure_kind::kBroken);
+  now += milliseconds(400);
+  PassOn("a", "v1", milliseconds(500));
+  Advance(milliseconds(500));
+  CHECK_FALSE(Runs(id));
+  CHECK(end_counts[id] == 0);
+  SECTION("it is the same") {
+    PassOn("a", "v1", milliseconds(300));
+    Advance(seconds(2));
+    CHECK(Runs(id));
+  }
+  SECTION("it is another") {
+    AnnounceVersion("a", "v2");
+    CHECK(end_counts[id] == 1);
+    CHECK_FALSE(Runs(id));
+  }
+}
+
 TEST_CASE_METHOD(stream_fixture,
                  "stream ends before its first event while two software "
                  "versions serve: it may begin at the other") {
@@ -235,6 +268,15 @@
     REQUIRE(Runs(id));
     CHECK(running.at(id).target == target_id("a"));
   }
+  SECTION("what it announced before is passed on") {
+    now += milliseconds(400);
+    PassOn("a", "v1", milliseconds(450));
+    Advance(milliseconds(1900));
+    CHECK(end_counts[id] == 0);
+    Advance(milliseconds(1700));
+    CHECK(end_counts[id] == 1);
+    CHECK_FALSE(Runs(id));
+  }
   SECTION("it is not heard of again") {
     Advance(seconds(4));
     CHECK(end_counts[id] == 1);
--- a/src/routing/tests/taken_up_stream_unittest.cc
+++ b/src/routing/tests/taken_up_stream_unittest.cc
@@ -27,12 +27,13 @@
   void AnnounceVersion(
       const std::string& name,
       const std::string& version,
-      targets::target_state state = targets::target_state::kReady) {
+      targets::target_state state = targets::target_state::kReady,
+      duration age = duration::zero()) {
     targets::announcement announcement = Target(name, 1, ++at_ms);
     announcement.version = software_version(version);
     announcement.state = state;
     announcement.cold_slots = announcement.slots;
-    Announce(announcement);
+    Announce(announcement, age);
   }
   request_seq Submit(std::optional<stream_key> stream,
                      bool taken_up,
@@ -271,6 +272,27 @@
   }
 }
 
+TEST_CASE_METHOD(take_up_fixture,
+                 "stream is taken up at a new router, its version was heard of "
+                 "long ago: it waits") {
+  AnnounceVersion("c1", "v3", targets::target_state::kReady, seconds(20));
+  const request_seq id = Submit(stream_key(1), true);
+  Answer(stream_key(1), "v3");
+  CHECK_FALSE(running.contains(id));
+  CHECK(end_counts[id] == 0);
+  SECTION("another control host has heard of it since") {
+    Advance(milliseconds(300));
+    AnnounceVersion("c1", "v3", targets::target_state::kReady,
+                    milliseconds(200));
+    REQUIRE(running.contains(id));
+    CHECK(VersionOf(id) == 'c');
+  }
+  SECTION("none has") {
+    Advance(seconds(4));
+    CheckRefused(id, refusal_reason::kVersionGone, false);
+  }
+}
+
 struct late_version_fixture : take_up_fixture {
   // Long after the start, with targets of one version only.
   late_version_fixture() {
--- a/src/targets/internal/target_answers.cc
+++ b/src/targets/internal/target_answers.cc
@@ -60,7 +60,7 @@
     if (IsLeaving(*entry)) {
       leaves = true;
     } else if (now - entry->last_heard < options_.silence && !entry->replaced &&
-               !entry->unreachable) {
+               !entry->unreachable_at) {
       return false;
     }
   }
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -278,9 +278,10 @@
   }
 }
 
-void target_directory::MarkUnreachable(const slot_grant& grant) {
+void target_directory::MarkUnreachable(const slot_grant& grant,
+                                       time_point now) {
   if (entry* known = Find(grant)) {
-    known->unreachable = true;
+    known->unreachable_at = now;
   }
 }
 
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -4,30 +4,47 @@
 #include "targets/target_directory.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace burdocklock::targets {
 
+namespace {
+
+// The time at which an announcement was received is known as an age, without
+// its way on links, and a target sends it somewhat earlier. A stream must not
+// go on for that; a connection that is refused again does no harm.
+constexpr std::chrono::milliseconds kHeardMargin{100};
+
+void ForgetBefore(std::optional<time_point>& mark, time_point heard) {
+  if (mark && *mark <= heard) {
+    mark.reset();
+  }
+}
+
+}  // namespace
+
 target_directory::target_directory(directory_options options, i_random& random)
     : options_(std::move(options)), random_(random) {}
 
 announce_result target_directory::Announce(const announcement& announcement,
+                                           time_point heard,
                                            time_point now) {
-  NoteVersion(announcement, now);
+  NoteVersion(announcement, heard, now);
   const auto found = entries_.find(announcement.target);
   if (found == entries_.end()) {
     entry fresh{
         .announced = announcement,
         .ramp = admission_ramp(announcement.slots, announcement.cold_slots,
                                options_.ramp),
-        .last_heard = now,
-        .heard_since = now,
+        .last_heard = heard,
+        .heard_since = heard,
         .rate_share = RateShare(announcement.target, options_.self, routers_),
         .first_grant = last_grant_ + 1};
     const auto [added, inserted] =
         entries_.emplace(announcement.target, std::move(fresh));
     IndexPools(added->second);
     ApplyColdPeriod(added->second, now);
-    next_deadline_ = std::min(next_deadline_, now + options_.silence);
+    next_deadline_ = std::min(next_deadline_, heard + options_.silence);
     return announce_result::kNew;
   }
   entry& known = found->second;
@@ -41,18 +58,27 @@
     Refresh(known, announcement);
   }
   ApplyColdPeriod(known, now);
-  if (now - known.last_heard > options_.silence / 2) {
-    known.heard_since = now;
-  }
-  known.last_heard = now;
-  known.silence_reported = false;
-  known.unreachable = false;
-  known.broken = false;
-  next_deadline_ = std::min(next_deadline_, now + options_.silence);
+  NoteHeard(known, heard, now);
   return other_run ? announce_result::kNewIncarnation
                    : announce_result::kUpdated;
 }
 
+void target_directory::NoteHeard(entry& known,
+                                 time_point heard,
+                                 time_point now) {
+  if (heard - known.last_heard > options_.silence / 2) {
+    known.heard_since = heard;
+  }
+  known.last_heard = std::max(known.last_heard, heard);
+  if (now - known.last_heard < options_.silence) {
+    known.silence_reported = false;
+  }
+  ForgetBefore(known.unreachable_at, heard);
+  ForgetBefore(known.broken_at, heard - kHeardMargin);
+  next_deadline_ =
+      std::min(next_deadline_, known.last_heard + options_.silence);
+}
+
 bool target_directory::IsStale(const entry& known,
                                const announcement& announcement) const {
   if (announcement.life != known.announced.life) {
@@ -82,6 +108,8 @@
   known.cold_until = {};
   known.rate_limit = {};
   known.replaced = false;
+  known.unreachable_at.reset();
+  known.broken_at.reset();
   known.first_grant = last_grant_ + 1;
   known.said_leaving = false;
   known.asked_pause_until = {};
@@ -419,7 +447,7 @@
 
 bool target_directory::IsPresent(const entry& entry, time_point now) const {
   const bool is_available =
-      options_.leased ? entry.lease_limit > 0 : !entry.unreachable;
+      options_.leased ? entry.lease_limit > 0 : !entry.unreachable_at;
   return is_available && MayServe(entry, now) &&
          entry.announced.state == target_state::kReady;
 }
--- a/src/targets/internal/target_leases.cc
+++ b/src/targets/internal/target_leases.cc
@@ -31,7 +31,7 @@
     }
     entry& entry = known->second;
     entry.last_heard = now;
-    entry.broken = false;
+    entry.broken_at.reset();
     entry.lease_limit = lease.limit;
     entry.lease_ramp_limit = lease.ramp_limit;
     entry.lease_epoch = lease.epoch;
--- a/src/targets/internal/target_versions.cc
+++ b/src/targets/internal/target_versions.cc
@@ -35,12 +35,17 @@
 }
 
 void target_directory::NoteVersion(const announcement& announcement,
+                                   time_point heard,
                                    time_point now) {
   if (!IsNew(now)) {
     early_versions_.clear();
     return;
   }
   first_heard_ = first_heard_.value_or(now);
+  // Another control host may have heard of the target since.
+  if (now - heard >= options_.silence) {
+    return;
+  }
   for (const pool_id& pool : announcement.pools) {
     early_versions_.emplace(pool, announcement.version);
   }
@@ -59,7 +64,7 @@
   // A refused connection may concern this router's path only; a target that is
   // there announces itself again.
   const duration silence =
-      entry.unreachable
+      entry.unreachable_at
           ? std::min<duration>(kAnnouncementsHeard, options_.silence)
           : options_.silence;
   const bool is_heard = options_.leased ? now < entry.lease_until
@@ -91,13 +96,14 @@
   if (!version) {
     return true;
   }
-  const bool is_doubtful = entry.broken && !version->value().empty();
+  const bool is_doubtful =
+      entry.broken_at.has_value() && !version->value().empty();
   return entry.announced.version == *version && !is_doubtful;
 }
 
-void target_directory::MarkBroken(const slot_grant& grant) {
+void target_directory::MarkBroken(const slot_grant& grant, time_point now) {
   if (entry* known = Find(grant)) {
-    known->broken = true;
+    known->broken_at = now;
   }
 }
 
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -39,7 +39,14 @@
  public:
   target_directory(directory_options options, i_random& random);
 
-  announce_result Announce(const announcement& announcement, time_point now);
+  announce_result Announce(const announcement& announcement, time_point now) {
+    return Announce(announcement, now, now);
+  }
+  /// As above, for an announcement that was passed on: a control host received
+  /// it at `heard`.
+  announce_result Announce(const announcement& announcement,
+                           time_point heard,
+                           time_point now);
   /// Takes a data centre out of service for new requests, or returns it to
   /// service. After the return its targets are treated as cold.
   void SetDataCentreOut(const data_centre_id& data_centre,
@@ -136,11 +143,11 @@
   void MarkReplaced(const slot_grant& grant);
   /// Records that the target's address refuses connections. It is not used
   /// until a later announcement of it arrives.
-  void MarkUnreachable(const slot_grant& grant);
+  void MarkUnreachable(const slot_grant& grant, time_point now);
   /// Records that a stream broke off at the target, which may have started
   /// again at another software version. It gets no stream that began there
   /// until a later announcement of it arrives.
-  void MarkBroken(const slot_grant& grant);
+  void MarkBroken(const slot_grant& grant, time_point now);
   /// Restarts the silence timers; used while announcements cannot be received
   /// from any target.
   void RestartSilenceTimers(time_point now);
@@ -288,10 +295,11 @@
     /// Measured processing rate of prompt tokens.
     double tokens_per_ms = kDefaultTokensPerMs;
     bool replaced = false;
-    /// Its address has refused a connection since the last announcement.
-    bool unreachable = false;
-    /// A stream has broken off there since the last announcement.
-    bool broken = false;
+    /// When its address last refused a connection, unless the target has been
+    /// heard of since.
+    std::optional<time_point> unreachable_at;
+    /// When a stream last broke off there, likewise.
+    std::optional<time_point> broken_at;
     /// Grants with lower numbers belong to an earlier incarnation or version.
     std::uint64_t first_grant = 0;
     /// An answer of this incarnation said that it leaves.
@@ -429,9 +437,13 @@
   /// Whether the announcement, which is not stale, is of another run of the
   /// target's software than the known one.
   static bool IsOtherRun(const announcement& known, const announcement& update);
-  void NoteVersion(const announcement& announcement, time_point now);
+  void NoteVersion(const announcement& announcement,
+                   time_point heard,
+                   time_point now);
   void Replace(entry& known, const announcement& announcement);
   void Refresh(entry& known, const announcement& announcement);
+  /// Takes note that an announcement was received at `heard`.
+  void NoteHeard(entry& known, time_point heard, time_point now);
   /// Takes over what a further announcement of the same run says.
   static void Adopt(entry& known, const announcement& announcement);
   [[nodiscard]] time_point NextDeadlineOf(const entry& entry,
