Streams are taken up where they began also when their route is no longer resumable

Callers saw a stream that began at one software version go on at another: it had begun while its route was resumable, and was taken up after a configuration had made the route not resumable. Only calls on resumable routes were looked at for an earlier try; on others the names of the earlier try and of the last event were passed on to whichever target was chosen.

Now each streamed call that names an earlier try or a last event takes a stream up, and is asked for or refused. Callers on routes that never were resumable are concerned too: no stream of theirs is recorded, so such a call gets 503 (origin_unknown), unless its route has one service whose targets name no versions.

--- a/src/gateway/internal/routed_handler.cc
+++ b/src/gateway/internal/routed_handler.cc
@@ -22,13 +22,16 @@
 
 namespace {
 
-// Names the stream and, if the caller takes it up, where it may go on.
+// Names the stream and, if the caller takes it up, where it may go on. What the
+// caller has of it binds it also after its route has become not resumable.
 void DescribeStream(const routes::route& route,
                     const call_facts& facts,
                     routing::request_spec& spec) {
   spec.taken_up = facts.has_events || !facts.resumes.empty();
   if (!spec.taken_up) {
-    spec.stream = StreamKeyOf(spec.customer, facts.name);
+    if (route.resumable) {
+      spec.stream = StreamKeyOf(spec.customer, facts.name);
+    }
     return;
   }
   if (!facts.resumes.empty()) {
@@ -64,7 +67,7 @@
     spec.prompt = facts.prompt;
     spec.prompt_tokens = facts.prompt->input_tokens;
   }
-  if (spec.resumable) {
+  if (streamed) {
     DescribeStream(route, facts, spec);
   }
   return spec;
--- a/src/gateway/tests/gateway_unittest.cc
+++ b/src/gateway/tests/gateway_unittest.cc
@@ -9,6 +9,7 @@
 #include "config/key_hashing.h"
 #include "gateway/call_parser.h"
 #include "gateway/numbered_event_scanner.h"
+#include "gateway/request_fingerprint.h"
 #include "gateway/routed_handler.h"
 #include "gateway/sse_scanner.h"
 #include "gateway/types/drain_window.h"
@@ -295,6 +296,51 @@
   CHECK(spec.time_limit == std::chrono::milliseconds(3000));
 }
 
+struct streaming_route_fixture {
+  routes::route route{.name = "r",
+                      .kind = routes::route_kind::kStreaming,
+                      .timeout = std::chrono::milliseconds(3000),
+                      .services = {{.service = pool_id("llm")}},
+                      .max_attempts = 2,
+                      .resumable = true};
+
+  [[nodiscard]] routing::request_spec Build(const call_facts& facts) const {
+    return BuildRequestSpec(route, customer_id("c"), facts);
+  }
+};
+
+TEST_CASE_METHOD(streaming_route_fixture,
+                 "call on a route: names an earlier try or a last event: taken "
+                 "up, also where the route is not resumable") {
+  route.resumable = GENERATE(true, false);
+  CAPTURE(route.resumable);
+  const routing::request_spec begun =
+      Build({.name = "n", .resumes = "", .has_events = false});
+  CHECK_FALSE(begun.taken_up);
+  CHECK(begun.stream.has_value() == route.resumable);
+  const routing::request_spec named =
+      Build({.name = "n2", .resumes = "n", .has_events = true});
+  CHECK(named.taken_up);
+  CHECK(named.stream == StreamKeyOf(customer_id("c"), "n"));
+  CHECK(named.route_pools == std::vector{pool_id("llm")});
+  CHECK(named.resumable == route.resumable);
+  CHECK(Build({.name = "n2", .resumes = "n"}).taken_up);
+  const routing::request_spec unnamed =
+      Build({.name = "n2", .has_events = true});
+  CHECK(unnamed.taken_up);
+  CHECK_FALSE(unnamed.stream.has_value());
+}
+
+TEST_CASE_METHOD(streaming_route_fixture,
+                 "call on a route that does not stream: names an earlier try: "
+                 "served as any other") {
+  route.kind = routes::route_kind::kIdempotent;
+  const routing::request_spec spec =
+      Build({.name = "n2", .resumes = "n", .has_events = true});
+  CHECK_FALSE(spec.taken_up);
+  CHECK_FALSE(spec.stream.has_value());
+}
+
 TEST_CASE("drain window: before notice_end: any call is accepted") {
   const time_point begin;
   const drain_window window{.notice_end = begin + std::chrono::seconds(2),
--- a/src/routing/internal/taken_up_streams.cc
+++ b/src/routing/internal/taken_up_streams.cc
@@ -1,5 +1,5 @@
-// Part of request_router: resumable streams that their callers received in part
-// in an earlier try. They go on only where they began.
+// Part of request_router: streams that their callers received in part in an
+// earlier try. They go on only where they began.
 #include <algorithm>
 #include <chrono>
 
