A service whose traffic has moved away keeps the streams that began there

Callers that took up a stream were refused (503, service_changed) once the traffic of the service that began it had been moved to another, although targets of its version served: the pools that a route allows for such a stream left out services with weight 0. Now all services that the route names count; new requests still go only where the weights send them.

A route that names a second service, with weight 0, no longer lets a stream of unknown origin go on at its other service: the stream may have begun at either.

--- a/src/gateway/internal/routed_handler.cc
+++ b/src/gateway/internal/routed_handler.cc
@@ -37,10 +37,9 @@
   if (!facts.resumes.empty()) {
     spec.stream = StreamKeyOf(spec.customer, facts.resumes);
   }
+  // Also those without weight: what began there goes on there.
   for (const routes::weighted_service& entry : route.services) {
-    if (entry.weight > 0) {
-      spec.route_pools.push_back(entry.service);
-    }
+    spec.route_pools.push_back(entry.service);
   }
 }
 
--- a/src/gateway/tests/gateway_unittest.cc
+++ b/src/gateway/tests/gateway_unittest.cc
@@ -331,6 +331,19 @@
   CHECK_FALSE(unnamed.stream.has_value());
 }
 
+TEST_CASE_METHOD(streaming_route_fixture,
+                 "call on a route: traffic of a service has moved away: its "
+                 "streams may go on there, nothing new begins there") {
+  route.services = {{.service = pool_id("old"), .weight = 0},
+                    {.service = pool_id("new"), .weight = 1}};
+  const routing::request_spec taken_up =
+      Build({.name = "n2", .resumes = "n", .has_events = true});
+  CHECK(taken_up.route_pools == std::vector{pool_id("old"), pool_id("new")});
+  for (int i = 0; i < 100; ++i) {
+    CHECK(Build({.name = std::to_string(i)}).pool == pool_id("new"));
+  }
+}
+
 TEST_CASE_METHOD(streaming_route_fixture,
                  "call on a route that does not stream: names an earlier try: "
                  "served as any other") {
--- a/src/routing/types/request.h
+++ b/src/routing/types/request.h
@@ -48,7 +48,8 @@
   /// The caller has received part of the stream in an earlier try. Without
   /// `stream` it did not say in which.
   bool taken_up = false;
-  /// Pools that the route uses; set if `taken_up`.
+  /// Pools that the route names, also if none of its new requests goes there;
+  /// set if `taken_up`.
   std::vector<pool_id> route_pools = {};
 };
 
