Time in which a router did not run is nobody's silence

Cause: after a suspension of the process its timers are served before what has arrived is read. Streams looked silent and were moved; targets looked silent, and streams that waited for their version were ended as if it were gone.

Time limits and leases do not move.

Tests: bl_routing, three cases, 8 checks failed with OnSuspended as an empty function, pass now.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -15,6 +15,7 @@
 
 #include "app/i_interface_adapter.h"
 #include "app/internal/operator_feed.h"
+#include "app/internal/suspension_watch.h"
 #include "config/sheet_index.h"
 #include "config/types/settings.h"
 #include "fleet/fleet_node.h"
@@ -135,6 +136,7 @@
   void Perform(const routing::target_pause_began& effect, time_point now);
   // Runs `handle` immediately and performs the resulting effects.
   void Process(const handler& handle);
+  void NoteSuspension(time_point now);
   bool OnPeerMessage(std::uint64_t link, const std::string& bytes);
   void CheckPlannedOutages(time_point now, routing::effects& out);
   void LogRefusal(const refusals::refusal& refusal);
@@ -173,6 +175,7 @@
   std::unordered_map<request_seq, open_exchange> exchanges_;
   boost::asio::steady_timer timer_;
   time_point timer_at_ = kNever;
+  suspension_watch suspension_;
   std::function<void(const std::string& cause)> on_drain_;
   // Set before callers are served.
   std::function<bool()> takes_callers_;
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -135,6 +135,7 @@
 
 void control_loop::Process(const handler& handle) {
   const time_point now = steady_clock::now();
+  NoteSuspension(now);
   routing::effects effects;
   handle(now, effects);
   if (node_) {
@@ -146,6 +147,16 @@
   ArmTimer();
 }
 
+void control_loop::NoteSuspension(time_point now) {
+  const duration time = suspension_.OnRun(timer_at_, now);
+  if (time == duration::zero()) {
+    return;
+  }
+  logger_.Log(log_record("suspended", log_level::kWarning)
+                  .Add("ms", ToMilliseconds(time)));
+  router_.OnSuspended(time, now);
+}
+
 void control_loop::Submit(const routing::request_spec& spec,
                           std::shared_ptr<gateway::i_exchange> exchange) {
   Post([this, spec, exchange = std::move(exchange)](time_point now,
@@ -260,8 +271,8 @@
     if (ec) {
       return;
     }
-    timer_at_ = kNever;
     Process([this](time_point now, routing::effects& out) {
+      timer_at_ = kNever;
       router_.OnTick(now, out);
       if (feed_ && feed_->NextDeadline() <= now) {
         feed_->OnTick(now, out);
--- a/src/routing/internal/request_lifecycle.cc
+++ b/src/routing/internal/request_lifecycle.cc
@@ -189,6 +189,12 @@
   next_look_ = now + kLookInterval;
 }
 
+void request_lifecycle::OnSuspended(duration time, time_point now) {
+  if (attempt_running()) {
+    phase_started_ = std::min(phase_started_ + time, now);
+  }
+}
+
 lifecycle_step request_lifecycle::Refuse(refusal_reason reason) {
   if (!waiting() || ended_) {
     return step_none{};
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -221,6 +221,14 @@
   }
 }
 
+void request_router::OnSuspended(duration time, time_point now) {
+  directory_.OnSuspended(time, now);
+  // Deadlines that are scheduled too early for it find nothing due.
+  for (auto& [id, record] : records_) {
+    record.lifecycle.OnSuspended(time, now);
+  }
+}
+
 void request_router::OnTick(time_point now, effects& out) {
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     const request_seq id = deadlines_.begin()->second;
--- a/src/routing/request_lifecycle.h
+++ b/src/routing/request_lifecycle.h
@@ -76,6 +76,9 @@
   /// another one, but none can take over: the attempt continues for now.
   /// Precondition: `SeeksOtherTarget(now)`.
   void StayAtTarget(time_point now);
+  /// This process did not run for `time` until now: that does not count as
+  /// silence of the attempt's target.
+  void OnSuspended(duration time, time_point now);
   /// Ends a waiting request with a refusal.
   lifecycle_step Refuse(refusals::refusal_reason reason);
   /// Ends the request early in any phase.
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -130,6 +130,9 @@
                   effects& out);
   /// Ends all requests, waiting or running.
   void AbortAll(refusals::refusal_reason reason, time_point now, effects& out);
+  /// This process did not run for `time` until now. Targets are not silent for
+  /// it, as what they sent meanwhile is read only from now on.
+  void OnSuspended(duration time, time_point now);
   /// Call when `NextDeadline` has passed.
   void OnTick(time_point now, effects& out);
   [[nodiscard]] time_point NextDeadline() const;
--- a/src/routing/tests/silent_target_unittest.cc
+++ b/src/routing/tests/silent_target_unittest.cc
@@ -95,6 +95,15 @@
   void TurnAway(const std::string& target) {
     turns_away_.insert(target_id(target));
   }
+  // The router does not run meanwhile; then its timers are served before what
+  // its targets have sent.
+  void Suspend(duration time) {
+    now_ += time;
+    router_.OnSuspended(time, now_);
+    effects out;
+    router_.OnTick(now_, out);
+    Take(out);
+  }
   void Run(duration time) {
     for (const time_point until = now_ + time; now_ < until; now_ += kStep) {
       if (router_.NextDeadline() <= now_) {
@@ -357,5 +366,41 @@
   CHECK(fleet.router().totals().in_flight == 0);
 }
 
+TEST_CASE(
+    "silent target: the router was suspended and its targets went on: no "
+    "stream is moved") {
+  const milliseconds time{GENERATE(1600, 2000, 4000)};
+  silent_targets fleet(kLargeBudget);
+  for (const char* name : {"t1", "t2", "t3"}) {
+    fleet.AddTarget(name, 45);
+  }
+  fleet.SendStreams(45, 3);
+  fleet.Run(seconds(1));
+  fleet.Suspend(time);
+  fleet.Run(seconds(9));
+  CHECK(fleet.Moved() == 0);
+  CHECK(fleet.Count<outcome_completed>() == 45);
+}
+
+TEST_CASE(
+    "silent target: the router was suspended while it was silent: its streams "
+    "go on elsewhere as late as the router could notice") {
+  silent_targets fleet(kLargeBudget);
+  for (const char* name : {"t1", "t2"}) {
+    fleet.AddTarget(name, 45);
+  }
+  fleet.SendStreams(20, 3);
+  fleet.Run(seconds(1));
+  const std::size_t silent = fleet.At("t1");
+  REQUIRE(silent > 5);
+  fleet.Silence("t1", seconds(60));
+  fleet.Run(seconds(1));
+  fleet.Suspend(seconds(2));
+  fleet.Run(milliseconds(300));
+  CHECK(fleet.Moved() == 0);
+  fleet.Run(milliseconds(400));
+  CHECK(fleet.Moved() == silent);
+}
+
 }  // namespace
 }  // namespace burdocklock::routing
--- a/src/routing/tests/stream_version_unittest.cc
+++ b/src/routing/tests/stream_version_unittest.cc
@@ -264,6 +264,29 @@
   CHECK(running.at(spec.id).target == target_id("a2"));
 }
 
+TEST_CASE_METHOD(stream_fixture,
+                 "stream waits for room at its version and the router is "
+                 "suspended: it waits on until the version is heard of again") {
+  AnnounceVersion("a1", "v1");
+  const request_seq id = BeginStream();
+  const request_seq other = FillOnlyOther();
+  AnnounceVersion("b", "v2");
+  Fail(id, failure_kind::kBroken);
+  REQUIRE(end_counts[id] == 0);
+  const duration time = Options().directory.silence + seconds(2);
+  now += time;
+  router.OnSuspended(time, now);
+  effects out;
+  router.OnTick(now, out);
+  Record(out);
+  CHECK(end_counts[id] == 0);
+  CHECK(router.directory().IsUsable(target_id("b"), now));
+  AnnounceVersion("a2", "v1");
+  Report(other, attempt_completed{});
+  REQUIRE(Runs(id));
+  CHECK(running.at(id).target == target_id("a2"));
+}
+
 TEST_CASE_METHOD(stream_fixture,
                  "many streams wait for room at their version: an event seeks "
                  "a target for a few of them only") {
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -284,6 +284,15 @@
   }
 }
 
+void target_directory::OnSuspended(duration time, time_point now) {
+  for (auto& [target, entry] : entries_) {
+    entry.last_heard = std::min(entry.last_heard + time, now);
+  }
+  if (first_heard_) {
+    first_heard_ = std::min(*first_heard_ + time, now);
+  }
+}
+
 void target_directory::RestartSilenceTimers(time_point now) {
   for (auto& [target, entry] : entries_) {
     entry.last_heard = std::max(entry.last_heard, now);
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -141,6 +141,9 @@
   /// again at another software version. It gets no stream that began there
   /// until a later announcement of it arrives.
   void MarkBroken(const slot_grant& grant);
+  /// This process did not run for `time` until now and could not hear targets:
+  /// that does not count as their silence.
+  void OnSuspended(duration time, time_point now);
   /// Restarts the silence timers; used while announcements cannot be received
   /// from any target.
   void RestartSilenceTimers(time_point now);
