Streams that are taken up keep their customer's admission

Cause: a call that takes up a stream was judged against its customer's share as a new request. After the end of all routers the streams of some seconds return within one, so most of a large customer's were refused as over_share.

Change: where a record says where the stream began, the call may take an advance of two seconds on its customer's share, goes before the customer's other waiting requests, and counts only such ones against the limit of the queue. It is charged in full, so that new work waits until the advance is paid back; what exceeds it is judged as new. No state for each stream is needed, and breaking streams off again and again gains no more than the advance.

--- a/src/admission/internal/share_limiter.cc
+++ b/src/admission/internal/share_limiter.cc
@@ -12,6 +12,8 @@
 // Bucket depth, and the most that work sent to spare capacity may lower it
 // below zero, as time at the refill rate. It tolerates short bursts.
 constexpr double kBucketSeconds = 1.0;
+// The most that work admitted before may lower the bucket below zero, likewise.
+constexpr double kAdvanceSeconds = 2.0;
 // A pool that is not backlogged is overloaded if demand exceeds the started
 // work, or the known capacity if larger, by this factor.
 constexpr double kOverloadFactor = 1.15;
@@ -57,6 +59,15 @@
                             : state.bucket_tokens - tokens;
 }
 
+void share_limiter::OnSentAgain(const customer_id& customer,
+                                double tokens,
+                                time_point now) {
+  customer_state& state = StateOf(customer);
+  state.started.Add(tokens, now);
+  Refill(state, now);
+  state.bucket_tokens -= tokens;
+}
+
 void share_limiter::OnNotExecuted(const customer_id& customer,
                                   double tokens,
                                   time_point now) {
@@ -153,6 +164,15 @@
   return state.bucket_tokens < 0;
 }
 
+bool share_limiter::IsOverAdvance(const customer_id& customer, time_point now) {
+  if (share_ == kNoLimit) {
+    return false;
+  }
+  customer_state& state = StateOf(customer);
+  Refill(state, now);
+  return state.bucket_tokens < -RefillRate(state, now) * kAdvanceSeconds;
+}
+
 double share_limiter::LocalFraction(time_point now) const {
   double local_due = 0;
   double total_due = 0;
--- a/src/admission/share_limiter.h
+++ b/src/admission/share_limiter.h
@@ -60,6 +60,9 @@
   void OnArrival(const customer_id& customer, double tokens, time_point now);
   /// Records a request that was sent to a target.
   void OnSent(const customer_id& customer, double tokens, time_point now);
+  /// As above for work that the customer had been admitted with before. It is
+  /// charged in full.
+  void OnSentAgain(const customer_id& customer, double tokens, time_point now);
   /// Undoes `OnSent` for a request that certainly was not executed.
   void OnNotExecuted(const customer_id& customer,
                      double tokens,
@@ -76,6 +79,10 @@
 
   /// Returns whether the customer has used up its share for now.
   [[nodiscard]] bool IsOverShare(const customer_id& customer, time_point now);
+  /// As above for work that the customer had been admitted with before, which
+  /// may take an advance on the later share. New work waits until it is paid
+  /// back, so that nothing is gained by asking for the same work again.
+  [[nodiscard]] bool IsOverAdvance(const customer_id& customer, time_point now);
   /// Returns this router's part of the targets, 0 to 1, by what waits here, by
   /// the demand within shares that arrives here, and by what its customers lack
   /// of that. The parts of all routers add up to one.
--- a/src/admission/tests/admission_unittest.cc
+++ b/src/admission/tests/admission_unittest.cc
@@ -273,5 +273,45 @@
   CHECK_FALSE(limiter.IsOverShare(first, now));
 }
 
+TEST_CASE(
+    "shares: work admitted before is asked for again and again: no more than "
+    "an advance of two seconds, and new work waits until it is paid back") {
+  share_limiter limiter(pool_id("p"), {.basis = capacity_basis::kKnown});
+  limiter.SetKnownCapacity(100e3);
+  const customer_id again("again");
+  const customer_id other("other");
+  constexpr double kShare = 50e3;
+  constexpr double kTokens = 1000;
+  constexpr int kSeconds = 20;
+  time_point now{seconds(100)};
+  double sent = 0;
+  const auto step = [&] {
+    now += milliseconds(10);
+    limiter.OnArrival(again, 3 * kTokens, now);
+    limiter.OnArrival(other, kTokens, now);
+    limiter.OnSent(other, kShare / 100, now);
+  };
+  // Until the demand is known there is no limit.
+  for (int i = 0; i < 300; ++i) {
+    step();
+    limiter.OnSent(again, kShare / 100, now);
+  }
+  for (int i = 0; i < kSeconds * 100; ++i) {
+    step();
+    for (int n = 0; n < 3 && !limiter.IsOverAdvance(again, now); ++n) {
+      limiter.OnSentAgain(again, kTokens, now);
+      sent += kTokens;
+    }
+  }
+  CHECK(sent >= kShare * kSeconds);
+  CHECK(sent <= 1.05 * kShare * (kSeconds + 3));
+  int waited_ms = 0;
+  for (; limiter.IsOverShare(again, now); waited_ms += 10) {
+    step();
+  }
+  CHECK(waited_ms >= 1500);
+  CHECK(waited_ms <= 2500);
+}
+
 }  // namespace
 }  // namespace burdocklock::admission
--- a/src/fairness/fair_queue.h
+++ b/src/fairness/fair_queue.h
@@ -48,6 +48,11 @@
   void PushFront(const customer_id& customer,
                  request_seq request,
                  time_point now);
+  /// Queues a request before all others of its customer, except those that were
+  /// put ahead or returned earlier.
+  void PushAhead(const customer_id& customer,
+                 request_seq request,
+                 time_point now);
   /// Removes a waiting request; false if it is not in the queue.
   bool Remove(const customer_id& customer, request_seq request);
 
@@ -66,6 +71,8 @@
 
   [[nodiscard]] std::size_t size() const { return size_; }
   [[nodiscard]] std::size_t Waiting(const customer_id& customer) const;
+  /// The customer's waiting requests that were put ahead or returned.
+  [[nodiscard]] std::size_t WaitingAhead(const customer_id& customer) const;
   [[nodiscard]] std::vector<customer_service> Snapshot() const;
 
  private:
@@ -74,6 +81,8 @@
     double virtual_service = 0;
     service_units charged = 0;
     std::deque<request_seq> requests;
+    /// How many of the first requests were put ahead or returned.
+    std::size_t ahead = 0;
     /// When the queue was last served or became backlogged.
     time_point last_served{};
   };
@@ -86,6 +95,8 @@
                       customer_queue& queue,
                       time_point now);
   void AddService(const customer_id& customer, service_units units);
+  static void Erase(customer_queue& queue,
+                    const std::deque<request_seq>::iterator& position);
   std::vector<customer_id> ServiceOrder(time_point now) const;
   void OnServed(const customer_id& customer,
                 customer_queue& queue,
--- a/src/fairness/internal/fair_queue.cc
+++ b/src/fairness/internal/fair_queue.cc
@@ -3,6 +3,7 @@
 #include "fairness/fair_queue.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace burdocklock::fairness {
 
@@ -25,9 +26,29 @@
   customer_queue& queue = QueueOf(customer);
   MarkBacklogged(customer, queue, now);
   queue.requests.push_front(request);
+  ++queue.ahead;
   ++size_;
 }
 
+void fair_queue::PushAhead(const customer_id& customer,
+                           request_seq request,
+                           time_point now) {
+  customer_queue& queue = QueueOf(customer);
+  MarkBacklogged(customer, queue, now);
+  const auto behind = static_cast<std::ptrdiff_t>(queue.ahead);
+  queue.requests.insert(queue.requests.begin() + behind, request);
+  ++queue.ahead;
+  ++size_;
+}
+
+void fair_queue::Erase(customer_queue& queue,
+                       const std::deque<request_seq>::iterator& position) {
+  const auto index =
+      static_cast<std::size_t>(position - queue.requests.begin());
+  queue.ahead -= index < queue.ahead ? 1 : 0;
+  queue.requests.erase(position);
+}
+
 void fair_queue::MarkBacklogged(const customer_id& customer,
                                 customer_queue& queue,
                                 time_point now) {
@@ -48,7 +69,7 @@
   if (found == queue.requests.end()) {
     return false;
   }
-  queue.requests.erase(found);
+  Erase(queue, found);
   --size_;
   if (queue.requests.empty()) {
     backlogged_.erase({queue.virtual_service, customer});
@@ -64,7 +85,7 @@
     const auto taken =
         std::find_if(queue.requests.begin(), queue.requests.end(), take);
     if (taken != queue.requests.end()) {
-      queue.requests.erase(taken);
+      Erase(queue, taken);
       OnServed(customer, queue, now);
       return true;
     }
@@ -133,6 +154,11 @@
   return found == queues_.end() ? 0 : found->second.requests.size();
 }
 
+std::size_t fair_queue::WaitingAhead(const customer_id& customer) const {
+  const auto found = queues_.find(customer);
+  return found == queues_.end() ? 0 : found->second.ahead;
+}
+
 std::vector<customer_service> fair_queue::Snapshot() const {
   std::vector<customer_service> snapshot;
   snapshot.reserve(queues_.size());
--- a/src/fairness/tests/fair_queue_unittest.cc
+++ b/src/fairness/tests/fair_queue_unittest.cc
@@ -3,6 +3,7 @@
 
 #include <cmath>
 #include <map>
+#include <vector>
 
 #include <rapidcheck/catch.h>
 #include <catch2/catch.hpp>
@@ -68,6 +69,30 @@
   CHECK(queue.size() == 0);
 }
 
+TEST_CASE_METHOD(queue_fixture,
+                 "fair queue: requests are put ahead: served in their order "
+                 "before the others of their customer") {
+  for (const std::uint64_t id : {1, 2}) {
+    queue.Push(kLarge, request_seq(id), now);
+  }
+  for (const std::uint64_t id : {3, 4, 5}) {
+    queue.PushAhead(kLarge, request_seq(id), now);
+  }
+  queue.PushFront(kLarge, request_seq(6), now);
+  CHECK(queue.WaitingAhead(kLarge) == 4);
+  CHECK(queue.Remove(kLarge, request_seq(4)));
+  CHECK(queue.Remove(kLarge, request_seq(1)));
+  CHECK(queue.WaitingAhead(kLarge) == 3);
+  std::vector<std::uint64_t> served;
+  while (queue.TakeNext(now, [&](request_seq id) {
+    served.push_back(id.value());
+    return true;
+  })) {
+  }
+  CHECK(served == std::vector<std::uint64_t>{6, 3, 5, 2});
+  CHECK(queue.WaitingAhead(kLarge) == 0);
+}
+
 TEST_CASE_METHOD(
     queue_fixture,
     "fair queue: customer becomes backlogged again: idle time earns no "
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -65,7 +65,8 @@
 }  // namespace
 
 std::optional<refusal_reason> request_router::QueueLimitReached(
-    const request_spec& spec) {
+    const record& record) {
+  const request_spec& spec = record.spec;
   pool_state& state = PoolOf(spec.pool);
   const auto terms = customers_.find(spec.customer);
   if (terms != customers_.end()) {
@@ -75,8 +76,10 @@
       terms != customers_.end() && terms->second.max_queued
           ? *terms->second.max_queued
           : options_.max_queued_per_customer;
-  if (state.queue.Waiting(spec.customer) >= limit ||
-      totals_.waiting >= options_.max_queued_total) {
+  const std::size_t before = WasAdmitted(record)
+                                 ? state.queue.WaitingAhead(spec.customer)
+                                 : state.queue.Waiting(spec.customer);
+  if (before >= limit || totals_.waiting >= options_.max_queued_total) {
     return refusal_reason::kQueueFull;
   }
   return std::nullopt;
@@ -87,7 +90,11 @@
   const pool_id pool = record.spec.pool;
   pool_state& state = PoolOf(pool);
   const request_seq id = record.spec.id;
-  state.queue.Push(record.spec.customer, id, now);
+  if (WasAdmitted(record)) {
+    state.queue.PushAhead(record.spec.customer, id, now);
+  } else {
+    state.queue.Push(record.spec.customer, id, now);
+  }
   if (record.origin) {
     state.waiting_streams[record.origin->version].insert(id);
   }
@@ -185,8 +192,13 @@
 }
 
 bool request_router::IsOverShare(const record& record, time_point now) {
-  return record.spec.prompt &&
-         PoolOf(record.spec.pool).shares.IsOverShare(record.spec.customer, now);
+  if (!record.spec.prompt) {
+    return false;
+  }
+  admission::share_limiter& shares = PoolOf(record.spec.pool).shares;
+  const customer_id& customer = record.spec.customer;
+  return WasAdmitted(record) ? shares.IsOverAdvance(customer, now)
+                             : shares.IsOverShare(customer, now);
 }
 
 void request_router::Start(record& record,
@@ -213,7 +225,7 @@
   state.queue.Charge(record.spec.customer, record.charged_prompt_cost);
   if (record.share_cost > 0 && !record.share_charged) {
     record.share_charged = true;
-    state.shares.OnSent(record.spec.customer, record.share_cost, now);
+    ChargeShare(record, over_share, now);
   }
   ++totals_.in_flight;
   const duration waited = now - record.lifecycle.arrived();
@@ -252,6 +264,17 @@
       .copy_from = choice.copy_from});
 }
 
+void request_router::ChargeShare(const record& record,
+                                 bool over_share,
+                                 time_point now) {
+  admission::share_limiter& shares = PoolOf(record.spec.pool).shares;
+  if (WasAdmitted(record) && !over_share) {
+    shares.OnSentAgain(record.spec.customer, record.share_cost, now);
+  } else {
+    shares.OnSent(record.spec.customer, record.share_cost, now);
+  }
+}
+
 std::optional<targets::choice> request_router::ChooseTarget(
     const record& record,
     bool over_share,
@@ -294,9 +317,7 @@
                                      effects& out) {
   record* record = Find(request);
   if (record == nullptr || !record->lifecycle.waiting() ||
-      !record->spec.prompt ||
-      !PoolOf(record->spec.pool)
-           .shares.IsOverShare(record->spec.customer, now)) {
+      !IsOverShare(*record, now)) {
     return;
   }
   Apply(record->lifecycle.Refuse(refusal_reason::kOverShare), *record, now,
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -93,7 +93,7 @@
         kCostAverageWeight * (record.share_cost - state.average_cost);
     state.shares.OnArrival(spec.customer, record.share_cost, now);
   }
-  if (const auto limit = QueueLimitReached(spec)) {
+  if (const auto limit = QueueLimitReached(record)) {
     Apply(record.lifecycle.Refuse(*limit), record, now, out);
     EraseIfDone(id);
     return;
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -311,9 +311,16 @@
              bool over_share,
              time_point now,
              effects& out);
+  /// Charges the customer's share for the request.
+  void ChargeShare(const record& record, bool over_share, time_point now);
   [[nodiscard]] bool IsOverShare(const record& record, time_point now);
   /// How long a prompt waits for a target that has its shared parts cached.
   [[nodiscard]] static duration CachedTargetWait(const request_spec& spec);
+  /// Whether the request takes up a stream that was admitted before: its
+  /// customer cannot have named that of another.
+  [[nodiscard]] static bool WasAdmitted(const record& record) {
+    return record.taken_up_from == origin_source::kRecord;
+  }
   /// Refuses the request if it still waits and its customer is over its share.
   void RefuseOverShare(request_seq request, time_point now, effects& out);
   void UpdateTargetAvailability(pool_state& state,
@@ -325,7 +332,7 @@
   [[nodiscard]] std::map<pool_id, std::optional<time_point>> PoolsWithoutTarget(
       time_point now) const;
   std::optional<refusals::refusal_reason> QueueLimitReached(
-      const request_spec& spec);
+      const record& record);
 
   // Streams that callers take up (taken_up_streams.cc).
   void TakeUp(record& record, time_point now, effects& out);
--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -29,6 +29,7 @@
   using arrival = simulated_arrival;
   using wish = simulated_wish;
   using second_account = simulated_second;
+  using stream = simulated_stream;
 
   static constexpr std::uint32_t kSlots = 48;
   static constexpr double kColdPerSecond = 12;
@@ -128,17 +129,22 @@
       routers_[router]->mutable_directory().SetRouters(names);
       for (auto& [id, request] : requests_) {
         if (request.router == router) {
+          ReturnLater(request);
           Leave(request);
           request.is_lost = true;
         }
       }
       restarted_[router] = now_;
+      if (options_.versions > 0) {
+        AnnounceAllTo(router);
+      }
     });
   }
   [[nodiscard]] const std::vector<arrival>& arrivals() const {
     return arrivals_;
   }
   [[nodiscard]] const std::vector<wish>& wishes() const { return wishes_; }
+  [[nodiscard]] const std::vector<stream>& streams() const { return streams_; }
   [[nodiscard]] const std::map<std::size_t, time_point>& restarted() const {
     return restarted_;
   }
@@ -147,6 +153,10 @@
   [[nodiscard]] const std::map<customer_id, account>& accounts() const {
     return accounts_;
   }
+  /// Numbers of refusals of taken-up streams, by reason.
+  [[nodiscard]] const std::map<std::string, int>& refused_taken_up() const {
+    return refused_taken_up_;
+  }
   /// Numbers of refusals by reason and run state, such as "deadline not_run".
   [[nodiscard]] const std::map<std::string, int>& refusals() const {
     return refusals_;
@@ -205,9 +215,19 @@
          [this, index, life = engine.life] { AnnounceAgain(index, life); });
       return;
     }
+    const targets::announcement announcement = AnnouncementOf(index);
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      At(now_ + std::chrono::milliseconds(5 + random_.Below(500)),
+         [this, i, announcement] { Tell(i, announcement); });
+    }
+    At(now_ + std::chrono::milliseconds(1200),
+       [this, index, life = engine.life] { AnnounceAgain(index, life); });
+  }
+  targets::announcement AnnouncementOf(std::size_t index) {
+    engine& engine = engines_[index];
     const duration cold_for =
         std::max<duration>(engine.cold_until - now_, duration::zero());
-    const targets::announcement announcement{
+    targets::announcement announcement{
         .target = Name(index),
         .life = incarnation(engine.life),
         .data_centre = data_centre_id("z"),
@@ -219,16 +239,26 @@
         .sequence = ++engine.sequence,
         .cold_for =
             std::chrono::duration_cast<std::chrono::milliseconds>(cold_for)};
-    for (std::size_t i = 0; i < routers_.size(); ++i) {
-      At(now_ + std::chrono::milliseconds(5 + random_.Below(500)),
-         [this, i, announcement] {
-           Handle(i, [&](effects& out) {
-             routers_[i]->OnAnnouncement(announcement, now_, out);
+    if (options_.versions > 0) {
+      announcement.version =
+          software_version("v" + std::to_string(index % options_.versions + 1));
+    }
+    return announcement;
+  }
+  void Tell(std::size_t router, const targets::announcement& announcement) {
+    Handle(router, [&](effects& out) {
+      routers_[router]->OnAnnouncement(announcement, now_, out);
+    });
+  }
+  void AnnounceAllTo(std::size_t router) {
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      if (!engines_[i].stopped && engines_[i].silent_until <= now_) {
+        At(now_ + Milliseconds(5, 20),
+           [this, router, announcement = AnnouncementOf(i)] {
+             Tell(router, announcement);
            });
-         });
+      }
     }
-    At(now_ + std::chrono::milliseconds(1200),
-       [this, index, life = engine.life] { AnnounceAgain(index, life); });
   }
   void AnnounceAgain(std::size_t index, std::uint64_t life) {
     if (engines_[index].life == life) {
@@ -280,30 +310,112 @@
       double& largest = largest_[profile.customer];
       largest = std::max<double>(largest, tokens);
       AccountOf(profile.customer).demand += tokens;
-      Send(sized, profile.router.value_or(RandomRouter()), false);
+      const std::size_t router = profile.router.value_or(RandomRouter());
+      Send(sized, router, false, NewStream(profile.customer));
     }
   }
 
-  void Send(const customer_profile& profile, std::size_t router, bool retry) {
+  void Send(const customer_profile& profile,
+            std::size_t router,
+            bool retry,
+            std::optional<std::size_t> stream) {
     const request_seq id(++last_request_);
     requests_[id] = {.profile = profile,
                      .router = router,
                      .is_retry = retry,
-                     .arrived = now_};
+                     .arrived = now_,
+                     .stream = stream};
     request_spec spec{.id = id,
                       .customer = profile.customer,
                       .pool = Pool(),
                       .prompt_tokens = profile.tokens,
-                      .time_limit = std::chrono::seconds(3),
+                      .time_limit = options_.time_limit,
                       .latency_objective = std::chrono::milliseconds(400),
                       .max_attempts = 2};
     spec.prompt = targets::prompt{
         .input_tokens = profile.tokens,
         .parts = {{.id = id.value(), .tokens = profile.tokens}}};
+    if (stream) {
+      AsStream(spec, streams_[*stream]);
+      At(now_ + options_.patience, [this, id] { LeaveIfNotBegun(id); });
+    }
     Handle(router,
            [&](effects& out) { routers_[router]->OnRequest(spec, now_, out); });
   }
 
+  std::optional<std::size_t> NewStream(const customer_id& customer) {
+    if (options_.versions == 0) {
+      return std::nullopt;
+    }
+    streams_.push_back({.sent = now_,
+                        .customer = customer,
+                        .key = stream_key(streams_.size() + 1)});
+    return streams_.size() - 1;
+  }
+  static void AsStream(request_spec& spec, const stream& stream) {
+    spec.resumable = true;
+    spec.stream = stream.key;
+    spec.taken_up = stream.taken_up;
+    spec.route_pools = {Pool()};
+    spec.prompt->parts[0].id = stream.key.value();
+  }
+  void LeaveIfNotBegun(request_seq id) {
+    open_request& request = requests_.at(id);
+    if (request.started || request.ended || request.is_lost) {
+      return;
+    }
+    request.ended = true;
+    Handle(request.router, [&](effects& out) {
+      routers_[request.router]->OnCallerLeft(id, now_, out);
+    });
+  }
+  /// The caller of a stream whose router ends takes it up, or sends it again if
+  /// it has received nothing.
+  void ReturnLater(const open_request& request) {
+    const bool runs = request.started && request.engine;
+    const bool waits = !request.started && !request.ended;
+    if (!request.stream || request.is_lost || !(runs || waits)) {
+      return;
+    }
+    At(now_ + Milliseconds(30, 800), [this, old = request, runs] {
+      if (runs) {
+        TakeUp(old);
+      } else {
+        Send(old.profile, old.profile.router.value_or(RandomRouter()), false,
+             old.stream);
+      }
+    });
+  }
+  void TakeUp(const open_request& old) {
+    stream again = streams_[*old.stream];
+    again.sent = now_;
+    again.taken_up = true;
+    again.began = false;
+    streams_.push_back(again);
+    AccountOf(old.profile.customer).demand += old.profile.tokens;
+    Send(old.profile, old.profile.router.value_or(RandomRouter()), false,
+         streams_.size() - 1);
+  }
+  void BreakOff(request_seq id) {
+    open_request& request = requests_.at(id);
+    if (!request.engine || request.is_lost) {
+      return;
+    }
+    request.ended = true;
+    Handle(request.router, [&](effects& out) {
+      routers_[request.router]->OnCallerLeft(id, now_, out);
+    });
+    At(now_ + Milliseconds(5, 20), [this, old = request] { TakeUp(old); });
+  }
+  void AnswerOrigin(std::size_t router, stream_key key) {
+    const auto found = origins_.find(key);
+    const auto origin =
+        found == origins_.end() ? std::nullopt : std::optional(found->second);
+    Handle(router, [&](effects& out) {
+      routers_[router]->OnStreamOrigin(key, origin, now_, out);
+    });
+  }
+
   void Handle(std::size_t router, const std::function<void(effects&)>& call) {
     effects out;
     call(out);
@@ -314,6 +426,11 @@
         Cancel(*cancel);
       } else if (const auto* refused = std::get_if<refuse_request>(&effect)) {
         Refused(router, refused->refusal);
+      } else if (const auto* began = std::get_if<stream_began>(&effect)) {
+        origins_.emplace(began->record.key, began->record.origin);
+      } else if (const auto* ask = std::get_if<ask_stream_origin>(&effect)) {
+        At(now_ + Milliseconds(2, 10),
+           [this, router, key = ask->key] { AnswerOrigin(router, key); });
       }
     }
   }
@@ -403,6 +520,9 @@
     }
     if (!request.started) {
       request.started = true;
+      if (request.stream) {
+        streams_[*request.stream].began = true;
+      }
       second_account& account = AccountOf(request.profile.customer);
       account.started += request.profile.tokens;
       account.refused_or_late |=
@@ -415,12 +535,15 @@
       wishes_.push_back(
           {.at = now_, .engine = index, .router = request.router});
     }
+    if (request.profile.breaks_after) {
+      At(now_ + *request.profile.breaks_after, [this, id] { BreakOff(id); });
+    }
     Report(
         id, attempt,
         attempt_first_output{.head = {.received = now_,
                                       .rate_limit = engines_[index].rate_limit,
                                       .leaving = engines_[index].leaves}});
-    At(now_ + options_.output_time, [this, id, attempt, index] {
+    At(now_ + OutputTime(request), [this, id, attempt, index] {
       open_request& ended = requests_.at(id);
       if (ended.engine == index && ended.attempt == attempt) {
         const bool is_gone = IsGone(ended, index);
@@ -437,6 +560,12 @@
     });
   }
 
+  /// The caller of a stream that is taken up has half of it on average.
+  [[nodiscard]] duration OutputTime(const open_request& request) const {
+    const bool taken_up = request.stream && streams_[*request.stream].taken_up;
+    return taken_up ? options_.output_time / 2 : options_.output_time;
+  }
+
   void Cancel(const cancel_attempt& order) {
     Leave(requests_.at(order.request));
     Later(std::chrono::milliseconds(0), order.request, order.attempt,
@@ -458,10 +587,14 @@
   }
 
   void Refused(std::size_t router, const refusals::refusal& refusal) {
-    const open_request& request = requests_.at(*refusal.request);
+    open_request& request = requests_.at(*refusal.request);
+    request.ended = true;
     AccountOf(request.profile.customer).refused_or_late = true;
     ++refusals_[std::string(ToString(refusal.reason)) + " " +
                 ToString(refusal.run)];
+    if (request.stream && streams_[*request.stream].taken_up) {
+      ++refused_taken_up_[ToString(refusal.reason)];
+    }
     if (request.is_retry || !refusal.retry_after) {
       return;
     }
@@ -469,7 +602,9 @@
     const std::size_t next =
         profile.router.value_or((router + 1) % options_.routers);
     At(now_ + *refusal.retry_after,
-       [this, profile, next] { Send(profile, next, true); });
+       [this, profile, next, stream = request.stream] {
+         Send(profile, next, true, stream);
+       });
   }
 
   void Later(duration delay,
@@ -505,6 +640,11 @@
   std::map<customer_id, account> accounts_;
   std::map<customer_id, double> largest_;
   std::map<std::string, int> refusals_;
+  std::map<std::string, int> refused_taken_up_;
+  /// Starts of streams and, as entries of their own, the times they were taken
+  /// up.
+  std::vector<stream> streams_;
+  std::map<stream_key, streams::stream_origin> origins_;
   std::set<std::size_t> cut_;
   std::map<std::size_t, time_point> restarted_;
   std::vector<arrival> arrivals_;
--- a/src/routing/tests/simulated_fleet_types.h
+++ b/src/routing/tests/simulated_fleet_types.h
@@ -22,6 +22,12 @@
   duration silence = std::chrono::seconds(8);
   /// How long a request holds its slot after its first output.
   duration output_time = std::chrono::milliseconds(600);
+  /// Software versions of the engines. With any, calls are streams that callers
+  /// take up after the end of their router.
+  std::size_t versions = 0;
+  duration time_limit = std::chrono::seconds(3);
+  /// How long callers of streams wait for the first output.
+  duration patience = std::chrono::seconds(2);
   /// One in this many load reports is lost.
   std::uint32_t lost_report_in = 10;
   std::uint32_t seed = 1;
@@ -33,10 +39,23 @@
   std::uint32_t tokens = 2000;
   /// The router of all its requests; a random one each time if absent.
   std::optional<std::size_t> router;
+  /// It breaks its streams off so long after their first output and takes them
+  /// up again, without end.
+  std::optional<duration> breaks_after;
   duration begins{};
   duration ends = std::chrono::hours(1);
 };
 
+/// A stream as its caller sees it, over the tries that it makes.
+struct simulated_stream {
+  time_point sent;
+  customer_id customer;
+  stream_key key;
+  /// The caller has received part of it before.
+  bool taken_up = false;
+  bool began = false;
+};
+
 struct simulated_arrival {
   time_point at;
   std::size_t engine = 0;
@@ -93,6 +112,9 @@
   bool started = false;
   /// Its router has restarted.
   bool is_lost = false;
+  /// It was refused, or its caller has left.
+  bool ended = false;
+  std::optional<std::size_t> stream;
 };
 
 }  // namespace burdocklock::routing
--- a/src/routing/tests/virtual_timeline.h
+++ b/src/routing/tests/virtual_timeline.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <queue>
 #include <tuple>
+#include <utility>
 
 #include "framework/seeded_random.h"
 #include "framework/types/time.h"
@@ -39,7 +40,8 @@
 
  protected:
   void At(time_point at, std::function<void()> action) {
-    events_.push({.at = at, .number = ++last_event_, .action = action});
+    events_.push(
+        {.at = at, .number = ++last_event_, .action = std::move(action)});
   }
   duration Milliseconds(std::uint32_t least, std::uint32_t spread) {
     return std::chrono::milliseconds(least + random_.Below(spread));
