Streams that wait for room take no place of new requests in the queue

A customer's new requests were refused as `queue_full` while targets of other software versions were idle. Cause: 64 streams that had broken off at one router, whose version had no room, filled their customer's queue, and since they wait as long as their request may last they did so for long. Now a customer's new requests and those ahead of them (streams that broke off or are taken up) are counted apart.

Test: with 65 such streams a new request was refused (2 checks failed); it is served now. What remains: streams that broke off still count against those that are taken up, and against the limit over all customers.

--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -82,9 +82,11 @@
       terms != customers_.end() && terms->second.max_queued
           ? *terms->second.max_queued
           : options_.max_queued_per_customer;
-  const std::size_t before = WasAdmitted(record)
-                                 ? state.queue.WaitingAhead(spec.customer)
-                                 : state.queue.Waiting(spec.customer);
+  // Streams that broke off are ahead, in any number: they take no place of new
+  // requests, nor do those that are taken up.
+  const std::size_t ahead = state.queue.WaitingAhead(spec.customer);
+  const std::size_t before =
+      WasAdmitted(record) ? ahead : state.queue.Waiting(spec.customer) - ahead;
   if (before >= limit || totals_.waiting >= options_.max_queued_total) {
     return refusal_reason::kQueueFull;
   }
--- a/src/routing/tests/waiting_stream_unittest.cc
+++ b/src/routing/tests/waiting_stream_unittest.cc
@@ -106,6 +106,18 @@
   CHECK(ReportedWaiting("c2") > 0);
 }
 
+TEST_CASE_METHOD(waiting_stream_fixture,
+                 "more broken streams wait than a customer may queue requests: "
+                 "its new requests are served") {
+  const auto count = static_cast<int>(Options().max_queued_per_customer) + 1;
+  BreakOff(BeginWhereNoneCanGoOn(count));
+  REQUIRE(router.totals().waiting == static_cast<std::size_t>(count));
+  AnnounceSlots("b", "v2", 4);
+  const request_seq id = Submit("c1");
+  CHECK(running.contains(id));
+  CHECK(refusals.empty());
+}
+
 TEST_CASE_METHOD(waiting_stream_fixture,
                  "broken streams wait that a target of their version has "
                  "turned away: one that is taken up gets its room") {
