--- a/tools/routing_cost/main.cc
+++ b/tools/routing_cost/main.cc
@@ -8,7 +8,6 @@
 #include <deque>
 #include <iostream>
 #include <string>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -84,9 +83,9 @@
       routers.push_back(daemon_id("edge-" + std::to_string(i)));
     }
     router_.mutable_directory().SetRouters(routers);
-    router_.mutable_directory().SetCacheCapacity(kPool, kMemoryTokens);
-    router_.mutable_directory().SetPrefixCopying(kPool, true);
-    router_.SetPoolThroughput(kPool, kThroughput);
+    router_.mutable_directory().SetCacheCapacity(Pool(), kMemoryTokens);
+    router_.mutable_directory().SetPrefixCopying(Pool(), true);
+    router_.SetPoolThroughput(Pool(), kThroughput);
     for (std::uint32_t i = 0; i < options_.targets; ++i) {
       Announce(i);
     }
@@ -118,7 +117,12 @@
   }
 
  private:
-  static inline const pool_id kPool{"lamp-llm"};
+  struct running_attempt {
+    request_seq request;
+    attempt_number attempt;
+  };
+
+  static pool_id Pool() { return pool_id("lamp-llm"); }
 
   static customer_id Customer(std::uint32_t index) {
     return customer_id("customer-" + std::to_string(index));
@@ -132,12 +136,12 @@
     constexpr std::uint32_t kOthersLoadEvery = 10;
     now_ += milliseconds(1);
     if (!running_.empty()) {
-      const auto [request, attempt] = running_.front();
+      const running_attempt done = running_.front();
       running_.pop_front();
       completion_.Measure([&] {
         Step([&](routing::effects& out) {
-          router_.OnAttempt(request, attempt, routing::attempt_completed{},
-                            now_, out);
+          router_.OnAttempt(done.request, done.attempt,
+                            routing::attempt_completed{}, now_, out);
         });
       });
     }
@@ -182,7 +186,7 @@
                               .data_centre = data_centre_id(
                                   "dc" + std::to_string(index % kDataCentres)),
                               .address = {.address = "10.0.0.1", .port = 9000},
-                              .pools = {kPool},
+                              .pools = {Pool()},
                               .state = targets::target_state::kReady,
                               .version = software_version("v1"),
                               .slots = kSlots,
@@ -203,7 +207,7 @@
     routing::request_spec spec{
         .id = id,
         .customer = Customer(random_.Below(options_.customers)),
-        .pool = kPool,
+        .pool = Pool(),
         .prompt_tokens = kRootTokens + kSubjectTokens + kOwnTokens,
         .time_limit = seconds(3600)};
     spec.prompt = targets::prompt{
@@ -225,7 +229,7 @@
         routing::effects ignored;
         router_.OnAttempt(start->request, start->attempt,
                           routing::attempt_first_output{}, now_, ignored);
-        running_.emplace_back(start->request, start->attempt);
+        running_.push_back({start->request, start->attempt});
       }
     }
   }
@@ -240,7 +244,7 @@
                      .self = daemon_id("edge-0")}},
       random_,
       observer_};
-  std::deque<std::pair<request_seq, attempt_number>> running_;
+  std::deque<running_attempt> running_;
   std::uint64_t last_request_ = 0;
   std::uint64_t last_sequence_ = 0;
   std::uint64_t last_refusal_ = 0;
