Routers short of processor time accept in proportion to their turns, leave out callers that have gone

Cause: 32 connections were accepted in each turn of the event loop. At the router that has most of a customer's calls turns last 110 to 220 ms, so that 200 to 340 connections a second were accepted; callers waited in the listener's queue until they left, and the first in that queue were those that had left.

Change: accepting goes on for a quarter of the time since the last accepts, 50 ms at most. A request whose caller has closed its connection is not admitted; it is counted and logged. http_connection::Arrived replaces the peek in caller_exchange.

Tests fail without it: 32 of 300 connections accepted in six turns; 201 of 201 requests of callers that had gone given to the decisions, 50 allowed.

--- a/src/app/internal/caller_monitor.cc
+++ b/src/app/internal/caller_monitor.cc
@@ -30,6 +30,7 @@
   gauge("burdocklock_callers_idle_timeouts", callers.idle_timeouts);
   gauge("burdocklock_callers_read_timeouts", callers.read_timeouts);
   gauge("burdocklock_requests_unanswered", traffic.unanswered);
+  gauge("burdocklock_requests_left_unread", traffic.left_unread);
   metrics.Gauge("burdocklock_takes_callers",
                 [this] { return traffic_.TakesCallers() ? 1.0 : 0.0; });
   metrics.Gauge("burdocklock_event_loop_longest_turn_seconds",
@@ -85,19 +86,23 @@
   const std::uint64_t idle = traffic_.callers.idle_timeouts;
   const std::uint64_t read = traffic_.callers.read_timeouts;
   const std::uint64_t unanswered = traffic_.unanswered;
+  const std::uint64_t left_unread = traffic_.left_unread;
   if (idle > reported_idle_timeouts_ || read > reported_read_timeouts_ ||
-      unanswered > reported_unanswered_) {
+      unanswered > reported_unanswered_ ||
+      left_unread > reported_left_unread_) {
     logger_.Log(
         log_record("callers_closed", unanswered > reported_unanswered_
                                          ? log_level::kWarning
                                          : log_level::kInfo)
             .Add("idle_timeouts", idle - reported_idle_timeouts_)
             .Add("read_timeouts", read - reported_read_timeouts_)
-            .Add("requests_unanswered", unanswered - reported_unanswered_));
+            .Add("requests_unanswered", unanswered - reported_unanswered_)
+            .Add("requests_left_unread", left_unread - reported_left_unread_));
   }
   reported_idle_timeouts_ = idle;
   reported_read_timeouts_ = read;
   reported_unanswered_ = unanswered;
+  reported_left_unread_ = left_unread;
 }
 
 }  // namespace burdocklock::app
--- a/src/app/internal/caller_monitor.h
+++ b/src/app/internal/caller_monitor.h
@@ -39,6 +39,7 @@
   std::uint64_t reported_idle_timeouts_ = 0;
   std::uint64_t reported_read_timeouts_ = 0;
   std::uint64_t reported_unanswered_ = 0;
+  std::uint64_t reported_left_unread_ = 0;
 };
 
 }  // namespace burdocklock::app
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -38,6 +38,9 @@
 
   /// Writes a complete response; returns false on an error or a timeout.
   bool Write(http_response& response);
+  /// Returns what has arrived from the peer and was not read yet.
+  enum class arrival { kNothing, kData, kEnd };
+  arrival Arrived();
 };
 
 enum class keep_alive { kYes, kNo };
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <optional>
 #include <utility>
 
@@ -36,8 +37,13 @@
 
 // Delay before the next accept while no connection can be accepted.
 constexpr std::chrono::milliseconds kBlockedRetryDelay{20};
-// Bounds the time for which accepting delays the requests already accepted.
-constexpr int kMaxAcceptsPerTurn = 32;
+// Bounds the time for which accepting delays the requests already accepted: so
+// many connections, or more in a fraction of the time since the last ones were
+// accepted. With a fixed number, longer turns would accept fewer a second, and
+// callers would have left before their turn comes.
+constexpr int kMinAcceptsPerTurn = 32;
+constexpr int kAcceptTimeDivisor = 4;
+constexpr std::chrono::milliseconds kMaxAcceptTime{50};
 // What callers still send is read for this long before a connection is closed:
 // closing it earlier could reset it before the caller has read its answer.
 constexpr std::chrono::seconds kLingerTime{1};
@@ -71,6 +77,18 @@
   return !written.ec;
 }
 
+http_connection::arrival http_connection::Arrived() {
+  char byte = 0;
+  const auto received = ::recv(stream.socket().native_handle(), &byte, 1,
+                               MSG_PEEK | MSG_DONTWAIT);
+  if (received > 0) {
+    return arrival::kData;
+  }
+  const bool is_open =
+      received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return is_open ? arrival::kNothing : arrival::kEnd;
+}
+
 struct http_server::state : std::enable_shared_from_this<state> {
   state(asio::io_context& context,
         const http_server_options& options,
@@ -124,6 +142,8 @@
   bool blocked = false;
   /// Since it was last taken.
   duration longest_wait{};
+  /// When connections were last accepted.
+  time_point last_accepts = steady_clock::now();
   listener_counters own_counters;
   idle_connections idle;
   bool stopping = false;
@@ -223,7 +243,13 @@
 }
 
 void http_server::state::AcceptPending() {
-  for (int accepted = 1; accepted < kMaxAcceptsPerTurn && CanAccept();
+  const time_point began = steady_clock::now();
+  const time_point until =
+      began + std::min<duration>((began - last_accepts) / kAcceptTimeDivisor,
+                                 kMaxAcceptTime);
+  last_accepts = began;
+  for (int accepted = 1; CanAccept() && (accepted < kMinAcceptsPerTurn ||
+                                         steady_clock::now() < until);
        ++accepted) {
     tcp_stream stream(context);
     beast::error_code ec;
@@ -231,7 +257,7 @@
     if (ec) {
       return;
     }
-    if (accepted + 1 == kMaxAcceptsPerTurn) {
+    if (accepted + 1 == kMinAcceptsPerTurn) {
       longest_wait = std::max(longest_wait, QuietTime(stream));
     }
     Serve(std::move(stream));
--- a/src/framework/net/tests/waiting_connection_unittest.cc
+++ b/src/framework/net/tests/waiting_connection_unittest.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <boost/asio/post.hpp>
+#include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
 
 #include "framework/fiber/fiber_thread.h"
@@ -126,6 +127,29 @@
   return answered;
 }
 
+// A listener's queue grew until its callers left when turns were long.
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "connections wait while turns of the event loop are long: "
+                 "they are accepted within a few turns") {
+  constexpr int kTurns = 6;
+  blocking_caller slow(address);
+  REQUIRE(slow.Ask() == 200);
+  const std::uint64_t before = counters.accepted;
+  Occupy(slow);
+  const auto callers = ManyCallers(address);
+  std::promise<std::uint64_t> accepted;
+  asio::post(io, [this, &accepted] {
+    SpawnFiber([this, &accepted] {
+      for (int turn = 0; turn < kTurns; ++turn) {
+        std::this_thread::sleep_for(milliseconds(100));
+        boost::this_fiber::yield();
+      }
+      accepted.set_value(counters.accepted);
+    });
+  });
+  CHECK(accepted.get_future().get() - before == kManyCallers);
+}
+
 // A request on a reused connection got no answer after a longer idle time-out.
 TEST_CASE_METHOD(waiting_connection_fixture,
                  "waiting connection: the idle time-out becomes longer: it is "
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -47,6 +47,12 @@
                    .reason = refusal_reason::kDraining,
                    .retry_after = kRestartRetryAfter});
   }
+  // Work for a caller that left while its request waited to be read would be
+  // taken from those that are there.
+  if (connection.Arrived() == net::http_connection::arrival::kEnd) {
+    ++context_.shared.left_unread;
+    return net::keep_alive::kNo;
+  }
   if (!context_.guard.Admit(call.spec.customer, ProcessorCost(call.spec),
                             now)) {
     return Refuse(connection, request, call.request_name,
--- a/src/gateway/internal/caller_exchange.cc
+++ b/src/gateway/internal/caller_exchange.cc
@@ -155,18 +155,17 @@
 }
 
 void caller_exchange::OnCallerReadable() {
-  char byte = 0;
-  const auto received = ::recv(connection_.stream.socket().native_handle(),
-                               &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (received > 0) {
-    // A pipelined request: the caller is still connected.
-    return;
-  }
-  if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-    WatchCaller();
-    return;
+  switch (connection_.Arrived()) {
+    case net::http_connection::arrival::kData:
+      // A pipelined request: the caller is still connected.
+      return;
+    case net::http_connection::arrival::kNothing:
+      WatchCaller();
+      return;
+    case net::http_connection::arrival::kEnd:
+      OnCallerLost();
+      return;
   }
-  OnCallerLost();
 }
 
 void caller_exchange::OnCallerLost() {
--- a/src/gateway/types/traffic_state.h
+++ b/src/gateway/types/traffic_state.h
@@ -12,6 +12,8 @@
   net::listener_counters callers;
   /// Requests that ended with nothing written although the caller was there.
   std::atomic<std::uint64_t> unanswered{0};
+  /// Requests whose callers had left before they were read.
+  std::atomic<std::uint64_t> left_unread{0};
   /// Threads whose processor time is so short that they refuse most requests.
   std::atomic<std::uint32_t> overloaded_threads{0};
 
--- a/src/route_interface/tests/caller_flood_unittest.cc
+++ b/src/route_interface/tests/caller_flood_unittest.cc
@@ -91,7 +91,9 @@
 
 struct few_connections_fixture : route_path_fixture {
   std::atomic<bool> hang{false};
+  std::atomic<int> calls{0};
   app::fake_target target{[this](const net::http_request& request) {
+    ++calls;
     return app::fake_answer{
         .bytes = hang ? std::string() : BuildResponse(request, "200 OK", "b"),
         .hang = hang};
@@ -106,6 +108,20 @@
     REQUIRE(BecomesServed());
   }
 
+  // Requests that were given to the router's decisions and have ended.
+  [[nodiscard]] int RequestsEnded() const {
+    const std::string name = "burdocklock_requests_total{";
+    const std::string metrics =
+        Call(addresses.operators,
+             net::http_request(http::verb::get, "/metrics", 11))
+            .body;
+    int sum = 0;
+    for (std::size_t at = metrics.find(name); at != std::string::npos;
+         at = metrics.find(name, at + 1)) {
+      sum += std::stoi(metrics.substr(metrics.find("} ", at) + 2));
+    }
+    return sum;
+  }
   // Opens connections that have had one answer each and stay open.
   callers OpenIdle(std::size_t count) const {
     callers opened;
@@ -163,6 +179,26 @@
   CHECK(status == 404);
 }
 
+TEST_CASE_METHOD(few_connections_fixture,
+                 "callers leave before their requests are read: few of the "
+                 "requests are taken up") {
+  constexpr int kCallers = 200;
+  const int before = calls;
+  const int known = RequestsEnded();
+  for (int i = 0; i < kCallers; ++i) {
+    const flood_caller caller;
+    REQUIRE(caller.Connect(addresses.callers, kPatience));
+    REQUIRE(caller.Send("/stock/1"));
+  }
+  const flood_caller last;
+  REQUIRE(last.Connect(addresses.callers, kPatience));
+  REQUIRE(last.Send("/stock/1"));
+  CHECK(last.ReadStatus(kPatience) == 200);
+  INFO(calls - before << " calls");
+  CHECK(calls - before <= kCallers / 4);
+  CHECK(RequestsEnded() - known <= kCallers / 4);
+}
+
 // Spends processor time like a router on a slow host: much for a call that is
 // served, little for one that is refused.
 class slow_logger : public i_logger {
