A pass looks beyond streams that wait for their version, however many they are

With 320 broken streams of a customer waiting, its new requests were not tried in a pass, which looked at 128 requests: the test of one more stream than may be queued now also has five times as many, and failed.

--- a/src/routing/internal/dispatch_pass.h
+++ b/src/routing/internal/dispatch_pass.h
@@ -38,7 +38,8 @@
                      const version& required,
                      bool is_first_try) {
     customer_tries& tries = customers_[spec.customer];
-    ++tries.looked_at;
+    // Streams that wait for their version may be ahead in any number.
+    tries.looked_at += required ? 0 : 1;
     const auto found = tries.failures.find({required, is_first_try});
     if (found == tries.failures.end()) {
       return true;
@@ -60,7 +61,7 @@
   // Streams avoid the targets that they were at, so that another one may find
   // room.
   static constexpr int kStreamTries = 4;
-  // Requests of a customer that a pass looks at.
+  // Requests of a customer that a pass looks at, beside streams.
   static constexpr int kLookAhead = 128;
 
   struct failure {
--- a/src/routing/tests/waiting_stream_unittest.cc
+++ b/src/routing/tests/waiting_stream_unittest.cc
@@ -109,7 +109,8 @@
 TEST_CASE_METHOD(waiting_stream_fixture,
                  "more broken streams wait than a customer may queue requests: "
                  "its new requests are served") {
-  const auto count = static_cast<int>(Options().max_queued_per_customer) + 1;
+  const auto queued = static_cast<int>(Options().max_queued_per_customer);
+  const int count = GENERATE_COPY(queued + 1, 5 * queued);
   BreakOff(BeginWhereNoneCanGoOn(count));
   REQUIRE(router.totals().waiting == static_cast<std::size_t>(count));
   AnnounceSlots("b", "v2", 4);
