--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -43,7 +43,9 @@
 // callers would have left before their turn comes.
 constexpr int kMinAcceptsPerTurn = 32;
 constexpr int kAcceptTimeDivisor = 4;
-constexpr std::chrono::milliseconds kMaxAcceptTime{50};
+// What is accepted in a turn is read and answered in the next, which must not
+// make turns ever longer.
+constexpr std::chrono::milliseconds kMaxAcceptTime{10};
 // What callers still send is read for this long before a connection is closed:
 // closing it earlier could reset it before the caller has read its answer.
 constexpr std::chrono::seconds kLingerTime{1};
