Requests that cross the close of their connection are reported, a drain says what it cuts

The server now ends only its sending side, watches the closed connection for 250 ms and reports bytes that arrive (request_crossed_close, burdocklock_callers_crossed_closes); they are not read. drain_deadline says how many of the cut requests waited, had begun, and can neither be repeated nor taken up.

Tests: bl_net "a request arrives after it was closed", "request that is read and gets no answer", "its caller closes it after it was closed". No decision is changed.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -65,8 +65,8 @@
   }
   /// Updates the addresses at which control hosts are contacted.
   void SetControlHosts(const std::vector<endpoint>& hosts);
-  /// Aborts all unfinished requests and returns their number.
-  std::size_t AbortUnfinished();
+  /// Aborts all unfinished requests.
+  routing::aborted_requests AbortUnfinished();
   [[nodiscard]] metric_registry& metrics() { return metrics_; }
   /// Returns the number of requests waiting or in flight.
   [[nodiscard]] std::size_t UnfinishedCount() const;
@@ -92,6 +92,7 @@
   void ReportProgress(gateway::progress_batch batch) override;
   void ReportCallerLeft(request_seq request) override;
   void Announce(targets::announcement announcement) override;
+  void ReportCrossedClose(const net::crossed_close& crossed) override;
 
   // i_operations
   [[nodiscard]] bool IsReady() const override;
--- a/src/app/internal/caller_monitor.cc
+++ b/src/app/internal/caller_monitor.cc
@@ -28,6 +28,7 @@
   gauge("burdocklock_callers_evicted", callers.evicted);
   gauge("burdocklock_callers_accept_failures", callers.accept_failures);
   gauge("burdocklock_callers_idle_timeouts", callers.idle_timeouts);
+  gauge("burdocklock_callers_crossed_closes", callers.crossed);
   gauge("burdocklock_callers_read_timeouts", callers.read_timeouts);
   gauge("burdocklock_requests_unanswered", traffic.unanswered);
   gauge("burdocklock_requests_left_unread", traffic.left_unread);
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -215,17 +215,25 @@
   });
 }
 
+void control_loop::ReportCrossedClose(const net::crossed_close& crossed) {
+  logger_.Log(log_record("request_crossed_close")
+                  .Add("cause", ToString(crossed.cause))
+                  .Add("idle_ms", ToMilliseconds(crossed.idle))
+                  .Add("after_ms", ToMilliseconds(crossed.after))
+                  .Add("bytes", crossed.bytes));
+}
+
 std::size_t control_loop::UnfinishedCount() const {
   return router_.totals().waiting + router_.totals().in_flight;
 }
 
-std::size_t control_loop::AbortUnfinished() {
-  const std::size_t unfinished = UnfinishedCount();
+routing::aborted_requests control_loop::AbortUnfinished() {
   const time_point now = steady_clock::now();
   routing::effects effects;
-  router_.AbortAll(refusals::refusal_reason::kDraining, now, effects);
+  const routing::aborted_requests aborted =
+      router_.AbortAll(refusals::refusal_reason::kDraining, now, effects);
   Perform(effects, now);
-  return unfinished;
+  return aborted;
 }
 
 void control_loop::Drain(const std::string& cause) {
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -43,6 +43,17 @@
           .count()));
 }
 
+void LogAborted(const char* event,
+                const routing::aborted_requests& aborted,
+                i_logger& logger) {
+  logger.Log(log_record(event, log_level::kWarning)
+                 .Add("cut", aborted.total())
+                 .Add("waiting", aborted.waiting)
+                 .Add("begun", aborted.begun)
+                 .Add("lost", aborted.lost)
+                 .Add("oldest_ms", ToMilliseconds(aborted.oldest)));
+}
+
 }  // namespace
 
 struct daemon::state {
@@ -234,9 +245,7 @@
           watch.Reload("SIGHUP");
         } else if (control.IsDraining()) {
           // A second signal aborts the unfinished requests.
-          const std::size_t cut = control.AbortUnfinished();
-          logger.Log(
-              log_record("drain_forced", log_level::kWarning).Add("cut", cut));
+          LogAborted("drain_forced", control.AbortUnfinished(), logger);
         } else {
           control.Drain(signal == SIGTERM ? "SIGTERM" : "SIGINT");
         }
@@ -254,10 +263,9 @@
          std::chrono::steady_clock::now() < window.cut) {
     SleepFor(control_io, kDrainPollInterval);
   }
-  const std::size_t cut = control.AbortUnfinished();
-  if (cut > 0) {
-    logger.Log(
-        log_record("drain_deadline", log_level::kWarning).Add("cut", cut));
+  const routing::aborted_requests cut = control.AbortUnfinished();
+  if (cut.total() > 0) {
+    LogAborted("drain_deadline", cut, logger);
   }
   const time_point abort_deadline =
       std::chrono::steady_clock::now() + kAbortGrace;
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -7,8 +7,10 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
+#include "framework/net/closed_connection.h"
 #include "framework/net/http_types.h"
 #include "framework/net/listener_counters.h"
 #include "framework/types/error.h"
@@ -29,10 +31,9 @@
   bool used = false;
   /// Since when it has been idle, while `idle`.
   time_point idle_since{};
-  /// Closed while it was idle and no byte of a request had arrived.
-  bool closed = false;
-  /// Closed to make room for a new connection.
-  bool evicted = false;
+  /// Set if it was closed while it was idle and no byte of a request had
+  /// arrived.
+  std::optional<close_cause> closed;
   /// Position in the server's list of idle connections while `idle`.
   std::list<http_connection*>::iterator idle_position;
 
@@ -81,6 +82,10 @@
   /// Shared by several servers, which then have one limit together; nullptr for
   /// counters of the server's own.
   listener_counters* counters = nullptr;
+  /// How long a request may cross the close of its connection: a round trip.
+  duration crossing_time = std::chrono::milliseconds(250);
+  /// Called when bytes arrive on a connection that was closed while idle.
+  std::function<void(const crossed_close&)> on_crossed;
 };
 
 /// All members must be called on the thread that runs the io_context.
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -49,6 +49,8 @@
 // What callers still send is read for this long before a connection is closed:
 // closing it earlier could reset it before the caller has read its answer.
 constexpr std::chrono::seconds kLingerTime{1};
+// Bounds the descriptors that connections hold after they were closed.
+constexpr std::uint32_t kMaxWatched = 256;
 
 bool IsTooLarge(const beast::error_code& ec) {
   return ec == http::error::header_limit || ec == http::error::body_limit ||
@@ -117,6 +119,8 @@
   bool CanAccept() { return HasRoom() || idle.Longest() != nullptr; }
   // Closes the connection that has been idle longest; false if there is none.
   bool EvictIdle();
+  // Reports if bytes arrive on a connection that was closed while idle.
+  void WatchClosed(http_connection& connection);
   [[nodiscard]] http_limits CurrentLimits() const {
     return options.current_limits ? options.current_limits() : options.limits;
   }
@@ -139,8 +143,10 @@
   i_http_handler& handler;
   tcp_acceptor acceptor;
   std::unordered_set<http_connection*> connections;
-  /// Evicted connections whose fibers have not ended yet.
-  std::uint32_t evicting = 0;
+  /// Closed connections whose fibers have not ended yet; they take no place.
+  std::uint32_t closing = 0;
+  /// Closed connections that are watched for requests that crossed the close.
+  std::uint32_t watched = 0;
   bool blocked = false;
   /// Since it was last taken.
   duration longest_wait{};
@@ -173,7 +179,7 @@
 void http_server::CloseIdle() {
   for (http_connection* connection : state_->connections) {
     if (connection->used) {
-      state_->idle.Close(*connection);
+      state_->idle.Close(*connection, close_cause::kDrained);
     }
   }
 }
@@ -184,7 +190,7 @@
   state_->acceptor.close(ignored);
   state_->idle.Stop();
   for (http_connection* connection : state_->connections) {
-    state_->idle.Close(*connection);
+    state_->idle.Close(*connection, close_cause::kStopped);
   }
 }
 
@@ -290,16 +296,15 @@
 }
 
 bool http_server::state::HasRoom() {
-  return counters().open < options.max_connections + evicting;
+  return counters().open < options.max_connections + closing;
 }
 
 bool http_server::state::EvictIdle() {
   http_connection* longest = idle.Longest();
-  if (longest == nullptr || !idle.Close(*longest)) {
+  if (longest == nullptr || !idle.Close(*longest, close_cause::kEvicted)) {
     return false;
   }
-  longest->evicted = true;
-  ++evicting;
+  ++closing;
   ++counters().evicted;
   return true;
 }
@@ -329,12 +334,42 @@
   ServeRequests(connection);
   idle.Remove(connection);
   connections.erase(&connection);
+  if (connection.closed) {
+    // Those that were evicted are counted already.
+    closing += connection.closed == close_cause::kEvicted ? 0 : 1;
+    WatchClosed(connection);
+    --closing;
+  }
   connection.stream.socket().shutdown(asio::socket_base::shutdown_both,
                                       ignored);
-  evicting -= connection.evicted ? 1 : 0;
   --counters().open;
 }
 
+void http_server::state::WatchClosed(http_connection& connection) {
+  if (stopping || watched >= kMaxWatched) {
+    return;
+  }
+  const time_point closed_at = steady_clock::now();
+  ++watched;
+  const duration crossing_time = options.crossing_time;
+  request_source(connection.stream.socket(), [closed_at, crossing_time] {
+    return closed_at + crossing_time;
+  }).Wait();
+  --watched;
+  beast::error_code ec;
+  const std::size_t bytes = connection.stream.socket().available(ec);
+  if (ec || bytes == 0) {
+    return;
+  }
+  ++counters().crossed;
+  if (options.on_crossed) {
+    options.on_crossed({.cause = *connection.closed,
+                        .idle = closed_at - connection.idle_since,
+                        .after = steady_clock::now() - closed_at,
+                        .bytes = bytes});
+  }
+}
+
 void http_server::state::ServeRequests(http_connection& connection) {
   while (!stopping || HasArrived(connection)) {
     std::optional<http_request> request = ReadRequest(connection);
--- a/src/framework/net/internal/idle_connections.cc
+++ b/src/framework/net/internal/idle_connections.cc
@@ -46,13 +46,16 @@
   }
 }
 
-bool idle_connections::Close(http_connection& connection) {
+bool idle_connections::Close(http_connection& connection, close_cause cause) {
   if (!connection.idle || HasArrived(connection)) {
     return false;
   }
   Remove(connection);
-  connection.closed = true;
-  connection.stream.close();
+  connection.closed = cause;
+  beast::error_code ignored;
+  connection.stream.socket().shutdown(asio::socket_base::shutdown_send,
+                                      ignored);
+  connection.stream.socket().cancel(ignored);
   return true;
 }
 
@@ -91,7 +94,8 @@
   for (auto it = idle.begin();
        it != idle.end() && (*it)->idle_since + timeout <= now;) {
     http_connection& overdue = **it++;
-    counters_.idle_timeouts += Close(overdue) ? 1 : 0;
+    counters_.idle_timeouts +=
+        Close(overdue, close_cause::kIdleTimeout) ? 1 : 0;
   }
 }
 
--- a/src/framework/net/internal/idle_connections.h
+++ b/src/framework/net/internal/idle_connections.h
@@ -29,9 +29,9 @@
 
   void Add(http_connection& connection);
   void Remove(http_connection& connection);
-  /// Closes the connection unless it is busy or bytes of a request have
-  /// arrived. Returns whether it did.
-  bool Close(http_connection& connection);
+  /// Ends the sending side of the connection unless it is busy or bytes of a
+  /// request have arrived. Returns whether it did; its fiber then goes on.
+  bool Close(http_connection& connection, close_cause cause);
   /// The connection to close for a new one; nullptr if there is none.
   [[nodiscard]] http_connection* Longest() const;
   /// Ends the closing by time.
--- a/src/framework/net/internal/request_source.h
+++ b/src/framework/net/internal/request_source.h
@@ -46,11 +46,11 @@
     return received;
   }
 
- private:
-  // Returns once bytes may have arrived or the deadline passes; false if it has
-  // passed before.
+  /// Returns once bytes may have arrived or the deadline passes; false if it
+  /// has passed before.
   bool Wait();
 
+ private:
   tcp_stream::socket_type& socket_;
   std::function<time_point()> deadline_;
 };
--- a/src/framework/net/listener_counters.h
+++ b/src/framework/net/listener_counters.h
@@ -14,6 +14,8 @@
   std::atomic<std::uint64_t> evicted{0};
   /// Connections that were closed because no request came in time.
   std::atomic<std::uint64_t> idle_timeouts{0};
+  /// Connections on which bytes arrived after they were closed while idle.
+  std::atomic<std::uint64_t> crossed{0};
   /// Connections that were closed because a request did not come whole in time.
   std::atomic<std::uint64_t> read_timeouts{0};
   /// Failed calls of accept, for example without free file descriptors.
--- a/src/framework/net/tests/waiting_connection_unittest.cc
+++ b/src/framework/net/tests/waiting_connection_unittest.cc
@@ -39,6 +39,8 @@
   std::atomic<std::uint32_t> max_body{kSmallBody};
   std::promise<endpoint> bound;
   std::promise<void> slow_started;
+  std::atomic<int> handled{0};
+  std::atomic<std::size_t> crossed_bytes{0};
   listener_counters counters;
   asio::io_context io{1};
   fiber_event stop;
@@ -64,7 +66,12 @@
                                    .idle_timeout = milliseconds(idle_ms),
                                    .read_timeout = milliseconds(read_ms)};
                              },
-                         .counters = &counters},
+                         .counters = &counters,
+                         .crossing_time = std::chrono::seconds(10),
+                         .on_crossed =
+                             [this](const crossed_close& crossed) {
+                               crossed_bytes += crossed.bytes;
+                             }},
                         *this);
     running = &subject;
     bound.set_value(subject.Start().value());
@@ -73,6 +80,10 @@
   }
   keep_alive Handle(http_connection& connection,
                     http_request& request) override {
+    ++handled;
+    if (request.target() == "/dropped") {
+      return keep_alive::kNo;
+    }
     if (request.target() == "/slow") {
       slow_started.set_value();
       std::this_thread::sleep_for(kSlowTime);
@@ -176,6 +187,51 @@
   CHECK(Reaches(counters.idle_timeouts, 1));
 }
 
+// A call that crossed the close of its connection looked like one that was read
+// and dropped.
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connection: a request arrives after it was closed: "
+                 "it is reported, and was not read") {
+  constexpr std::string_view kRequest = "GET / HTTP/1.1\r\n\r\n";
+  idle_ms = 100;
+  blocking_caller caller(address);
+  REQUIRE(caller.Ask() == 200);
+  REQUIRE(Reaches(counters.idle_timeouts, 1));
+  caller.Send(std::string(kRequest));
+  CHECK(caller.ReadStatus() == 0);
+  CHECK(Reaches(counters.crossed, 1));
+  CHECK(crossed_bytes == kRequest.size());
+  CHECK(handled == 1);
+}
+
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "request that is read and gets no answer: its connection did "
+                 "not cross a close") {
+  blocking_caller caller(address);
+  CHECK(caller.Ask("GET /dropped HTTP/1.1\r\n\r\n") == 0);
+  CHECK(handled == 1);
+  std::this_thread::sleep_for(kArrival);
+  CHECK(counters.crossed == 0);
+}
+
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connection: its caller closes it after it was "
+                 "closed: nothing crossed the close") {
+  idle_ms = 100;
+  {
+    blocking_caller caller(address);
+    REQUIRE(caller.Ask() == 200);
+    CHECK(caller.ReadStatus() == 0);
+  }
+  std::atomic<std::uint32_t>& open = counters.open;
+  const auto end = std::chrono::steady_clock::now() + milliseconds(5000);
+  while (open > 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  CHECK(open == 0);
+  CHECK(counters.crossed == 0);
+}
+
 // A configuration that allowed larger requests held for new connections alone.
 TEST_CASE_METHOD(waiting_connection_fixture,
                  "waiting connection: larger requests become allowed: the next "
--- a/src/gateway/i_control.h
+++ b/src/gateway/i_control.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/sheet_index.h"
+#include "framework/net/closed_connection.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
 #include "gateway/types/drain_window.h"
@@ -84,6 +85,8 @@
   virtual void ReportProgress(progress_batch batch) = 0;
   virtual void ReportCallerLeft(request_seq request) = 0;
   virtual void Announce(targets::announcement announcement) = 0;
+  /// A request crossed the close of its caller's connection.
+  virtual void ReportCrossedClose(const net::crossed_close& crossed) = 0;
 };
 
 }  // namespace burdocklock::gateway
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -65,7 +65,11 @@
                  [this, &control] { return CurrentLimits(options, control); },
              .write_timeout = options.caller_write,
              .max_connections = options.max_connections,
-             .counters = &shared.callers},
+             .counters = &shared.callers,
+             .on_crossed =
+                 [&control](const net::crossed_close& crossed) {
+                   control.ReportCrossedClose(crossed);
+                 }},
             *handler) {}
 
   std::unique_ptr<net::i_http_handler> MakeHandler(
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -211,20 +211,37 @@
   EraseIfDone(request);
 }
 
-void request_router::AbortAll(refusal_reason reason,
-                              time_point now,
-                              effects& out) {
-  std::vector<request_seq> running;
-  running.reserve(records_.size());
+aborted_requests request_router::AbortAll(refusal_reason reason,
+                                          time_point now,
+                                          effects& out) {
+  std::vector<request_seq> unfinished;
+  unfinished.reserve(records_.size());
   for (const auto& [id, record] : records_) {
-    running.push_back(id);
+    unfinished.push_back(id);
   }
-  std::sort(running.begin(), running.end());
-  for (const request_seq id : running) {
+  std::sort(unfinished.begin(), unfinished.end());
+  aborted_requests aborted;
+  for (const request_seq id : unfinished) {
     record& record = *Find(id);
+    Count(record, now, aborted);
     Apply(record.lifecycle.Abort(reason), record, now, out);
     EraseIfDone(id);
   }
+  return aborted;
+}
+
+void request_router::Count(const record& record,
+                           time_point now,
+                           aborted_requests& aborted) {
+  const request_lifecycle& lifecycle = record.lifecycle;
+  if (lifecycle.ended()) {
+    return;
+  }
+  const bool running = lifecycle.attempt_running();
+  ++(running ? aborted.running : aborted.waiting);
+  aborted.begun += running && lifecycle.delivers() ? 1 : 0;
+  aborted.lost += running && !record.spec.repeatable ? 1 : 0;
+  aborted.oldest = std::max(aborted.oldest, now - lifecycle.arrived());
 }
 
 void request_router::OnSuspended(duration time, time_point now) {
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -24,6 +24,7 @@
 #include "routing/i_routing_observer.h"
 #include "routing/request_lifecycle.h"
 #include "routing/retry_budget.h"
+#include "routing/types/aborted_requests.h"
 #include "routing/types/attempt.h"
 #include "routing/types/effect.h"
 #include "routing/types/request.h"
@@ -133,7 +134,9 @@
                   time_point now,
                   effects& out);
   /// Ends all requests, waiting or running.
-  void AbortAll(refusals::refusal_reason reason, time_point now, effects& out);
+  aborted_requests AbortAll(refusals::refusal_reason reason,
+                            time_point now,
+                            effects& out);
   /// This process did not run for `time` until now. Targets are not silent for
   /// it, as what they sent meanwhile is read only from now on.
   void OnSuspended(duration time, time_point now);
@@ -261,6 +264,9 @@
               time_point now,
               effects& out);
   void CountOutcome(const outcome& result);
+  static void Count(const record& record,
+                    time_point now,
+                    aborted_requests& aborted);
   /// Cancels an attempt for its target's silence only if the request can go on
   /// at another target, which is reserved for it.
   void OnDeadline(record& record, time_point now, effects& out);
