--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -339,7 +339,7 @@
   DispatchAll(now, out);
 }
 
-request_router::pool_state& request_router::PoolOf(const pool_id& pool) {
+pool_state& request_router::PoolOf(const pool_id& pool) {
   const auto found = pools_.find(pool);
   if (found != pools_.end()) {
     return found->second;
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -27,7 +27,9 @@
 #include "routing/types/aborted_requests.h"
 #include "routing/types/attempt.h"
 #include "routing/types/effect.h"
+#include "routing/types/pool_state.h"
 #include "routing/types/request.h"
+#include "routing/types/request_record.h"
 #include "streams/types/stream_origin.h"
 #include "targets/target_directory.h"
 
@@ -189,67 +191,7 @@
   CustomerSnapshot() const;
 
  private:
-  struct record {
-    request_spec spec;
-    crashes::request_suspects suspects;
-    request_lifecycle lifecycle;
-    std::optional<targets::slot_grant> grant;
-    /// Where the request goes on once its attempt has been cancelled for the
-    /// target's silence; a token of the retry budget is taken for it.
-    std::optional<targets::choice> continuation;
-    /// Where a resumable stream began; set with its first event. From then on
-    /// it runs only there.
-    std::optional<streams::stream_origin> origin;
-    /// `stream_began` has been emitted.
-    bool began = false;
-    /// Set for a taken-up stream once its origin is known.
-    std::optional<origin_source> taken_up_from;
-    /// Until then the request is held, in no queue, to learn its origin.
-    std::optional<time_point> origin_due;
-    /// Targets of all attempts so far, in order.
-    std::vector<target_id> tried_targets;
-    /// Prompt cost that was charged for the current attempt.
-    fairness::service_units charged_prompt_cost = 0;
-    /// Cost counted against the customer's share; zero for service calls.
-    double share_cost = 0;
-    /// Whether the share is charged for this request at present.
-    bool share_charged = false;
-    std::uint32_t output_tokens = 0;
-    std::optional<duration> first_output;
-    /// When the current attempt began.
-    time_point dispatched{};
-    /// When the output of the current attempt began.
-    std::optional<time_point> output_began;
-    /// The current attempt's target has served the request.
-    bool served = false;
-    /// Targets that ended before they had served the request.
-    std::uint32_t ended_targets = 0;
-    time_point scheduled_deadline = kNever;
-  };
-  struct pool_state {
-    explicit pool_state(const pool_id& pool, duration age_limit)
-        : queue(age_limit), shares(pool) {}
-
-    fairness::fair_queue queue;
-    /// Waiting requests that have an origin, by its version; no set is empty.
-    std::map<software_version, std::set<request_seq>> waiting_streams;
-    admission::share_limiter shares;
-    /// Known throughput with all targets, in tokens per second; 0 if unknown.
-    double throughput = 0;
-    /// The most slots that usable targets have announced with that throughput.
-    std::uint32_t most_slots = 0;
-    /// Exponential average of what requests cost, in tokens.
-    double average_cost = 0;
-    /// Exponential average of the queue wait, for Retry-After.
-    double average_wait_s = 0;
-    /// When requests began to wait with no usable target.
-    std::optional<time_point> no_target_since;
-    /// When those that wait without a usable target are refused; kNever if they
-    /// wait for a target whose pause ends.
-    time_point no_target_refusal_at = kNever;
-    /// When dispatch of the waiting requests must be retried.
-    time_point next_dispatch_at = kNever;
-  };
+  using record = request_record;
 
   pool_state& PoolOf(const pool_id& pool);
   retry_budget& RetryBudgetOf(const pool_id& pool, time_point now);
