Streams that would not end before the cut are refused when a router is stopped

What callers saw: streams taken within 2.5 s of a router's SIGTERM were cut 7.41 s after it with part of their answer, among them those that may not be repeated.

Cause: until the notice ends calls are taken without asking how long they take; streams have limits of 12 to 15 s, so that their limit says nothing. Class: work is begun that is known not to end.

Change: a router learns the pace of each pool's streams (first output, output by tokens asked for; mean and deviation). Once it is being stopped, a stream that arrives or waits begins only if it is likely to end before the cut, with a margin of two deviations, three if it may not run twice; otherwise it is refused at once as not run, with a short Retry-After, as other routers can serve it whole. Streams whose pace is not known are taken as before. After the notice nothing is changed.

Test: routing/tests/draining_unittest.cc replays the load; without the decision 2 of the streams that came after the SIGTERM still run at the cut and none is refused. With it none runs.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -80,7 +80,7 @@
   [[nodiscard]] std::shared_ptr<const routes::route_index> Routes()
       const override;
   [[nodiscard]] bool IsDraining() const override;
-  [[nodiscard]] std::optional<gateway::drain_window> DrainWindow()
+  [[nodiscard]] std::optional<routing::drain_window> DrainWindow()
       const override;
   void Submit(const routing::request_spec& spec,
               std::shared_ptr<gateway::i_exchange> exchange) override;
@@ -182,7 +182,7 @@
   std::function<bool()> takes_callers_;
   std::atomic<std::uint64_t> last_request_{0};
   // Written once, before `draining_` is set.
-  gateway::drain_window drain_window_;
+  routing::drain_window drain_window_;
   std::atomic<bool> draining_{false};
 };
 
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -124,7 +124,7 @@
   return draining_.load(std::memory_order_acquire);
 }
 
-std::optional<gateway::drain_window> control_loop::DrainWindow() const {
+std::optional<routing::drain_window> control_loop::DrainWindow() const {
   return IsDraining() ? std::optional(drain_window_) : std::nullopt;
 }
 
@@ -248,6 +248,9 @@
   if (node_) {
     node_->BeginLeave(steady_clock::now());
   }
+  Process([this](time_point now, routing::effects& out) {
+    router_.BeginDrain(drain_window_, now, out);
+  });
   if (on_drain_) {
     on_drain_(cause);
   }
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -254,7 +254,7 @@
 }
 
 void daemon::state::DrainRequests() {
-  const gateway::drain_window window = *control.DrainWindow();
+  const routing::drain_window window = *control.DrainWindow();
   SleepFor(control_io, window.notice_end - std::chrono::steady_clock::now());
   // New connections are still served: in a rolling restart, there may be no
   // other daemon that accepts them.
--- a/src/app/internal/router_options.cc
+++ b/src/app/internal/router_options.cc
@@ -62,7 +62,7 @@
   };
 }
 
-gateway::drain_window MakeDrainWindow(const config::timeout_settings& timeouts,
+routing::drain_window MakeDrainWindow(const config::timeout_settings& timeouts,
                                       time_point begin) {
   const time_point notice_end = begin + timeouts.drain_notice;
   if (timeouts.shutdown.count() == 0) {
--- a/src/gateway/i_control.h
+++ b/src/gateway/i_control.h
@@ -12,10 +12,10 @@
 #include "framework/net/closed_connection.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
-#include "gateway/types/drain_window.h"
 #include "refusals/types/refusal.h"
 #include "routes/route_index.h"
 #include "routing/types/attempt.h"
+#include "routing/types/drain_window.h"
 #include "routing/types/effect.h"
 #include "routing/types/request.h"
 #include "targets/types/announcement.h"
@@ -71,7 +71,8 @@
   /// Whether new callers are accepted and served.
   [[nodiscard]] virtual bool IsReady() const = 0;
   /// Set once the daemon is shutting down.
-  [[nodiscard]] virtual std::optional<drain_window> DrainWindow() const = 0;
+  [[nodiscard]] virtual std::optional<routing::drain_window> DrainWindow()
+      const = 0;
 
   virtual void Submit(const routing::request_spec& spec,
                       std::shared_ptr<i_exchange> exchange) = 0;
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -14,13 +14,11 @@
 
 namespace {
 
-// Retry-After during shutdown: the usual duration of a daemon restart.
-constexpr std::chrono::seconds kRestartRetryAfter{1};
-// Retry-After when the processor is used up: another router can serve the call
-// at once. The steps spread the callers' retries.
-constexpr std::chrono::milliseconds kBusyRetryAfter{200};
-constexpr std::chrono::milliseconds kBusyRetryStep{50};
-constexpr std::uint64_t kBusyRetrySteps = 8;
+// Retry-After during shutdown and when the processor is used up: another router
+// can serve the call at once. The steps spread the callers' retries.
+constexpr std::chrono::milliseconds kElsewhereRetryAfter{200};
+constexpr std::chrono::milliseconds kElsewhereRetryStep{50};
+constexpr std::uint64_t kElsewhereRetrySteps = 8;
 // Processor time of a call of a plain service, relative to a generation, whose
 // answer comes in many parts.
 constexpr double kServiceCallCost = 0.2;
@@ -29,8 +27,9 @@
   return spec.kind == routing::call_kind::kServiceCall ? kServiceCallCost : 1;
 }
 
-std::chrono::milliseconds BusyRetryAfter(request_seq request) {
-  return kBusyRetryAfter + kBusyRetryStep * (request.value() % kBusyRetrySteps);
+std::chrono::milliseconds ElsewhereRetryAfter(request_seq request) {
+  return kElsewhereRetryAfter +
+         kElsewhereRetryStep * (request.value() % kElsewhereRetrySteps);
 }
 
 }  // namespace
@@ -39,13 +38,14 @@
                                     const net::http_request& request,
                                     outgoing_call call) {
   const time_point now = std::chrono::steady_clock::now();
-  const std::optional<drain_window> drain = context_.control.DrainWindow();
+  const std::optional<routing::drain_window> drain =
+      context_.control.DrainWindow();
   if (drain && !drain->Accepts(now, call.spec.time_limit)) {
     return Refuse(connection, request, call.request_name,
                   {.customer = call.spec.customer,
                    .request = call.spec.id,
                    .reason = refusal_reason::kDraining,
-                   .retry_after = kRestartRetryAfter});
+                   .retry_after = ElsewhereRetryAfter(call.spec.id)});
   }
   // Work for a caller that left while its request waited to be read would be
   // taken from those that are there.
@@ -59,7 +59,7 @@
                   {.customer = call.spec.customer,
                    .request = call.spec.id,
                    .reason = refusal_reason::kRouterBusy,
-                   .retry_after = BusyRetryAfter(call.spec.id)});
+                   .retry_after = ElsewhereRetryAfter(call.spec.id)});
   }
   call.spec.fingerprint = FingerprintOf(
       call.spec.customer,
--- a/src/gateway/tests/gateway_unittest.cc
+++ b/src/gateway/tests/gateway_unittest.cc
@@ -12,7 +12,7 @@
 #include "gateway/request_fingerprint.h"
 #include "gateway/routed_handler.h"
 #include "gateway/sse_scanner.h"
-#include "gateway/types/drain_window.h"
+#include "routing/types/drain_window.h"
 
 namespace burdocklock::gateway {
 namespace {
@@ -356,7 +356,7 @@
 
 TEST_CASE("drain window: before notice_end: any call is accepted") {
   const time_point begin;
-  const drain_window window{.notice_end = begin + std::chrono::seconds(2),
+  const routing::drain_window window{.notice_end = begin + std::chrono::seconds(2),
                             .cut = begin + std::chrono::seconds(7)};
   CHECK(window.Accepts(begin + std::chrono::seconds(1), std::nullopt));
   CHECK(window.Accepts(begin + std::chrono::seconds(1), std::chrono::hours(1)));
@@ -365,7 +365,7 @@
 TEST_CASE(
     "drain window: after notice_end: only calls that end before the cut") {
   const time_point begin;
-  const drain_window window{.notice_end = begin + std::chrono::seconds(2),
+  const routing::drain_window window{.notice_end = begin + std::chrono::seconds(2),
                             .cut = begin + std::chrono::seconds(7)};
   rc::prop("an accepted call ends before the cut", [&] {
     const auto now =
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -45,7 +45,7 @@
           .queue.Charge(record.spec.customer,
                         value.tokens * fairness::kUnitsPerOutputToken);
     } else if constexpr (std::is_same_v<event_type, attempt_completed>) {
-      OnAttemptCompleted(record, value, out);
+      OnAttemptCompleted(record, value, now, out);
     } else if constexpr (std::is_same_v<event_type, attempt_failed>) {
       OnAttemptFailed(record, value, now, out);
     }
@@ -76,7 +76,16 @@
 
 void request_router::OnAttemptCompleted(record& record,
                                         const attempt_completed& completed,
+                                        time_point now,
                                         effects& out) {
+  // A stream that went on elsewhere has only part of its output here.
+  if (record.spec.prompt && record.output_began && !record.spec.taken_up &&
+      record.tried_targets.size() == 1) {
+    PoolOf(record.spec.pool)
+        .pace.OnCompleted(record.spec.prompt->max_output_tokens,
+                          *record.output_began - record.dispatched,
+                          now - *record.output_began);
+  }
   if (completed.reported && record.spec.kind != call_kind::kServiceCall) {
     const auto unreported_output_tokens =
         static_cast<double>(completed.reported->output_tokens) -
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -186,7 +186,7 @@
                                  time_point now,
                                  effects& out) {
   record& record = *Find(request);
-  if (BlockedFor(record, now)) {
+  if (BlockedFor(record, now) || !MayBegin(record, now)) {
     return false;
   }
   const bool over_share = IsOverShare(record, now);
--- a/src/routing/internal/request_outcome.cc
+++ b/src/routing/internal/request_outcome.cc
@@ -20,6 +20,9 @@
 // callers' retries over time.
 constexpr std::chrono::milliseconds kMinOverloadRetryAfter{300};
 constexpr std::uint32_t kOverloadRetryAfterJitterMs = 900;
+// Retry-After during shutdown: another router can serve the request at once.
+constexpr std::chrono::milliseconds kElsewhereRetryAfter{200};
+constexpr std::uint32_t kElsewhereJitterMs = 400;
 
 }  // namespace
 
@@ -123,6 +126,10 @@
                  random_.Below(kOverloadRetryAfterJitterMs));
     }
   }
+  if (reason == refusal_reason::kDraining && run == run_state::kNotRun) {
+    return kElsewhereRetryAfter +
+           std::chrono::milliseconds(random_.Below(kElsewhereJitterMs));
+  }
   if (reason == refusal_reason::kOriginUnanswered ||
       (record.spec.prompt && run == run_state::kNotRun)) {
     return kMinOverloadRetryAfter + std::chrono::milliseconds(random_.Below(
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -87,6 +87,11 @@
     EraseIfDone(id);
     return;
   }
+  if (!MayBegin(record, now)) {
+    RefuseIfTooLate(record, now, out);
+    EraseIfDone(id);
+    return;
+  }
   if (spec.prompt) {
     record.share_cost = ShareCost(*spec.prompt);
     pool_state& state = PoolOf(spec.pool);
@@ -285,6 +290,7 @@
           now, out);
     return;
   }
+  RefuseIfTooLate(record, now, out);
   if (record.lifecycle.SeeksOtherTarget(now) &&
       !ReserveContinuation(record, now)) {
     record.lifecycle.StayAtTarget(now);
@@ -365,8 +371,11 @@
 }
 
 void request_router::ScheduleDeadline(request_seq request, record& record) {
-  const time_point deadline =
+  time_point deadline =
       std::min(record.lifecycle.deadline(), record.origin_due.value_or(kNever));
+  if (record.lifecycle.waiting() && record.tried_targets.empty()) {
+    deadline = std::min(deadline, LatestBegin(record));
+  }
   // If the deadline was postponed, the earlier entry fires first and the new
   // deadline is scheduled then.
   if (deadline >= record.scheduled_deadline) {
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -26,6 +26,7 @@
 #include "routing/retry_budget.h"
 #include "routing/types/aborted_requests.h"
 #include "routing/types/attempt.h"
+#include "routing/types/drain_window.h"
 #include "routing/types/effect.h"
 #include "routing/types/pool_state.h"
 #include "routing/types/request.h"
@@ -135,6 +136,9 @@
   void OnEvidence(const crashes::evidence& received,
                   time_point now,
                   effects& out);
+  /// From now on a request that waits is refused once it would, as far as
+  /// known, not end before the cut.
+  void BeginDrain(const drain_window& window, time_point now, effects& out);
   /// Ends all requests, waiting or running.
   aborted_requests AbortAll(refusals::refusal_reason reason,
                             time_point now,
@@ -304,6 +308,18 @@
   std::optional<refusals::refusal_reason> QueueLimitReached(
       const record& record);
 
+  // Graceful shutdown (draining.cc).
+
+  /// Whether the request may begin at a target.
+  [[nodiscard]] bool MayBegin(const record& record, time_point now) const;
+  /// The latest time at which the waiting request may begin.
+  [[nodiscard]] time_point LatestBegin(const record& record) const;
+  /// A time that the request will hardly exceed from its dispatch to its end;
+  /// nullopt if nothing is known of it.
+  [[nodiscard]] std::optional<duration> LikelyLongest(
+      const record& record) const;
+  void RefuseIfTooLate(record& record, time_point now, effects& out);
+
   // Streams that callers take up (taken_up_streams.cc).
   void TakeUp(record& record, time_point now, effects& out);
   void HoldForOrigin(record& record, time_point now, effects& out);
@@ -345,6 +361,7 @@
   void OnFirstOutput(record& record, time_point now, effects& out);
   void OnAttemptCompleted(record& record,
                           const attempt_completed& completed,
+                          time_point now,
                           effects& out);
   void OnAttemptFailed(record& record,
                        const attempt_failed& failure,
@@ -394,6 +411,8 @@
   std::set<std::pair<time_point, request_seq>> deadlines_;
   /// Requests with `origin_due`, by the stream that they take up.
   std::set<std::pair<stream_key, request_seq>> held_;
+  /// Set while this router is being stopped.
+  std::optional<drain_window> drain_;
   refusal_seq last_refusal_{0};
   router_totals totals_;
 };
--- /dev/null
+++ b/src/routing/tests/draining_unittest.cc
@@ -0,0 +1,256 @@
+// Which requests a router begins while it is being stopped, in virtual time.
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+#include "framework/seeded_random.h"
+#include "routing/stream_pace.h"
+#include "routing/tests/router_fixture.h"
+
+namespace burdocklock::routing {
+namespace {
+
+using refusals::refusal_reason;
+using refusals::run_state;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kNotice{2500};
+constexpr milliseconds kCut{7400};
+constexpr milliseconds kFirstOutput{200};
+
+// Streams whose targets write tokens at 4 to 6 ms each.
+struct draining_fixture : router_fixture {
+  struct stream {
+    time_point arrived;
+    bool repeatable = false;
+    duration pace{};
+    std::uint32_t tokens = 0;
+    std::optional<time_point> first_output_at;
+    std::optional<time_point> end_at;
+  };
+
+  static constexpr std::uint32_t kSlots = 64;
+  std::map<request_seq, stream> streams;
+  std::set<request_seq> completed;
+  seeded_random draws{11};
+
+  targets::announcement target = Target("t");
+  time_point announced;
+
+  explicit draining_fixture(std::uint32_t slots = kSlots) {
+    target.slots = slots;
+    target.cold_slots = slots;
+    AnnounceAgain();
+  }
+
+  void AnnounceAgain() {
+    ++target.load->at_ms;
+    Announce(target);
+    announced = now;
+  }
+
+  // Of a customer of its own.
+  request_seq Stream(std::uint32_t tokens, bool repeatable) {
+    const request_seq id(++last_request);
+    streams[id] = {
+        .arrived = now,
+        .repeatable = repeatable,
+        .pace = milliseconds(4) + std::chrono::microseconds(draws.Below(2000)),
+        .tokens = tokens};
+    effects out;
+    request_spec spec{.id = id,
+                      .customer = customer_id(std::to_string(id.value())),
+                      .pool = pool_id("lamp-llm"),
+                      .kind = call_kind::kStreamedGeneration,
+                      .repeatable = repeatable,
+                      .prompt_tokens = 10,
+                      .time_limit = seconds(15),
+                      .resumable = repeatable};
+    spec.prompt = targets::prompt{.input_tokens = 10,
+                                  .max_output_tokens = tokens,
+                                  .parts = {{.id = id.value(), .tokens = 10}}};
+    router.OnRequest(spec, now, out);
+    Record(out);
+    return id;
+  }
+  void Work() {
+    const std::map<request_seq, running_attempt> now_running = running;
+    for (const auto& [id, attempt] : now_running) {
+      stream& at = streams.at(id);
+      if (!at.first_output_at) {
+        at.first_output_at = now + kFirstOutput;
+        at.end_at = *at.first_output_at + at.tokens * at.pace;
+        Report(id, attempt_sending{});
+      } else if (!attempt.delivered && now >= *at.first_output_at) {
+        running.at(id).delivered = true;
+        Report(id, attempt_first_output{});
+      } else if (now >= *at.end_at) {
+        completed.insert(id);
+        Report(id, attempt_completed{});
+      }
+    }
+  }
+  void RunFor(duration time) {
+    const time_point until = now + time;
+    while (now < until) {
+      Advance(milliseconds(10));
+      Work();
+      if (now - announced >= seconds(1)) {
+        AnnounceAgain();
+      }
+    }
+  }
+  // New streams of 20 to 1,100 tokens, 20 a second.
+  void RunWithArrivals(duration time) {
+    const time_point until = now + time;
+    while (now < until) {
+      Stream(20 + draws.Below(1080), draws.Below(2) == 0);
+      RunFor(milliseconds(50));
+    }
+  }
+  drain_window BeginDrain() {
+    const drain_window window{.notice_end = now + kNotice, .cut = now + kCut};
+    effects out;
+    router.BeginDrain(window, now, out);
+    Record(out);
+    return window;
+  }
+  std::optional<refusals::refusal> RefusalOf(request_seq id) const {
+    for (const refusals::refusal& refusal : refusals) {
+      if (refusal.request == id) {
+        return refusal;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
+// Streams that arrived after the SIGTERM were cut at the end of the grace.
+TEST_CASE_METHOD(draining_fixture,
+                 "router is stopped while streams of many lengths arrive: none "
+                 "that came after the SIGTERM is cut, short ones are served") {
+  RunWithArrivals(seconds(20));
+  const time_point sigterm = now;
+  const drain_window window = BeginDrain();
+  RunWithArrivals(kNotice);
+  RunFor(window.cut - now);
+  int late_running = 0;
+  for (const auto& [id, attempt] : running) {
+    late_running += streams.at(id).arrived >= sigterm ? 1 : 0;
+  }
+  CHECK(late_running == 0);
+  int late = 0;
+  int late_refused = 0;
+  for (const auto& [id, stream] : streams) {
+    if (stream.arrived < sigterm) {
+      continue;
+    }
+    ++late;
+    const auto refused = RefusalOf(id);
+    late_refused += refused ? 1 : 0;
+    if (refused) {
+      CHECK(refused->reason == refusal_reason::kDraining);
+      CHECK(refused->run == run_state::kNotRun);
+      CHECK(refused->retry_after < milliseconds(1000));
+      // The shortest time left, at the slowest pace.
+      CHECK(stream.tokens * milliseconds(7) + kFirstOutput > kCut - kNotice);
+    } else {
+      CHECK(completed.contains(id));
+    }
+  }
+  CHECK(late_refused > 0);
+  CHECK(late_refused < late);
+}
+
+TEST_CASE(
+    "router is stopped while streams wait: those that cannot end any "
+    "more are refused at once, others when their time comes") {
+  draining_fixture fixture(1);
+  fixture.Stream(100, false);
+  fixture.RunFor(seconds(2));
+  const request_seq running = fixture.Stream(1000, false);
+  fixture.RunFor(milliseconds(50));
+  const request_seq longest = fixture.Stream(1800, false);
+  const request_seq shorter = fixture.Stream(1000, true);
+  const time_point sigterm = fixture.now;
+  fixture.BeginDrain();
+  REQUIRE(fixture.running.contains(running));
+  REQUIRE(fixture.RefusalOf(longest));
+  CHECK(fixture.RefusalOf(longest)->run == run_state::kNotRun);
+  REQUIRE_FALSE(fixture.RefusalOf(shorter));
+  while (!fixture.RefusalOf(shorter) && fixture.now < sigterm + kCut) {
+    fixture.RunFor(milliseconds(10));
+  }
+  REQUIRE(fixture.RefusalOf(shorter));
+  CHECK(fixture.RefusalOf(shorter)->reason == refusal_reason::kDraining);
+  CHECK(fixture.run_counts[shorter] == 0);
+  CHECK(fixture.now < sigterm + milliseconds(3000));
+}
+
+TEST_CASE("router is stopped before it has served a stream: it takes one") {
+  draining_fixture fixture;
+  fixture.BeginDrain();
+  const request_seq id = fixture.Stream(2000, false);
+  CHECK(fixture.running.contains(id));
+}
+
+TEST_CASE_METHOD(draining_fixture,
+                 "router is stopped: a call that reaches its time limit before "
+                 "the cut: it is taken, however long streams are") {
+  RunWithArrivals(seconds(10));
+  RunFor(seconds(10));
+  REQUIRE(running.empty());
+  BeginDrain();
+  const request_seq id(++last_request);
+  effects out;
+  router.OnRequest({.id = id,
+                    .customer = customer_id("c"),
+                    .pool = pool_id("lamp-llm"),
+                    .kind = call_kind::kStreamedGeneration,
+                    .repeatable = false,
+                    .prompt_tokens = 10,
+                    .time_limit = seconds(3),
+                    .prompt = targets::prompt{.input_tokens = 10,
+                                              .max_output_tokens = 5000}},
+                   now, out);
+  Record(out);
+  CHECK(running.contains(id));
+}
+
+TEST_CASE("pace of streams: all are alike: the prediction is their time") {
+  rc::prop("exact", [] {
+    const auto tokens = *rc::gen::inRange<std::uint32_t>(1, 2000);
+    const auto pace = std::chrono::microseconds(*rc::gen::inRange(1, 20'000));
+    const auto first = milliseconds(*rc::gen::inRange(0, 2000));
+    stream_pace subject;
+    RC_ASSERT(!subject.LikelyLongest(tokens, 2));
+    for (int i = 0; i < 50; ++i) {
+      subject.OnCompleted(tokens, first, tokens * pace);
+    }
+    const duration likely = *subject.LikelyLongest(2 * tokens, 0);
+    const duration exact = first + 2 * tokens * pace;
+    RC_ASSERT(std::chrono::abs(likely - exact) < milliseconds(1));
+  });
+}
+
+TEST_CASE(
+    "pace of streams: it becomes slower: the prediction follows within "
+    "a hundred streams") {
+  stream_pace subject;
+  for (int i = 0; i < 1000; ++i) {
+    subject.OnCompleted(100, milliseconds(100), milliseconds(400));
+  }
+  for (int i = 0; i < 100; ++i) {
+    subject.OnCompleted(100, milliseconds(100), milliseconds(1200));
+  }
+  CHECK(*subject.LikelyLongest(100, 2) >= milliseconds(1300));
+}
+
+}  // namespace
+}  // namespace burdocklock::routing
--- a/src/routing/types/pool_state.h
+++ b/src/routing/types/pool_state.h
@@ -10,6 +10,7 @@
 #include "fairness/fair_queue.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "routing/stream_pace.h"
 
 namespace burdocklock::routing {
 
@@ -21,6 +22,7 @@
   /// Waiting requests that have an origin, by its version; no set is empty.
   std::map<software_version, std::set<request_seq>> waiting_streams;
   admission::share_limiter shares;
+  stream_pace pace;
   /// Known throughput with all targets, in tokens per second; 0 if unknown.
   double throughput = 0;
   /// The most slots that usable targets have announced with that throughput.
