A connection is not closed earlier than its caller was told

Callers were never told the idle time-out of a connection, and a change to a shorter one closed at once all that had waited longer, while their callers still reused them by the longer one: a request that crosses such a close gets no answer. Answers now say Keep-Alive, four fifths of the idle time-out, and the connection is kept for the whole of what was promised. A connection whose last answer promised nothing obeys a shorter time-out at once, as before (its test is unchanged).

Test: bl_net "the idle time-out becomes shorter: one whose caller was told the longer one stays open". That this is what the operators saw is suspected, not shown.

--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -31,6 +31,11 @@
   bool used = false;
   /// Since when it has been idle, while `idle`.
   time_point idle_since{};
+  /// The idle timeout in force when the current request began.
+  duration idle_timeout{};
+  /// It is not closed for being idle before this time has passed: the peer was
+  /// told that it may use it for nearly as long.
+  duration promised_idle{};
   /// Set if it was closed while it was idle and no byte of a request had
   /// arrived.
   std::optional<close_cause> closed;
@@ -39,6 +44,8 @@
 
   /// Writes a complete response; returns false on an error or a timeout.
   bool Write(http_response& response);
+  /// Tells the peer in an answer's head how long it may use the connection.
+  void PromiseIdle(http::fields& head);
   /// Returns what has arrived from the peer and was not read yet.
   enum class arrival { kNothing, kData, kEnd };
   arrival Arrived();
@@ -59,7 +66,8 @@
 };
 
 /// Size limits and timeouts for incoming requests. A timeout never discards a
-/// request that has arrived before the connection is closed.
+/// request that has arrived before the connection is closed. A shorter idle
+/// timeout applies to a connection from its next request on.
 struct http_limits {
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint32_t max_body_bytes = 4 * 1024 * 1024;
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -49,6 +49,9 @@
 // What callers still send is read for this long before a connection is closed:
 // closing it earlier could reset it before the caller has read its answer.
 constexpr std::chrono::seconds kLingerTime{1};
+// Part of the idle timeout that callers are told, so that a request which they
+// send in time does not cross the close.
+constexpr double kToldIdlePart = 0.8;
 // Bounds the descriptors that connections hold after they were closed.
 constexpr std::uint32_t kMaxWatched = 256;
 
@@ -81,6 +84,16 @@
   return !written.ec;
 }
 
+void http_connection::PromiseIdle(http::fields& head) {
+  const auto told = std::chrono::duration_cast<std::chrono::seconds>(
+      idle_timeout * kToldIdlePart);
+  if (told.count() == 0) {
+    return;
+  }
+  head.set(http::field::keep_alive, "timeout=" + std::to_string(told.count()));
+  promised_idle = idle_timeout;
+}
+
 http_connection::arrival http_connection::Arrived() {
   char byte = 0;
   const auto received = ::recv(stream.socket().native_handle(), &byte, 1,
@@ -406,6 +419,8 @@
   }
   idle.Remove(connection);
   const http_limits limits = CurrentLimits();
+  connection.idle_timeout = limits.idle_timeout;
+  connection.promised_idle = duration::zero();
   request_parser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
--- a/src/framework/net/internal/idle_connections.cc
+++ b/src/framework/net/internal/idle_connections.cc
@@ -84,34 +84,49 @@
 
 void idle_connections::Sweep() {
   const duration timeout = timeout_();
-  CloseOverdue(used_, timeout);
-  CloseOverdue(unused_, timeout);
-  ScheduleSweep();
+  const time_point due =
+      std::min(CloseOverdue(used_, timeout), CloseOverdue(unused_, timeout));
+  if (due != kNever && !stopped_) {
+    ScheduleSweepAt(due);
+  }
 }
 
-void idle_connections::CloseOverdue(const order& idle, duration timeout) {
+time_point idle_connections::CloseOverdue(const order& idle, duration timeout) {
   const time_point now = steady_clock::now();
-  for (auto it = idle.begin();
-       it != idle.end() && (*it)->idle_since + timeout <= now;) {
-    http_connection& overdue = **it++;
-    counters_.idle_timeouts +=
-        Close(overdue, close_cause::kIdleTimeout) ? 1 : 0;
+  time_point next_due = kNever;
+  for (auto it = idle.begin(); it != idle.end();) {
+    http_connection& connection = **it++;
+    const time_point due =
+        connection.idle_since + std::max(timeout, connection.promised_idle);
+    const bool closed =
+        due <= now && Close(connection, close_cause::kIdleTimeout);
+    counters_.idle_timeouts += closed ? 1 : 0;
+    next_due = closed ? next_due : std::min(next_due, due);
+    if (connection.idle_since + timeout > now) {
+      // Those behind it have waited for a shorter time.
+      break;
+    }
   }
+  return next_due;
 }
 
 void idle_connections::ScheduleSweep() {
   if (scheduled_ || stopped_ || (used_.empty() && unused_.empty())) {
     return;
   }
-  const time_point now = steady_clock::now();
-  time_point oldest = now;
+  time_point oldest = steady_clock::now();
   for (const order* idle : {&used_, &unused_}) {
     oldest =
         idle->empty() ? oldest : std::min(oldest, idle->front()->idle_since);
   }
+  ScheduleSweepAt(oldest + timeout_());
+}
+
+void idle_connections::ScheduleSweepAt(time_point due) {
+  const time_point now = steady_clock::now();
   scheduled_ = true;
-  timer_.expires_at(std::clamp<time_point>(
-      oldest + timeout_(), now + kMinSweepInterval, now + kMaxSweepInterval));
+  timer_.expires_at(std::clamp<time_point>(due, now + kMinSweepInterval,
+                                           now + kMaxSweepInterval));
   timer_.async_wait(
       [this, alive = std::weak_ptr<void>(alive_)](const beast::error_code& ec) {
         if (ec || alive.expired()) {
--- a/src/framework/net/internal/idle_connections.h
+++ b/src/framework/net/internal/idle_connections.h
@@ -17,7 +17,8 @@
 bool HasArrived(http_connection& connection);
 
 /// Closes connections that have been idle for longer than the timeout in force,
-/// never one at which bytes of a request have arrived.
+/// and than their peers were promised, never one at which bytes of a request
+/// have arrived.
 class idle_connections {
  public:
   /// `timeout` is asked again and again, so that a change applies to
@@ -44,8 +45,10 @@
     return connection.used ? used_ : unused_;
   }
   void Sweep();
-  void CloseOverdue(const order& idle, duration timeout);
+  /// Returns when the next one of them is due; kNever if none waits.
+  time_point CloseOverdue(const order& idle, duration timeout);
   void ScheduleSweep();
+  void ScheduleSweepAt(time_point due);
 
   std::function<duration()> timeout_;
   listener_counters& counters_;
--- a/src/framework/net/tests/blocking_caller.h
+++ b/src/framework/net/tests/blocking_caller.h
@@ -22,6 +22,7 @@
   /// The body came to the end that the head names.
   bool whole = false;
   bool keep_alive = false;
+  std::string keep_alive_field;
   std::string body;
 };
 
@@ -45,6 +46,7 @@
     if (parser.is_header_done()) {
       answer.status = parser.get().result_int();
       answer.keep_alive = parser.keep_alive();
+      answer.keep_alive_field = parser.get()[http::field::keep_alive];
       answer.body = parser.get().body();
     }
     return answer;
--- a/src/framework/net/tests/waiting_connection_unittest.cc
+++ b/src/framework/net/tests/waiting_connection_unittest.cc
@@ -89,6 +89,9 @@
       std::this_thread::sleep_for(kSlowTime);
     }
     http_response response(http::status::ok, 11);
+    if (request.target() == "/promised") {
+      connection.PromiseIdle(response);
+    }
     return connection.Write(response) ? keep_alive::kYes : keep_alive::kNo;
   }
   void OnBadRequest(http_connection& connection, error_code) override {
@@ -187,6 +190,39 @@
   CHECK(Reaches(counters.idle_timeouts, 1));
 }
 
+// A request on a reused connection met a close that came earlier than its
+// caller had been told.
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connections: the idle time-out becomes shorter: one "
+                 "whose caller was told the longer one stays open, others are "
+                 "closed") {
+  idle_ms = 2500;
+  blocking_caller told(address);
+  REQUIRE(told.Ask("GET /promised HTTP/1.1\r\n\r\n") == 200);
+  blocking_caller other(address);
+  REQUIRE(other.Ask() == 200);
+  idle_ms = 100;
+  REQUIRE(Reaches(counters.idle_timeouts, 1));
+  CHECK(other.ReadStatus() == 0);
+  std::this_thread::sleep_for(milliseconds(600));
+  CHECK(told.Ask() == 200);
+  // Its last answer promised nothing.
+  CHECK(Reaches(counters.idle_timeouts, 2));
+}
+
+TEST_CASE_METHOD(waiting_connection_fixture,
+                 "waiting connection: its caller was told an idle time-out: "
+                 "closed once it has passed") {
+  idle_ms = 1500;
+  blocking_caller caller(address);
+  caller.Send("GET /promised HTTP/1.1\r\n\r\n");
+  const read_answer answer = caller.Read();
+  REQUIRE(answer.status == 200);
+  CHECK(answer.keep_alive_field == "timeout=1");
+  idle_ms = 100;
+  CHECK(Reaches(counters.idle_timeouts, 1));
+}
+
 // A call that crossed the close of its connection looked like one that was read
 // and dropped.
 TEST_CASE_METHOD(waiting_connection_fixture,
--- a/src/gateway/internal/response_writer.cc
+++ b/src/gateway/internal/response_writer.cc
@@ -59,10 +59,17 @@
 bool response_writer::Write(net::http_response& response) {
   SetRequestId(response);
   response.keep_alive(keep_alive_);
+  PromiseIdle(response);
   started_ = true;
   return Check(connection_.Write(response));
 }
 
+void response_writer::PromiseIdle(http::fields& head) {
+  if (keep_alive_) {
+    connection_.PromiseIdle(head);
+  }
+}
+
 void response_writer::SetRequestId(http::fields& fields) const {
   if (!request_name_.empty()) {
     fields.set(dialect_.request_id_field(), request_name_);
@@ -104,6 +111,7 @@
     keep_alive_ = false;
   }
   response.keep_alive(keep_alive_);
+  PromiseIdle(response);
   started_ = true;
   http::response_serializer<http::empty_body> serializer(response);
   connection_.stream.expires_after(connection_.write_timeout);
--- a/src/gateway/internal/response_writer.h
+++ b/src/gateway/internal/response_writer.h
@@ -47,6 +47,7 @@
 
  private:
   bool Write(net::http_response& response);
+  void PromiseIdle(net::http::fields& head);
   void SetRequestId(net::http::fields& fields) const;
   static void CopyFields(const net::http_response_head& head,
                          net::http::fields& fields);
