A control host whose disk is full at its start waits for room

It ended with an error and was started again for as long as the disk was full, a new host as well as one that had to cut off a torn tail. A full disk is now told from an unreadable folder, and is waited for; the log says disk_failed.

--- a/src/app/internal/control_log.cc
+++ b/src/app/internal/control_log.cc
@@ -2,8 +2,10 @@
 #include "app/internal/control_log.h"
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -14,6 +16,7 @@
 // Ids of the initial voters have no random part, so that all hosts derive the
 // same member list from the same addresses.
 constexpr char kInitialVoterSuffix[] = "#first";
+constexpr std::chrono::milliseconds kFullDiskRetryDelay{100};
 
 quorum::member_id InitialVoterId(const endpoint& links) {
   return quorum::member_id(ToString(links) + kInitialVoterSuffix);
@@ -50,11 +53,9 @@
   return state;
 }
 
-}  // namespace
-
-result<control_log> OpenControlLog(const config::settings& settings,
-                                   std::uint32_t random,
-                                   i_logger& logger) {
+result<control_log> TryOpen(const config::settings& settings,
+                            std::uint32_t random,
+                            i_logger& logger) {
   control_log log;
   log.file = std::make_unique<storage::log_file>(settings.data_folder);
   auto opened = log.file->Open();
@@ -88,4 +89,25 @@
   return log;
 }
 
+}  // namespace
+
+result<control_log> OpenControlLog(const config::settings& settings,
+                                   std::uint32_t random,
+                                   i_logger& logger) {
+  bool is_full = false;
+  while (true) {
+    result<control_log> log = TryOpen(settings, random, logger);
+    const bool was_full = std::exchange(
+        is_full, !log && log.error().code == error_code::kDiskFull);
+    if (is_full && !was_full) {
+      logger.Log(log_record("disk_failed", log_level::kError)
+                     .Add("detail", log.error().Message()));
+    }
+    if (!is_full) {
+      return log;
+    }
+    std::this_thread::sleep_for(kFullDiskRetryDelay);
+  }
+}
+
 }  // namespace burdocklock::app
--- a/src/app/internal/control_log.h
+++ b/src/app/internal/control_log.h
@@ -20,7 +20,8 @@
 /// Opens the log in the data folder named in the settings. If there is none, or
 /// if it is damaged, the host starts with the state of a new member, which is
 /// durable when this returns; `random` distinguishes that member from earlier
-/// ones at the same address. Fails if the folder cannot be read or written.
+/// ones at the same address. Waits while the disk is full. Fails if the folder
+/// cannot be read or written.
 result<control_log> OpenControlLog(const config::settings& settings,
                                    std::uint32_t random,
                                    i_logger& logger);
--- a/src/framework/types/error.h
+++ b/src/framework/types/error.h
@@ -17,6 +17,8 @@
   kConnectionClosed,
   /// This process has no file descriptors, ports or memory left for it.
   kNoResources,
+  /// The disk takes no more bytes.
+  kDiskFull,
   kTooLarge,
   kUnauthorised,
   kCancelled,
@@ -40,6 +42,8 @@
       return "connection_closed";
     case error_code::kNoResources:
       return "no_resources";
+    case error_code::kDiskFull:
+      return "disk_full";
     case error_code::kTooLarge:
       return "too_large";
     case error_code::kUnauthorised:
--- a/src/storage/internal/log_file.cc
+++ b/src/storage/internal/log_file.cc
@@ -71,7 +71,8 @@
 }
 
 error log_file::SystemError(const char* step) const {
-  return {.code = error_code::kUnreadable,
+  const bool is_full = errno == ENOSPC || errno == EDQUOT;
+  return {.code = is_full ? error_code::kDiskFull : error_code::kUnreadable,
           .step = step,
           .peer = path_,
           .detail = std::generic_category().message(errno)};
--- a/src/storage/log_file.h
+++ b/src/storage/log_file.h
@@ -24,12 +24,13 @@
 
   /// Recovers the state from the folder; nullopt if there is no log file.
   /// Truncates a tail torn by a power loss. Fails with kMalformed if the file
-  /// is damaged elsewhere.
+  /// is damaged elsewhere, and with kDiskFull if the tail cannot be truncated
+  /// for lack of room.
   result<std::optional<quorum::durable_state>> Open();
   /// Renames a damaged file, so that `Open` finds no log.
   result<void> RenameDamaged();
-  /// Writes and syncs records. After a failure none of them counts as written,
-  /// and the call may be repeated.
+  /// Writes and syncs records. After a failure, with kDiskFull for lack of
+  /// room, none of them counts as written, and the call may be repeated.
   result<void> Write(const std::vector<quorum::storage_record>& records);
 
  private:
