--- a/src/app/internal/router_options.h
+++ b/src/app/internal/router_options.h
@@ -3,10 +3,10 @@
 
 #include "config/types/settings.h"
 #include "fleet/fleet_node.h"
-#include "routing/types/drain_window.h"
 #include "gateway/types/gateway_options.h"
 #include "peer/peer_network.h"
 #include "routing/request_router.h"
+#include "routing/types/drain_window.h"
 
 namespace burdocklock::app {
 
--- a/src/framework/net/closed_connection.h
+++ b/src/framework/net/closed_connection.h
@@ -1,4 +1,4 @@
-// What a server knows of a connection that it closed while no request was there.
+// What a server knows of a connection that it closed while it was idle.
 #pragma once
 
 #include <cstddef>
--- a/src/gateway/tests/gateway_unittest.cc
+++ b/src/gateway/tests/gateway_unittest.cc
@@ -356,8 +356,9 @@
 
 TEST_CASE("drain window: before notice_end: any call is accepted") {
   const time_point begin;
-  const routing::drain_window window{.notice_end = begin + std::chrono::seconds(2),
-                            .cut = begin + std::chrono::seconds(7)};
+  const routing::drain_window window{
+      .notice_end = begin + std::chrono::seconds(2),
+      .cut = begin + std::chrono::seconds(7)};
   CHECK(window.Accepts(begin + std::chrono::seconds(1), std::nullopt));
   CHECK(window.Accepts(begin + std::chrono::seconds(1), std::chrono::hours(1)));
 }
@@ -365,8 +366,9 @@
 TEST_CASE(
     "drain window: after notice_end: only calls that end before the cut") {
   const time_point begin;
-  const routing::drain_window window{.notice_end = begin + std::chrono::seconds(2),
-                            .cut = begin + std::chrono::seconds(7)};
+  const routing::drain_window window{
+      .notice_end = begin + std::chrono::seconds(2),
+      .cut = begin + std::chrono::seconds(7)};
   rc::prop("an accepted call ends before the cut", [&] {
     const auto now =
         begin + std::chrono::milliseconds(*rc::gen::inRange(2'000, 9'000));
