Streams are refused in a planned stop by their callers' estimate of their length

Cause: the maximum of tokens that a call names is that of its kind, and says nothing of its length; two deviations of what is left cover half of all streams.

--- a/src/gateway/internal/prompt_fields.cc
+++ b/src/gateway/internal/prompt_fields.cc
@@ -28,12 +28,16 @@
 }  // namespace
 
 std::optional<targets::prompt> ReadPromptFields(std::string_view tokens,
-                                                std::string_view parts) {
+                                                std::string_view parts,
+                                                std::string_view estimate) {
   targets::prompt prompt;
   if (!ParseNumber(PopListEntry(tokens), kDecimal, prompt.input_tokens) ||
       !ParseNumber(PopListEntry(tokens), kDecimal, prompt.max_output_tokens)) {
     return std::nullopt;
   }
+  if (!ParseNumber(estimate, kDecimal, prompt.estimated_output_tokens)) {
+    prompt.estimated_output_tokens = 0;
+  }
   while (!parts.empty()) {
     const std::string_view entry = PopListEntry(parts);
     const std::size_t colon = entry.find(':');
--- a/src/route_interface/internal/route_dialect.cc
+++ b/src/route_interface/internal/route_dialect.cc
@@ -24,6 +24,7 @@
 constexpr char kTimeLeft[] = "X-Time-Left-Ms";
 constexpr char kPromptTokens[] = "X-Prompt-Tokens";
 constexpr char kPromptParts[] = "X-Prompt-Parts";
+constexpr char kExpectedTokens[] = "X-Expected-Tokens";
 constexpr char kCustomer[] = "X-Customer";
 // Id of the intended target; a different target at this address responds with
 // 421.
@@ -87,8 +88,9 @@
     return MalformedField(kResumes);
   }
   if (request.count(kPromptTokens) > 0) {
-    facts.prompt = gateway::ReadPromptFields(request[kPromptTokens],
-                                             request[kPromptParts]);
+    facts.prompt =
+        gateway::ReadPromptFields(request[kPromptTokens], request[kPromptParts],
+                                  request[kExpectedTokens]);
     if (!facts.prompt) {
       return MalformedField(kPromptTokens);
     }
--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -82,7 +82,7 @@
   if (record.spec.prompt && record.output_began && !record.spec.taken_up &&
       record.tried_targets.size() == 1) {
     PoolOf(record.spec.pool)
-        .pace.OnCompleted(record.spec.prompt->max_output_tokens,
+        .pace.OnCompleted(record.spec.prompt->ExpectedOutputTokens(),
                           *record.output_began - record.dispatched,
                           now - *record.output_began);
   }
--- a/src/routing/internal/draining.cc
+++ b/src/routing/internal/draining.cc
@@ -12,10 +12,11 @@
 
 namespace {
 
-// Margin of the predicted time, in standard deviations. What is cut is lost if
-// the request may not run twice.
-constexpr double kMargin = 2;
-constexpr double kMarginIfLost = 3;
+// Margin of the predicted time, in standard deviations. A stream that is cut
+// has cost its target's work, and is lost if it may not run twice; one that is
+// refused needlessly costs its caller a try.
+constexpr double kMargin = 0.5;
+constexpr double kMarginIfLost = 1;
 
 }  // namespace
 
@@ -71,7 +72,7 @@
     return std::nullopt;
   }
   return pool->second.pace.LikelyLongest(
-      spec.prompt->max_output_tokens,
+      spec.prompt->ExpectedOutputTokens(),
       spec.repeatable ? kMargin : kMarginIfLost);
 }
 
--- a/src/routing/stream_pace.h
+++ b/src/routing/stream_pace.h
@@ -26,16 +26,16 @@
 
 /// The streams of one pool. Load pattern: output comes at a pace that all
 /// streams of a target share and that changes slowly; streams differ in length
-/// by the tokens that they ask for.
+/// by the tokens that are expected of them, an estimate.
 class stream_pace {
  public:
-  /// A stream that asked for `tokens` began `first_output` after its dispatch
+  /// A stream of which `tokens` were expected began `first_output` after its dispatch
   /// and ended `output` after that.
   void OnCompleted(std::uint32_t tokens,
                    duration first_output,
                    duration output);
-  /// From dispatch to end; about one stream in 20 takes longer with two
-  /// `deviations`. nullopt before any stream was completed.
+  /// From dispatch to end, with a margin of so many standard deviations.
+  /// nullopt before any stream was completed.
   [[nodiscard]] std::optional<duration> LikelyLongest(std::uint32_t tokens,
                                                       double deviations) const;
 
--- a/src/targets/types/prompt.h
+++ b/src/targets/types/prompt.h
@@ -16,9 +16,16 @@
 struct prompt {
   std::uint32_t input_tokens = 0;
   std::uint32_t max_output_tokens = 0;
+  /// The caller's estimate, often far off; 0 if it gave none.
+  std::uint32_t estimated_output_tokens = 0;
   /// In prompt order; the last part belongs to the request itself or to its
   /// session.
   std::vector<prompt_part> parts;
+
+  [[nodiscard]] std::uint32_t ExpectedOutputTokens() const {
+    return estimated_output_tokens > 0 ? estimated_output_tokens
+                                       : max_output_tokens;
+  }
 };
 
 /// Returns the ids of the parts that other prompts may share.
