--- a/src/routing/stream_pace.h
+++ b/src/routing/stream_pace.h
@@ -29,8 +29,8 @@
 /// by the tokens that are expected of them, an estimate.
 class stream_pace {
  public:
-  /// A stream of which `tokens` were expected began `first_output` after its dispatch
-  /// and ended `output` after that.
+  /// A stream of which `tokens` were expected began `first_output` after its
+  /// dispatch and ended `output` after that.
   void OnCompleted(std::uint32_t tokens,
                    duration first_output,
                    duration output);
