--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -38,8 +38,6 @@
       return "record";
     case routing::origin_source::kNoVersions:
       return "no_versions";
-    case routing::origin_source::kOnlyVersion:
-      return "only_version";
   }
   return "no_versions";
 }
--- a/src/routing/internal/taken_up_streams.cc
+++ b/src/routing/internal/taken_up_streams.cc
@@ -16,8 +16,6 @@
 constexpr std::chrono::milliseconds kOriginWait{300};
 // More are refused at once.
 constexpr std::size_t kMaxHeld = 1024;
-// A target that has fallen silent may serve on for this long.
-constexpr std::chrono::seconds kUnheardTime{3};
 // How long after the end of a try its caller may still take the stream up.
 constexpr std::chrono::seconds kTakeUpSlack{30};
 
@@ -80,9 +78,6 @@
     record.taken_up_from = origin_source::kNoVersions;
     origin = streams::stream_origin{.pool = pools[0], .version = {}};
   }
-  if (!origin) {
-    origin = OriginByOnlyVersion(record, now);
-  }
   if (!origin) {
     RefuseTakenUp(record, refusal_reason::kOriginUnknown, now, out);
     return;
@@ -100,26 +95,6 @@
   Admit(record, now, out);
 }
 
-std::optional<streams::stream_origin> request_router::OriginByOnlyVersion(
-    record& record,
-    time_point now) const {
-  const std::vector<pool_id>& pools = record.spec.route_pools;
-  // A stream that is named and not known may have begun where this router has
-  // not heard of.
-  if (record.spec.stream || pools.size() != 1) {
-    return std::nullopt;
-  }
-  const duration longest =
-      record.spec.time_limit.value_or(options_.lifecycle.total_timeout);
-  const auto version =
-      directory_.versions().OnlyVersion(pools[0], longest + kUnheardTime, now);
-  if (!version) {
-    return std::nullopt;
-  }
-  record.taken_up_from = origin_source::kOnlyVersion;
-  return streams::stream_origin{.pool = pools[0], .version = *version};
-}
-
 void request_router::RefuseTakenUp(record& record,
                                    refusal_reason reason,
                                    time_point now,
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -327,11 +327,6 @@
                 const std::optional<streams::stream_origin>& known,
                 time_point now,
                 effects& out);
-  /// Where a stream must have begun that its caller does not name; nullopt if
-  /// targets of two versions may have served it.
-  [[nodiscard]] std::optional<streams::stream_origin> OriginByOnlyVersion(
-      record& record,
-      time_point now) const;
   void RefuseTakenUp(record& record,
                      refusals::refusal_reason reason,
                      time_point now,
--- a/src/routing/tests/taken_up_stream_unittest.cc
+++ b/src/routing/tests/taken_up_stream_unittest.cc
@@ -236,60 +236,6 @@
                false);
 }
 
-struct only_version_fixture : router_fixture {
-  void AnnounceFor(const std::string& version, seconds time) {
-    for (int i = 0; i < time.count(); ++i) {
-      targets::announcement announcement = Target("a", 1, ++at_ms);
-      announcement.version = software_version(version);
-      Announce(announcement);
-      Advance(seconds(1));
-    }
-  }
-  request_seq TakeUp(std::optional<stream_key> stream) {
-    const request_seq id(++last_request);
-    effects out;
-    router.OnRequest({.id = id,
-                      .customer = customer_id("c1"),
-                      .pool = pool_id("lamp-llm"),
-                      .time_limit = seconds(12),
-                      .resumable = true,
-                      .stream = stream,
-                      .taken_up = true,
-                      .route_pools = {pool_id("lamp-llm")}},
-                     now, out);
-    Record(out);
-    return id;
-  }
-
-  std::uint64_t at_ms = 1;
-};
-
-// Streams whose callers could not say which they take up were never served.
-TEST_CASE_METHOD(only_version_fixture,
-                 "stream is taken up and its caller does not say which: goes "
-                 "on where one version alone has served for long enough") {
-  AnnounceFor("v1", seconds(10));
-  const request_seq early = TakeUp(std::nullopt);
-  CHECK_FALSE(running.contains(early));
-  AnnounceFor("v1", seconds(10));
-  CHECK(running.contains(TakeUp(std::nullopt)));
-  AnnounceFor("v2", seconds(1));
-  CHECK_FALSE(running.contains(TakeUp(std::nullopt)));
-  REQUIRE(refusals.size() == 2);
-  CHECK(refusals.back().reason == refusal_reason::kOriginUnknown);
-}
-
-TEST_CASE_METHOD(only_version_fixture,
-                 "stream is taken up that nobody knows: refused also where one "
-                 "version alone has served") {
-  AnnounceFor("v1", seconds(20));
-  const request_seq id = TakeUp(stream_key(1));
-  effects out;
-  router.OnStreamOrigin(stream_key(1), std::nullopt, now, out);
-  Record(out);
-  CHECK_FALSE(running.contains(id));
-}
-
 TEST_CASE_METHOD(router_fixture,
                  "stream is taken up where targets name no versions: goes on") {
   Announce(Target("a"));
--- a/src/routing/types/effect.h
+++ b/src/routing/types/effect.h
@@ -68,9 +68,6 @@
   kRecord,
   /// The targets of the pool name no versions.
   kNoVersions,
-  /// Its caller did not say which it is, and the pool has had no other version
-  /// for as long as a stream can have lasted.
-  kOnlyVersion,
 };
 
 enum class routing_reason { kFirstChoice, kRetry };
--- a/src/targets/internal/target_versions.cc
+++ b/src/targets/internal/target_versions.cc
@@ -37,9 +37,6 @@
 void target_directory::NoteVersion(const announcement& announcement,
                                    time_point heard,
                                    time_point now) {
-  for (const pool_id& pool : announcement.pools) {
-    versions_.OnAnnouncement(pool, announcement.version, heard);
-  }
   if (!IsNew(now)) {
     early_versions_.clear();
     return;
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -26,7 +26,6 @@
 #include "targets/types/placement.h"
 #include "targets/types/prompt.h"
 #include "targets/types/target_view.h"
-#include "targets/version_history.h"
 
 namespace burdocklock::targets {
 
@@ -241,7 +240,6 @@
   [[nodiscard]] bool HasVersion(const pool_id& pool,
                                 const software_version& version,
                                 time_point now) const;
-  [[nodiscard]] const version_history& versions() const { return versions_; }
   /// Returns whether targets of the pool are known and none names a version.
   [[nodiscard]] bool NamesNoVersions(const pool_id& pool) const;
   /// Returns whether the pool has a target that can take requests, now or once
@@ -460,7 +458,6 @@
   std::vector<daemon_id> routers_;
   /// Time of the first announcement.
   std::optional<time_point> first_heard_;
-  version_history versions_;
   /// Software versions announced while the directory was new.
   std::set<std::pair<pool_id, software_version>> early_versions_;
   std::uint64_t last_grant_ = 0;
