--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -156,10 +156,11 @@
   i_http_handler& handler;
   tcp_acceptor acceptor;
   std::unordered_set<http_connection*> connections;
-  /// Closed connections whose fibers have not ended yet; they take no place.
-  std::uint32_t closing = 0;
-  /// Closed connections that are watched for requests that crossed the close.
-  std::uint32_t watched = 0;
+  /// Evicted connections whose fibers have not ended yet.
+  std::uint32_t evicting = 0;
+  /// Closed connections, which take no place, that are watched for requests
+  /// that crossed the close.
+  std::unordered_set<http_connection*> watched;
   bool blocked = false;
   /// Since it was last taken.
   duration longest_wait{};
@@ -205,6 +206,9 @@
   for (http_connection* connection : state_->connections) {
     state_->idle.Close(*connection, close_cause::kStopped);
   }
+  for (http_connection* connection : state_->watched) {
+    connection->stream.socket().cancel(ignored);
+  }
 }
 
 duration http_server::TakeLongestWait() {
@@ -309,7 +313,7 @@
 }
 
 bool http_server::state::HasRoom() {
-  return counters().open < options.max_connections + closing;
+  return counters().open < options.max_connections + evicting;
 }
 
 bool http_server::state::EvictIdle() {
@@ -317,7 +321,7 @@
   if (longest == nullptr || !idle.Close(*longest, close_cause::kEvicted)) {
     return false;
   }
-  ++closing;
+  ++evicting;
   ++counters().evicted;
   return true;
 }
@@ -347,28 +351,26 @@
   ServeRequests(connection);
   idle.Remove(connection);
   connections.erase(&connection);
-  if (connection.closed) {
-    // Those that were evicted are counted already.
-    closing += connection.closed == close_cause::kEvicted ? 0 : 1;
-    WatchClosed(connection);
-    --closing;
-  }
+  evicting -= connection.closed == close_cause::kEvicted ? 1 : 0;
+  --counters().open;
+  WatchClosed(connection);
   connection.stream.socket().shutdown(asio::socket_base::shutdown_both,
                                       ignored);
-  --counters().open;
 }
 
 void http_server::state::WatchClosed(http_connection& connection) {
-  if (stopping || watched >= kMaxWatched) {
+  if (stopping || !connection.closed ||
+      connection.closed == close_cause::kEvicted ||
+      watched.size() >= kMaxWatched) {
     return;
   }
   const time_point closed_at = steady_clock::now();
-  ++watched;
   const duration crossing_time = options.crossing_time;
+  watched.insert(&connection);
   request_source(connection.stream.socket(), [closed_at, crossing_time] {
     return closed_at + crossing_time;
   }).Wait();
-  --watched;
+  watched.erase(&connection);
   beast::error_code ec;
   const std::size_t bytes = connection.stream.socket().available(ec);
   if (ec || bytes == 0) {
--- a/src/framework/net/internal/idle_connections.cc
+++ b/src/framework/net/internal/idle_connections.cc
@@ -52,6 +52,11 @@
   }
   Remove(connection);
   connection.closed = cause;
+  if (cause == close_cause::kEvicted) {
+    // A new connection may need the descriptor.
+    connection.stream.close();
+    return true;
+  }
   beast::error_code ignored;
   connection.stream.socket().shutdown(asio::socket_base::shutdown_send,
                                       ignored);
--- a/src/framework/net/internal/idle_connections.h
+++ b/src/framework/net/internal/idle_connections.h
@@ -30,8 +30,9 @@
 
   void Add(http_connection& connection);
   void Remove(http_connection& connection);
-  /// Ends the sending side of the connection unless it is busy or bytes of a
-  /// request have arrived. Returns whether it did; its fiber then goes on.
+  /// Ends the connection unless it is busy or bytes of a request have arrived:
+  /// only its sending side, unless it is evicted, so that what still arrives is
+  /// seen. Returns whether it did; its fiber then goes on.
   bool Close(http_connection& connection, close_cause cause);
   /// The connection to close for a new one; nullptr if there is none.
   [[nodiscard]] http_connection* Longest() const;
