A stopped router also refuses what targets turned away, or what it learns to be too long

A stream that a target had turned away was begun again however late, as it had been tried; it has run nowhere. A waiting stream whose pool's pace became known later was neither begun nor refused. A stream that is taken up was judged by its full length. An estimate beyond the maximum could spoil a pool's pace and overflow. Each but the third has a test in draining_unittest.cc, written with the change and not run before it.

--- a/src/routing/internal/draining.cc
+++ b/src/routing/internal/draining.cc
@@ -40,15 +40,12 @@
 }
 
 bool request_router::MayBegin(const record& record, time_point now) const {
-  // What has run elsewhere before is worth going on with to the end.
-  if (!drain_ || !record.tried_targets.empty()) {
-    return true;
-  }
   return now < LatestBegin(record);
 }
 
 time_point request_router::LatestBegin(const record& record) const {
-  if (!drain_) {
+  // What has run before is worth going on with to the end.
+  if (!drain_ || record.lifecycle.may_have_run() || record.spec.taken_up) {
     return kNever;
   }
   const auto likely = LikelyLongest(record);
--- a/src/routing/internal/request_dispatch.cc
+++ b/src/routing/internal/request_dispatch.cc
@@ -186,7 +186,12 @@
                                  time_point now,
                                  effects& out) {
   record& record = *Find(request);
-  if (BlockedFor(record, now) || !MayBegin(record, now)) {
+  if (BlockedFor(record, now)) {
+    return false;
+  }
+  if (!MayBegin(record, now)) {
+    // It is refused with the next tick: the pace has changed since it came.
+    ScheduleDeadline(request, record);
     return false;
   }
   const bool over_share = IsOverShare(record, now);
--- a/src/routing/internal/request_router.cc
+++ b/src/routing/internal/request_router.cc
@@ -373,7 +373,7 @@
 void request_router::ScheduleDeadline(request_seq request, record& record) {
   time_point deadline =
       std::min(record.lifecycle.deadline(), record.origin_due.value_or(kNever));
-  if (record.lifecycle.waiting() && record.tried_targets.empty()) {
+  if (record.lifecycle.waiting()) {
     deadline = std::min(deadline, LatestBegin(record));
   }
   // If the deadline was postponed, the earlier entry fires first and the new
--- a/src/routing/internal/stream_pace.cc
+++ b/src/routing/internal/stream_pace.cc
@@ -11,6 +11,8 @@
 
 // What remains of the weight of earlier values with each new one.
 constexpr double kKept = 0.97;
+// No shutdown takes longer.
+constexpr std::chrono::duration<double> kMaxPrediction = std::chrono::hours(1);
 
 }  // namespace
 
@@ -41,9 +43,10 @@
   if (pace_.empty()) {
     return std::nullopt;
   }
-  const std::chrono::duration<double> longest(first_output_.Above(deviations) +
-                                              tokens * pace_.Above(deviations));
-  return std::chrono::ceil<duration>(longest);
+  const double longest =
+      first_output_.Above(deviations) + tokens * pace_.Above(deviations);
+  return std::chrono::ceil<duration>(
+      std::chrono::duration<double>(std::min(longest, kMaxPrediction.count())));
 }
 
 }  // namespace burdocklock::routing
--- a/src/routing/request_lifecycle.h
+++ b/src/routing/request_lifecycle.h
@@ -94,6 +94,8 @@
   [[nodiscard]] bool SeeksOtherTarget(time_point now) const;
   [[nodiscard]] bool waiting() const { return phase_ == phase::kQueued; }
   [[nodiscard]] bool ended() const { return ended_; }
+  /// An ended attempt may have run.
+  [[nodiscard]] bool may_have_run() const { return may_have_run_; }
   /// An attempt was dispatched and has not yet completed or failed.
   [[nodiscard]] bool attempt_running() const {
     return phase_ == phase::kConnecting || phase_ == phase::kAwaitingOutput ||
@@ -152,9 +154,9 @@
   time_point next_look_{};
   phase phase_ = phase::kQueued;
   attempt_number attempt_{0};
-  /// At least one ended attempt may have run.
   /// Attempts that ended before anything was sent.
   std::uint32_t unreached_ = 0;
+  /// At least one ended attempt may have run.
   bool may_have_run_ = false;
   /// Number of ended attempts that may have run.
   std::uint32_t possible_runs_ = 0;
--- a/src/routing/tests/draining_unittest.cc
+++ b/src/routing/tests/draining_unittest.cc
@@ -191,6 +191,56 @@
   CHECK(fixture.now < sigterm + milliseconds(3000));
 }
 
+// A stream that its target had turned away was begun again and cut.
+TEST_CASE(
+    "router is stopped and a target turns a stream away: it is refused "
+    "if it cannot end any more") {
+  draining_fixture fixture;
+  fixture.Stream(100, false);
+  fixture.RunFor(seconds(2));
+  fixture.BeginDrain();
+  const request_seq id = fixture.Stream(800, false);
+  REQUIRE(fixture.running.contains(id));
+  fixture.Advance(seconds(4));
+  fixture.Report(id, attempt_sending{});
+  fixture.Fail(id, failure_kind::kNotAdmitted);
+  fixture.Advance(milliseconds(50));
+  CHECK_FALSE(fixture.running.contains(id));
+  REQUIRE(fixture.RefusalOf(id));
+  CHECK(fixture.RefusalOf(id)->reason == refusal_reason::kDraining);
+  CHECK(fixture.RefusalOf(id)->run == run_state::kNotRun);
+}
+
+// A waiting stream was neither begun nor refused once the pace was known.
+TEST_CASE(
+    "router is stopped while streams of unknown pace wait: once it is "
+    "known, one that cannot end is refused, the next one begins") {
+  draining_fixture fixture(1);
+  const request_seq first = fixture.Stream(800, false);
+  const request_seq longest = fixture.Stream(1500, false);
+  const request_seq shorter = fixture.Stream(100, false);
+  fixture.BeginDrain();
+  REQUIRE(fixture.running.contains(first));
+  while (!fixture.completed.contains(first)) {
+    fixture.RunFor(milliseconds(10));
+  }
+  fixture.RunFor(milliseconds(100));
+  REQUIRE(fixture.RefusalOf(longest));
+  CHECK(fixture.RefusalOf(longest)->reason == refusal_reason::kDraining);
+  CHECK(fixture.running.contains(shorter));
+}
+
+TEST_CASE(
+    "estimate of a stream's length: beyond its maximum: the maximum "
+    "holds") {
+  const targets::prompt prompt{.max_output_tokens = 100,
+                               .estimated_output_tokens = 4'000'000'000};
+  CHECK(prompt.ExpectedOutputTokens() == 100);
+  stream_pace pace;
+  pace.OnCompleted(1, seconds(1), seconds(100));
+  CHECK(*pace.LikelyLongest(4'000'000'000, 1) <= std::chrono::hours(1));
+}
+
 TEST_CASE("router is stopped before it has served a stream: it takes one") {
   draining_fixture fixture;
   fixture.BeginDrain();
--- a/src/targets/types/prompt.h
+++ b/src/targets/types/prompt.h
@@ -1,6 +1,7 @@
 // The properties of a prompt that target selection depends on.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -23,8 +24,9 @@
   std::vector<prompt_part> parts;
 
   [[nodiscard]] std::uint32_t ExpectedOutputTokens() const {
-    return estimated_output_tokens > 0 ? estimated_output_tokens
-                                       : max_output_tokens;
+    return estimated_output_tokens > 0
+               ? std::min(estimated_output_tokens, max_output_tokens)
+               : max_output_tokens;
   }
 };
 
