--- a/src/app/internal/control_log.cc
+++ b/src/app/internal/control_log.cc
@@ -73,12 +73,6 @@
   }
   const bool is_new = !opened.value().has_value();
   log.state = is_new ? NewState(settings, random) : *opened.value();
-  logger.Log(log_record("log_opened")
-                 .Add("member", log.state.self.value())
-                 .Add("new", is_new)
-                 .Add("term", log.state.term.value())
-                 .Add("base", log.state.base.last_index.value())
-                 .Add("entries", log.state.entries.size()));
   if (is_new) {
     // The identity must be durable before this host sends any message.
     const auto written = log.file->Write({quorum::rewrite_record{log.state}});
@@ -86,6 +80,12 @@
       return written.error();
     }
   }
+  logger.Log(log_record("log_opened")
+                 .Add("member", log.state.self.value())
+                 .Add("new", is_new)
+                 .Add("term", log.state.term.value())
+                 .Add("base", log.state.base.last_index.value())
+                 .Add("entries", log.state.entries.size()));
   return log;
 }
 
