--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -12,6 +12,8 @@
 constexpr int kEvents = 100;
 constexpr int kEventMs = 40;
 constexpr int kSilenceMs = 1700;
+// Clients leave a stream after such a gap.
+constexpr int kPatienceMs = 2000;
 constexpr int kRounds = 7;
 // One of the eight replicas fails (share 0.125) 9 of 20 requests,
 // evenly spread.
@@ -96,12 +98,15 @@
   std::atomic<int> whole{0};
   std::atomic<int> failed{0};
   std::atomic<int> cut{0};
+  std::atomic<int> left{0};
   std::atomic<int> spoilt{0};
   std::atomic<int> next{0};
 };
 
 /// Reads one answer as bytes: its head, and its chunks or its body.
-std::string ReadBytes(const address& edge, const std::string& request) {
+std::string ReadBytes(const address& edge,
+                      const std::string& request,
+                      std::atomic<int>& left) {
   connection link;
   std::string bytes;
   if (!link.Connect(edge, 1000) || !link.Write(request)) {
@@ -111,8 +116,9 @@
   char piece[16384];
   while (clock_type::now() < until) {
     pollfd waiting{link.fd(), POLLIN, 0};
-    if (poll(&waiting, 1, 200) != 1) {
-      continue;
+    if (poll(&waiting, 1, kPatienceMs) != 1) {
+      ++left;
+      break;
     }
     const ssize_t count = recv(link.fd(), piece, sizeof piece, 0);
     if (count <= 0) {
@@ -145,7 +151,8 @@
             "X-Token-Usage: 628,600\r\nX-Prompt-Prefix: 5c1e07a2:119," +
             std::to_string(number % 977) +
             ":79\r\n"
-            "X-Deadline-Ms: 12000\r\nContent-Length: 0\r\n\r\n");
+            "X-Deadline-Ms: 12000\r\nContent-Length: 0\r\n\r\n",
+        counts.left);
     const std::size_t second = bytes.find("HTTP/1.1", 8);
     if (!bytes.starts_with("HTTP/1.1 200")) {
       ++counts.failed;
@@ -250,10 +257,10 @@
     each->Stop();
   }
   record.Line(
-      "%d streams whole, %d failed, %d ended early, %d with other "
-      "bytes in the middle",
+      "%d streams whole, %d failed, %d ended early (%d left after a "
+      "gap), %d with other bytes in the middle",
       counts.whole.load(), counts.failed.load(), counts.cut.load(),
-      counts.spoilt.load());
+      counts.left.load(), counts.spoilt.load());
   if (!ready || counts.whole < kClients) {
     return kCouldNotRun;
   }
