Control hosts: a host that stops leaves the members, silent voters go sooner

Cause: the vote of a host that has gone counted until 4 s after its last response, or after the election of a new leader, while its successor was promoted at once. With four voters of which three ran the next loss took the majority; the next host may be lost 4 s after the successor's start.

Change: a host that gets SIGTERM asks to be removed and ends once that is committed; a silent voter is removed after 1.5 s if 2t + 1 remain, and a new leader counts silence from its last contact with the one before. Members still change one at a time; voters never fall below 2t + 1.

--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -36,6 +36,9 @@
 
 namespace {
 
+// How long a host that is stopped waits for its removal from the members.
+constexpr std::chrono::seconds kLeaveTimeout{2};
+
 std::uint32_t RandomSeed() {
   return std::random_device{}();
 }
@@ -70,6 +73,7 @@
   result<void> StartLinks();
   void WatchSignals(boost::asio::signal_set& signals);
   void ArmTimer();
+  bool HasLeft();
   [[nodiscard]] control::control_options Options() const;
 
   // control::i_control_port
@@ -126,6 +130,9 @@
   std::unique_ptr<net::http_server> command_server;
   fiber_event stop_requested;
   bool stopping = false;
+  /// No longer a member, or not waiting to become none.
+  bool stopped = false;
+  time_point leave_deadline = kNever;
   std::function<void()> on_started;
   result<void> outcome = BOOST_OUTCOME_V2_NAMESPACE::success();
 };
@@ -268,13 +275,39 @@
     return;
   }
   logger.Log(log_record("drain").Add("cause", cause));
-  stop_requested.Set();
+  leave_deadline = steady_clock::now() + kLeaveTimeout;
+  if (node != nullptr) {
+    node->Leave(steady_clock::now());
+    ArmTimer();
+  } else {
+    stop_requested.Set();
+  }
+}
+
+bool control_host::state::HasLeft() {
+  if (!node->raft().AwaitsLeave()) {
+    return true;
+  }
+  if (steady_clock::now() < leave_deadline) {
+    return false;
+  }
+  logger.Log(log_record("leave_timed_out", log_level::kWarning)
+                 .Add("leader", node->raft().leader().value()));
+  return true;
 }
 
 void control_host::state::ArmTimer() {
+  if (stopped) {
+    return;
+  }
+  if (stopping && HasLeft()) {
+    stopped = true;
+    stop_requested.Set();
+    return;
+  }
   const time_point next = node->NextDeadline();
   // A timer that fires early finds nothing due and is armed again.
-  if (stopping || next >= timer_at) {
+  if (next >= timer_at) {
     return;
   }
   timer_at = next;
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -89,6 +89,9 @@
   void OnLinkDown(link_id link, time_point now);
   void OnMessage(link_id link, const message& message, time_point now);
   void OnDurable(quorum::batch_number batch, time_point now);
+  /// Asks to be removed from the members before this host stops; see
+  /// `quorum::raft_node::AwaitsLeave`.
+  void Leave(time_point now);
   void SetSeeds(std::vector<endpoint> seeds, time_point now);
   /// Must be called before each `i_control_commands` call, as those take no
   /// time.
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -126,6 +126,12 @@
   UpdateLinks();
 }
 
+void control_node::Leave(time_point now) {
+  now_ = now;
+  raft_.Leave(now);
+  ProcessRaftOutput();
+}
+
 introduction control_node::MakeIntroduction() const {
   return {.daemon = options_.daemon,
           .member = raft_.Description(),
--- a/src/quorum/internal/election.cc
+++ b/src/quorum/internal/election.cc
@@ -36,12 +36,13 @@
 
 void raft_node::StartPreVote(time_point now) {
   ResetElectionTimer(now);
-  if (!IsVoter(self_)) {
+  if (!IsVoter(self_) || leaving_) {
     return;
   }
   role_ = raft_role::kCandidate;
   in_pre_vote_ = true;
   votes_ = {self_};
+  responders_.clear();
   for (const member& member : log_.members()) {
     if (member.voter && member.id != self_) {
       Send(member.id, MakeVoteRequest(true));
@@ -121,6 +122,7 @@
     BecomeFollower(m.term, now);
     return;
   }
+  responders_.insert(from);
   if (role_ != raft_role::kCandidate || !m.granted ||
       m.pre_vote != in_pre_vote_) {
     return;
@@ -157,6 +159,13 @@
   leader_ = self_;
   peers_.clear();
   UpdatePeers(now);
+  elected_ = now;
+  // A member that is lost was not heard by this one during the election either.
+  for (auto& [id, peer] : peers_) {
+    if (!responders_.contains(id)) {
+      peer.last_ack = std::min(now, last_leader_contact_);
+    }
+  }
   term_start_index_ = log_.last_index() + 1;
   AppendAsLeader({.kind = entry_kind::kNoOp}, now);
 }
--- a/src/quorum/internal/membership_changes.cc
+++ b/src/quorum/internal/membership_changes.cc
@@ -12,6 +12,9 @@
 
 // A learner is promoted when it lags the log by at most this many entries.
 constexpr std::uint64_t kMaxCaughtUpLag = 16;
+// A member that has not repeated its request to leave for this time is taken to
+// have stopped or started again.
+constexpr std::chrono::milliseconds kLeaveRequestTimeout{500};
 
 }  // namespace
 
@@ -69,14 +72,35 @@
          now - peer->second.last_ack < options_.min_election_timeout;
 }
 
-std::optional<member_id> raft_node::FindRemovableMember(time_point now) const {
+bool raft_node::IsLeaving(const member_id& id, time_point now) const {
+  if (id == self_) {
+    return leaving_;
+  }
+  const auto peer = peers_.find(id);
+  return peer != peers_.end() && peer->second.leave_requested &&
+         now - *peer->second.leave_requested < kLeaveRequestTimeout;
+}
+
+bool raft_node::HasSpareVoter() const {
+  return VoterCount() > 2 * std::size_t{options_.tolerated_losses} + 1;
+}
+
+bool raft_node::KeepsQuorumWithout(const member_id& id, time_point now) const {
+  std::size_t voters = 0;
+  std::size_t responsive = 0;
+  for (const member& member : log_.members()) {
+    if (member.voter && member.id != id) {
+      ++voters;
+      responsive += IsResponsive(member.id, now) ? 1 : 0;
+    }
+  }
+  return responsive > voters / 2;
+}
+
+std::optional<member_id> raft_node::FindReplacedMember(time_point now) const {
   const membership& members = log_.members();
-  const std::size_t required_voters =
-      2 * std::size_t{options_.tolerated_losses} + 1;
   for (const member& inspected : members) {
-    const auto peer = peers_.find(inspected.id);
-    if (inspected.id == self_ || peer == peers_.end() ||
-        IsResponsive(inspected.id, now)) {
+    if (inspected.id == self_ || IsResponsive(inspected.id, now)) {
       continue;
     }
     // A host that has lost its disk returns with a new id and the same address.
@@ -87,16 +111,55 @@
                  IsResponsive(other.id, now) &&
                  (other.voter || !inspected.voter);
         });
-    const bool timed_out =
-        now - peer->second.last_ack >= options_.voter_timeout;
-    const bool redundant = !inspected.voter || VoterCount() > required_voters;
-    if (replaced || (timed_out && redundant)) {
+    if (replaced) {
       return inspected.id;
     }
   }
   return std::nullopt;
 }
 
+std::optional<member_id> raft_node::FindLeavingMember(time_point now) const {
+  for (const member& inspected : log_.members()) {
+    const bool redundant = !inspected.voter || HasSpareVoter();
+    if (IsLeaving(inspected.id, now) && redundant &&
+        KeepsQuorumWithout(inspected.id, now)) {
+      return inspected.id;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<member_id> raft_node::FindSilentMember(time_point now) const {
+  // A new leader gives members two heartbeats to respond.
+  if (now - elected_ < 2 * options_.heartbeat_interval) {
+    return std::nullopt;
+  }
+  // The one that has been silent longest is least likely to return.
+  std::optional<member_id> silent;
+  time_point last_ack = now - options_.voter_timeout;
+  for (const member& inspected : log_.members()) {
+    const auto peer = peers_.find(inspected.id);
+    const bool redundant = !inspected.voter || HasSpareVoter();
+    if (peer != peers_.end() && redundant &&
+        peer->second.last_ack <= last_ack) {
+      silent = inspected.id;
+      last_ack = peer->second.last_ack;
+    }
+  }
+  return silent;
+}
+
+std::optional<member_id> raft_node::FindRemovableMember(time_point now) const {
+  // A member that leaves goes before one that is silent and may return.
+  if (auto replaced = FindReplacedMember(now)) {
+    return replaced;
+  }
+  if (auto leaving = FindLeavingMember(now)) {
+    return leaving;
+  }
+  return FindSilentMember(now);
+}
+
 void raft_node::UpdateMembership(time_point now) {
   if (!MayChangeMembers()) {
     return;
@@ -104,7 +167,7 @@
   membership members = log_.members();
   for (member& learner : members) {
     const auto peer = peers_.find(learner.id);
-    if (learner.voter || peer == peers_.end() ||
+    if (learner.voter || peer == peers_.end() || IsLeaving(learner.id, now) ||
         !IsResponsive(learner.id, now)) {
       continue;
     }
@@ -124,4 +187,63 @@
   }
 }
 
+void raft_node::Leave(time_point now) {
+  leaving_ = true;
+  SendLeaveRequest(now);
+}
+
+bool raft_node::AwaitsLeave() const {
+  if (!leaving_ || left_ || !IsVoter(self_)) {
+    return false;
+  }
+  const membership& members = log_.members();
+  return HasSpareVoter() ||
+         std::any_of(members.begin(), members.end(),
+                     [](const member& member) { return !member.voter; });
+}
+
+void raft_node::SendLeaveRequest(time_point now) {
+  if (left_) {
+    next_leave_request_ = kNever;
+    return;
+  }
+  next_leave_request_ = now + options_.heartbeat_interval;
+  if (role_ == raft_role::kLeader) {
+    UpdateMembership(now);
+  } else if (!leader_.value().empty()) {
+    Send(leader_, leave_request{});
+  }
+}
+
+void raft_node::Handle(const member_id& from,
+                       const leave_request&,
+                       time_point now) {
+  if (role_ != raft_role::kLeader) {
+    return;
+  }
+  const auto peer = peers_.find(from);
+  if (peer != peers_.end()) {
+    peer->second.leave_requested = now;
+    UpdateMembership(now);
+  } else if (MayChangeMembers()) {
+    // Removed, and the removal is committed.
+    Send(from, leave_response{});
+  }
+}
+
+void raft_node::Handle(const member_id&, const leave_response&, time_point) {
+  left_ = leaving_;
+}
+
+void raft_node::StepDownIfRemoved(time_point now) {
+  if (role_ != raft_role::kLeader || FindMember(self_) != nullptr ||
+      commit_index_ < log_.members_index()) {
+    return;
+  }
+  left_ = true;
+  // Lets the others know of the commit before they elect a leader.
+  Broadcast(now);
+  BecomeFollower(term_, now);
+}
+
 }  // namespace burdocklock::quorum
--- a/src/quorum/internal/quorum_codec.cc
+++ b/src/quorum/internal/quorum_codec.cc
@@ -107,6 +107,16 @@
   ReadElement(j, 1, m.new_member);
 }
 
+json ToJson(const leave_request&) {
+  return json::array();
+}
+void FromJson(const json&, leave_request&) {}
+
+json ToJson(const leave_response&) {
+  return json::array();
+}
+void FromJson(const json&, leave_response&) {}
+
 json ToJson(const vote_record& r) {
   return json::array({r.term, r.vote});
 }
--- a/src/quorum/internal/raft_node.cc
+++ b/src/quorum/internal/raft_node.cc
@@ -27,6 +27,9 @@
 }
 
 void raft_node::OnTick(time_point now) {
+  if (now >= next_leave_request_) {
+    SendLeaveRequest(now);
+  }
   if (role_ == raft_role::kLeader) {
     if (!HasQuorum(now)) {
       BecomeFollower(term_, now);
@@ -45,7 +48,9 @@
 }
 
 time_point raft_node::NextDeadline() const {
-  return role_ == raft_role::kLeader ? next_heartbeat_ : election_deadline_;
+  return std::min(
+      role_ == raft_role::kLeader ? next_heartbeat_ : election_deadline_,
+      next_leave_request_);
 }
 
 void raft_node::OnMessage(const member_id& from,
@@ -74,6 +79,7 @@
   }
   if (role_ == raft_role::kLeader) {
     AdvanceCommit();
+    StepDownIfRemoved(now);
   }
 }
 
@@ -130,7 +136,7 @@
 }
 
 bool raft_node::WantsToJoin(time_point now) const {
-  return role_ != raft_role::kLeader &&
+  return role_ != raft_role::kLeader && !leaving_ &&
          (FindMember(self_) == nullptr || !HasRecentLeaderContact(now));
 }
 
--- a/src/quorum/internal/replication.cc
+++ b/src/quorum/internal/replication.cc
@@ -151,6 +151,7 @@
     }
   }
   CompleteReads();
+  StepDownIfRemoved(now);
 }
 
 void raft_node::AppendAsLeader(log_entry entry, time_point now) {
--- a/src/quorum/raft_node.h
+++ b/src/quorum/raft_node.h
@@ -31,8 +31,9 @@
   duration min_election_timeout = std::chrono::milliseconds(800);
   duration max_election_timeout = std::chrono::milliseconds(1600);
   /// A voter that has not responded for this time is removed if enough voters
-  /// remain.
-  duration voter_timeout = std::chrono::seconds(4);
+  /// remain. Bounds how soon after a lost host another one may be lost
+  /// (docs/design/007).
+  duration voter_timeout = std::chrono::milliseconds(1500);
   /// Number of hosts that may lose their disks at the same time.
   std::uint32_t tolerated_losses = 1;
   std::size_t max_entries_per_message = 64;
@@ -142,6 +143,13 @@
   [[nodiscard]] bool IsCurrent(time_point now) const;
   [[nodiscard]] member Description() const;
 
+  /// Asks to be removed from the members, as this host is about to stop.
+  void Leave(time_point now);
+  /// True while this member's removal is possible and not yet committed, or a
+  /// learner that may make it possible catches up. Until then the voters that
+  /// remain may lack the majority that they need for a further loss.
+  [[nodiscard]] bool AwaitsLeave() const;
+
  private:
   struct peer_progress {
     log_index next;
@@ -149,6 +157,8 @@
     std::uint64_t acked_round = 0;
     time_point last_ack;
     time_point snapshot_sent{};
+    /// When the member last asked to be removed.
+    std::optional<time_point> leave_requested = std::nullopt;
   };
   struct pending_batch {
     batch_number number;
@@ -197,12 +207,27 @@
 
   // Membership (membership_changes.cc).
   void Handle(const member_id& from, const join_request& m, time_point now);
+  void Handle(const member_id& from, const leave_request& m, time_point now);
+  void Handle(const member_id& from, const leave_response& m, time_point now);
   void UpdateMembership(time_point now);
+  void SendLeaveRequest(time_point now);
+  void StepDownIfRemoved(time_point now);
   void ChangeMembers(membership members, time_point now);
   [[nodiscard]] bool MayChangeMembers() const;
   [[nodiscard]] bool IsResponsive(const member_id& id, time_point now) const;
+  [[nodiscard]] bool IsLeaving(const member_id& id, time_point now) const;
   [[nodiscard]] std::optional<member_id> FindRemovableMember(
       time_point now) const;
+  [[nodiscard]] std::optional<member_id> FindReplacedMember(
+      time_point now) const;
+  [[nodiscard]] std::optional<member_id> FindLeavingMember(
+      time_point now) const;
+  [[nodiscard]] std::optional<member_id> FindSilentMember(time_point now) const;
+  /// True if enough voters remain without one of them.
+  [[nodiscard]] bool HasSpareVoter() const;
+  /// True if the voters other than `id` that respond are a majority of them.
+  [[nodiscard]] bool KeepsQuorumWithout(const member_id& id,
+                                        time_point now) const;
   void UpdatePeers(time_point now);
 
   void Record(storage_record record);
@@ -232,12 +257,22 @@
   time_point election_deadline_;
   bool in_pre_vote_ = false;
   std::set<member_id> votes_;
+  /// Voters that have responded in this election, whether they voted for this
+  /// member or not.
+  std::set<member_id> responders_;
+
+  /// This host is about to stop and neither campaigns nor joins again.
+  bool leaving_ = false;
+  /// The leader has confirmed that this host is no longer a member.
+  bool left_ = false;
+  time_point next_leave_request_ = kNever;
 
   // Leader state.
   std::map<member_id, peer_progress> peers_;
   std::uint64_t round_ = 0;
   time_point next_heartbeat_ = kNever;
   log_index term_start_index_;
+  time_point elected_;
   std::vector<pending_read> reads_;
 
   raft_output output_;
--- a/src/quorum/tests/fake_cluster.h
+++ b/src/quorum/tests/fake_cluster.h
@@ -18,8 +18,11 @@
 class fake_cluster {
  public:
   /// The first `voters` of `hosts` start with a common member list.
-  fake_cluster(std::uint32_t seed, std::size_t voters, std::size_t hosts)
-      : random_(seed) {
+  fake_cluster(std::uint32_t seed,
+               std::size_t voters,
+               std::size_t hosts,
+               raft_options options = {})
+      : random_(seed), options_(std::move(options)) {
     membership first;
     for (std::size_t i = 0; i < voters; ++i) {
       first.push_back(
@@ -76,7 +79,7 @@
   }
   void Start(std::size_t host) {
     fake_host& h = hosts_[host];
-    raft_options options;
+    raft_options options = options_;
     options.peer_endpoint = LinkOf(host);
     h.node = std::make_unique<raft_node>(options, h.disk, random_, now);
     h.next_join_request = now;
@@ -91,6 +94,25 @@
     h.disk_lost = now;
   }
 
+  /// Starts a host with an empty disk at an address of its own.
+  std::size_t AddHost() {
+    const std::size_t host = hosts_.size();
+    hosts_.emplace_back();
+    hosts_[host].disk.self = IdOf(host, 0);
+    Start(host);
+    return host;
+  }
+  /// Stops the process for good once it has left, as after SIGTERM.
+  void Stop(std::size_t host, duration timeout = std::chrono::seconds(2)) {
+    hosts_[host].node->Leave(now);
+    ProcessOutput(host);
+    const time_point end = now + timeout;
+    while (hosts_[host].node->AwaitsLeave() && now < end) {
+      RunFor(kStep);
+    }
+    Crash(host);
+  }
+
   std::optional<std::size_t> Leader() const {
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       if (hosts_[i].node && hosts_[i].node->role() == raft_role::kLeader &&
@@ -318,6 +340,7 @@
   }
 
   seeded_random random_;
+  raft_options options_;
   std::vector<fake_host> hosts_;
   std::vector<packet> network_;
   std::set<std::pair<std::size_t, std::size_t>> blocked_links_;
--- a/src/quorum/types/quorum_message.h
+++ b/src/quorum/types/quorum_message.h
@@ -57,11 +57,20 @@
   member new_member;
 };
 
+/// Asks the leader to remove the sender, which is about to stop; repeated until
+/// answered.
+struct leave_request {};
+
+/// The receiver is no longer a member.
+struct leave_response {};
+
 using quorum_message = std::variant<vote_request,
                                     vote_response,
                                     append_request,
                                     append_response,
                                     snapshot_request,
-                                    join_request>;
+                                    join_request,
+                                    leave_request,
+                                    leave_response>;
 
 }  // namespace burdocklock::quorum
