Callers of what runs once get no promise that a target did not give

Cause: the fleet's own statuses follow from whether the request may have run, a target's status was forwarded whatever it promised.

Change: routing/told_status.h decides for both gateway and state machine: 408, 421, 429 and 503 of a target are forwarded only if the request may be repeated or certainly did not run. Otherwise the caller gets 502. The same fault was in plain services beside chat.

--- a/src/app/tests/daemon_unittest.cc
+++ b/src/app/tests/daemon_unittest.cc
@@ -208,6 +208,18 @@
   CHECK(Contains(answer, "\r\n0\r\n\r\n"));
 }
 
+TEST_CASE_METHOD(daemon_fixture,
+                 "daemon: plain service answers 503 and does not say that it "
+                 "did not run: perhaps run unless it may be repeated") {
+  AddTarget("t", true, [](const auto&) {
+    return fake_answer{
+        "HTTP/1.1 503 Busy\r\nX-Request-Id: NAME\r\n"
+        "Content-Length: 0\r\n\r\n"};
+  });
+  CHECK(Contains(Exchange("POST /services/spares-desk/orders"), " 502 "));
+  CHECK(Contains(Exchange("GET /services/spares-desk/orders"), " 503 "));
+}
+
 TEST_CASE_METHOD(daemon_fixture,
                  "daemon: response with another request id: not delivered") {
   AddTarget("t", false, [](const auto&) {
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <variant>
 
+#include "routing/told_status.h"
+
 namespace burdocklock::gateway {
 
 using routing::attempt_completed;
@@ -134,7 +136,8 @@
       }
       continue;
     }
-    if (verdict == head_verdict::kFailure) {
+    if (verdict == head_verdict::kFailure ||
+        (verdict == head_verdict::kAnswer && !MayForward(head.value()))) {
       return SaveErrorResponse(head.value());
     }
     if (auto failure = CheckHead(verdict, head.value())) {
@@ -203,6 +206,12 @@
   return std::nullopt;
 }
 
+bool attempt_runner::MayForward(const net::http_response_head& head) const {
+  // The target has the request and does not say that it did not run it.
+  return routing::MayTell(
+      head.status, {.repeatable = call_.spec.repeatable, .may_have_run = true});
+}
+
 std::optional<attempt_failed> attempt_runner::ReadBody(std::string& body) {
   std::array<char, kReadBytes> piece;
   while (!connection_->AtEnd()) {
@@ -248,7 +257,9 @@
   ReleaseConnection();
   attempt_failed failure = Fail(failure_kind::kTargetError, "read head",
                                 "status " + std::to_string(head.status));
-  failure.has_answer = !cancelled_ && !writer_.started();
+  if (!cancelled_ && !writer_.started()) {
+    failure.answer_status = head.status;
+  }
   saved_response_ = {.head = head, .body = std::move(body)};
   return failure;
 }
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -51,7 +51,7 @@
 
   /// Runs the attempt and returns `attempt_completed` or `attempt_failed`.
   routing::attempt_event Run();
-  /// The error response, if `Run` returned a failure with `has_answer` set.
+  /// The error response, if `Run` returned a failure with `answer_status`.
   [[nodiscard]] saved_response TakeSavedResponse() {
     return std::move(saved_response_);
   }
@@ -72,6 +72,8 @@
   /// As the dialect judges it, but an answer that says that the request did not
   /// run is believed only if it cannot belong to an earlier request.
   [[nodiscard]] head_verdict Judge(const net::http_response_head& head) const;
+  /// Whether the caller may be given the target's response at once.
+  [[nodiscard]] bool MayForward(const net::http_response_head& head) const;
   /// Reads the rest of a response into `body`; nullopt on success.
   std::optional<routing::attempt_failed> ReadBody(std::string& body);
   routing::attempt_event ReceiveResponse(const net::http_response_head& head);
--- a/src/refusals/internal/refusal.cc
+++ b/src/refusals/internal/refusal.cc
@@ -13,6 +13,13 @@
   const char* description;
 };
 
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kMisdirectedRequest = 421;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kServiceUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
 // Indexed by refusal_reason.
 constexpr std::array<reason_entry,
                      static_cast<std::size_t>(kLastRefusalReason) + 1>
@@ -62,17 +69,16 @@
   return EntryOf(reason).status;
 }
 
+bool PromisesNotRun(unsigned status) {
+  return status == kRequestTimeout || status == kMisdirectedRequest ||
+         status == kTooManyRequests || status == kServiceUnavailable;
+}
+
 unsigned HttpStatus(refusal_reason reason, run_state run) {
-  constexpr unsigned kTooManyRequests = 429;
-  constexpr unsigned kBadGateway = 502;
-  constexpr unsigned kServiceUnavailable = 503;
-  constexpr unsigned kGatewayTimeout = 504;
   const unsigned status = HttpStatus(reason);
-  const bool implies_not_run =
-      status == kTooManyRequests || status == kServiceUnavailable;
   const bool implies_unknown =
       status == kBadGateway || status == kGatewayTimeout;
-  if (run == run_state::kUnknown && implies_not_run) {
+  if (run == run_state::kUnknown && PromisesNotRun(status)) {
     return kBadGateway;
   }
   return run == run_state::kNotRun && implies_unknown ? kServiceUnavailable
--- a/src/refusals/types/refusal.h
+++ b/src/refusals/types/refusal.h
@@ -60,9 +60,12 @@
 const char* ToString(refusal_reason reason);
 /// HTTP status of a refusal, regardless of whether the request ran.
 unsigned HttpStatus(refusal_reason reason);
-/// HTTP status that is consistent with `run`. Callers may take 429 and 503 as
-/// a guarantee that the request did not run, so these become 502 if it may
-/// have; 502 and 504 become 503 if it certainly did not.
+/// True if callers take a response with `status` as a guarantee that the
+/// request did not run and never will.
+bool PromisesNotRun(unsigned status);
+/// HTTP status that is consistent with `run`. A status that promises that the
+/// request did not run becomes 502 if it may have; 502 and 504 become 503 if it
+/// certainly did not.
 unsigned HttpStatus(refusal_reason reason, run_state run);
 /// Human-readable title, one sentence.
 const char* Describe(refusal_reason reason);
--- a/src/route_interface/tests/route_path_unittest.cc
+++ b/src/route_interface/tests/route_path_unittest.cc
@@ -73,6 +73,52 @@
   CHECK(orders == 1);
 }
 
+// Guards against docs/incidents/017: the target's word was taken for a promise.
+TEST_CASE_METHOD(route_path_fixture,
+                 "routes: order fails with a status that promises it did not "
+                 "run: refused as perhaps run, run once") {
+  int orders = 0;
+  std::string status;
+  app::fake_target target([&](const net::http_request& request) {
+    const bool counted = request.target() != "/stock/1";
+    orders += counted ? 1 : 0;
+    return app::fake_answer{
+        .bytes = BuildResponse(request, counted ? status : "200 OK", "b")};
+  });
+  Replace(1);
+  Announce("t", target.address());
+  REQUIRE(BecomesServed());
+  for (const char* promise :
+       {"408 Late", "429 Busy", "503 Busy", "503 Busy\r\nRetry-After: 0"}) {
+    for (const char* path : {"/orders/1", "/talk/1"}) {
+      CAPTURE(promise, path);
+      status = promise;
+      orders = 0;
+      const net::http_reply told = CallRoute(path);
+      CHECK(told.status == 502);
+      CHECK(told.fields.count("Retry-After") == 0);
+      CHECK(orders == 1);
+    }
+  }
+  status = "409 Conflict";
+  CHECK(CallRoute("/orders/1").status == 409);
+}
+
+TEST_CASE_METHOD(route_path_fixture,
+                 "routes: idempotent call fails everywhere with 503: the "
+                 "target's answer") {
+  bool failing = false;
+  app::fake_target target([&](const net::http_request& request) {
+    return app::fake_answer{
+        .bytes = BuildResponse(request, failing ? "503 Busy" : "200 OK", "b")};
+  });
+  Replace(1);
+  Announce("t", target.address());
+  REQUIRE(BecomesServed());
+  failing = true;
+  CHECK(CallRoute("/stock/1").status == 503);
+}
+
 TEST_CASE_METHOD(route_path_fixture,
                  "routes: target withdrawn: calls are refused as not run") {
   app::fake_target target([&](const net::http_request& request) {
--- a/src/routing/internal/request_lifecycle.cc
+++ b/src/routing/internal/request_lifecycle.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "routing/told_status.h"
+
 namespace burdocklock::routing {
 
 using refusals::refusal_reason;
@@ -132,7 +134,9 @@
   if (delivered_) {
     return End(outcome_cut{.reason = reason});
   }
-  if (failure.has_answer) {
+  if (failure.answer_status &&
+      MayTell(*failure.answer_status,
+              {.repeatable = repeatable_, .may_have_run = may_have_run_})) {
     return End(outcome_target_failure{});
   }
   return End(outcome_refused{.reason = reason, .run = RunState()});
--- a/src/routing/tests/request_lifecycle_unittest.cc
+++ b/src/routing/tests/request_lifecycle_unittest.cc
@@ -353,7 +353,7 @@
   lifecycle.Dispatch(now);
   lifecycle.OnAttempt(attempt_sending{}, true, now);
   attempt_failed failure = Failure(failure_kind::kTargetError, true);
-  failure.has_answer = true;
+  failure.answer_status = 500;
   const auto step = lifecycle.OnAttempt(failure, /*retry_allowed=*/false, now);
   const auto* end = std::get_if<step_end>(&step);
   REQUIRE(end != nullptr);
--- a/src/routing/types/attempt.h
+++ b/src/routing/types/attempt.h
@@ -147,8 +147,9 @@
   /// Operation that failed, such as "read answer".
   std::string step;
   std::string detail;
-  /// The target's error response was received and can be forwarded.
-  bool has_answer = false;
+  /// Status of the target's response, if it was received whole and nothing has
+  /// been written to the caller.
+  std::optional<unsigned> answer_status = std::nullopt;
   /// Absent if no response arrived.
   std::optional<answer_head> head = std::nullopt;
   /// The target's address refused a connection right after the failure.
