Once a head has been written, only events or an end can follow

Cause: an answer to a stream that goes on was let pass by its type, relayed by its status; what passed the first and not the second was written whole.

Change: writing a head takes the one head_permit of a request; afterwards a stream_writer is all there is. IsRelayed alone says which answers may go on.

--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -110,7 +110,7 @@
     parameters.time_left = *call_.deadline - std::chrono::steady_clock::now();
   }
   if (order_.resumes) {
-    parameters.resume_after = writer_.last_event_id();
+    parameters.resume_after = LastEventId();
   }
   context_.dialect.Prepare(parameters, request);
   const result<void> sent = connection_->Send(request);
@@ -143,8 +143,7 @@
     if (auto failure = CheckHead(verdict, head.value())) {
       return *failure;
     }
-    if (call_.spec.kind == call_kind::kStreamedGeneration &&
-        head.value().status == kOk && IsEventStream(head.value())) {
+    if (IsRelayed(head.value())) {
       return RelayStream(head.value());
     }
     return ReceiveResponse(head.value());
@@ -199,13 +198,23 @@
       return Fail(failure_kind::kWrongAnswer, "read head",
                   status + " does not answer this request");
   }
-  // A partly forwarded stream can only be continued by another stream.
-  if (order_.resumes && !IsEventStream(head)) {
+  // Only events may follow those that have been forwarded.
+  if (writer_.started() && !IsRelayed(head)) {
     return Fail(failure_kind::kTargetError, "resume stream", status);
   }
   return std::nullopt;
 }
 
+bool attempt_runner::IsRelayed(const net::http_response_head& head) const {
+  return call_.spec.kind == call_kind::kStreamedGeneration &&
+         head.status == kOk && IsEventStream(head);
+}
+
+std::string attempt_runner::LastEventId() const {
+  const stream_writer* stream = writer_.stream();
+  return stream == nullptr ? std::string() : stream->last_event_id();
+}
+
 bool attempt_runner::MayForward(const net::http_response_head& head) const {
   // The target has the request and does not say that it did not run it.
   return routing::MayTell(
@@ -242,7 +251,12 @@
                 "the body does not name this request");
   }
   ReleaseConnection();
-  if (!writer_.WriteResponse(head, std::move(body))) {
+  auto permit = writer_.TakeHeadPermit();
+  if (!permit) {
+    return Fail(failure_kind::kTargetError, "write answer",
+                "an answer has begun");
+  }
+  if (!writer_.WriteResponse(*std::move(permit), head, std::move(body))) {
     return Fail(failure_kind::kCallerLost, "write answer", "caller lost");
   }
   return attempt_completed{.reported = summary.reported_usage};
@@ -267,7 +281,7 @@
 attempt_event attempt_runner::RelayStream(const net::http_response_head& head) {
   std::optional<std::string> resume_after;
   if (order_.resumes) {
-    resume_after = writer_.last_event_id();
+    resume_after = LastEventId();
   }
   const auto scanner = context_.dialect.MakeScanner(call_, resume_after);
   std::array<char, kReadBytes> piece;
@@ -282,7 +296,7 @@
       if (!ForwardEvents(head, events, scanner->new_tokens())) {
         return Fail(failure_kind::kCallerLost, "write stream", "caller lost");
       }
-      writer_.SetLastEventId(scanner->last_event_id());
+      writer_.stream()->SetLastEventId(scanner->last_event_id());
     }
   }
   return FinishStream(*scanner);
@@ -297,24 +311,33 @@
     return Fail(failure_kind::kTargetError, "read stream",
                 "the engine reported an error");
   }
-  if (!scanner.IsCompleteAtEnd() || !writer_.started()) {
+  stream_writer* stream = writer_.stream();
+  if (!scanner.IsCompleteAtEnd() || stream == nullptr) {
     return Fail(failure_kind::kBroken, "read stream",
                 "ended before it was whole");
   }
-  if (!writer_.EndStream()) {
+  if (!stream->End()) {
     return Fail(failure_kind::kCallerLost, "write stream", "caller lost");
   }
   ReadStreamTail();
   return attempt_completed{.reported = scanner.reported_usage()};
 }
 
+bool attempt_runner::BeginStream(const net::http_response_head& head) {
+  if (writer_.stream() != nullptr) {
+    return true;
+  }
+  auto permit = writer_.TakeHeadPermit();
+  return permit && writer_.BeginStream(*std::move(permit), head);
+}
+
 bool attempt_runner::ForwardEvents(const net::http_response_head& head,
                                    std::string_view events,
                                    std::uint32_t tokens) {
   const time_point now = std::chrono::steady_clock::now();
   if (!last_output_) {
     Report(routing::attempt_first_output{.head = *head_});
-    if (!writer_.started() && !writer_.BeginStream(head)) {
+    if (!BeginStream(head)) {
       return false;
     }
   } else if (tokens > 0) {
@@ -322,7 +345,7 @@
   }
   last_output_ = now;
   meter_->SetBlocked(true);
-  const bool written = writer_.WriteEvents(events);
+  const bool written = writer_.stream()->WriteEvents(events);
   meter_->SetBlocked(false);
   meter_->Add(tokens);
   return written;
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -79,6 +79,13 @@
   routing::attempt_event ReceiveResponse(const net::http_response_head& head);
   routing::attempt_event SaveErrorResponse(const net::http_response_head& head);
   routing::attempt_event RelayStream(const net::http_response_head& head);
+  /// Whether the response's events are forwarded as they arrive.
+  [[nodiscard]] bool IsRelayed(const net::http_response_head& head) const;
+  /// ID of the last event that the caller has received.
+  [[nodiscard]] std::string LastEventId() const;
+  /// Writes the stream's head unless an earlier attempt has; false if it could
+  /// not be written.
+  bool BeginStream(const net::http_response_head& head);
   routing::attempt_event FinishStream(i_stream_scanner& scanner);
   bool ForwardEvents(const net::http_response_head& head,
                      std::string_view events,
--- a/src/gateway/internal/caller_exchange.cc
+++ b/src/gateway/internal/caller_exchange.cc
@@ -110,27 +110,35 @@
 }
 
 void caller_exchange::Execute(const routing::refuse_request& order) {
-  if (!caller_lost_) {
-    writer_.WriteProblem(order.refusal,
-                         context_.control.RefusalName(order.refusal.id));
-  }
-  finished_ = true;
+  EndWith(order.refusal);
 }
 
-void caller_exchange::Execute(const routing::forward_error_response&) {
-  if (!caller_lost_) {
-    writer_.WriteResponse(saved_response_.head,
-                          std::move(saved_response_.body));
-  }
-  finished_ = true;
+void caller_exchange::Execute(const routing::truncate_response& order) {
+  EndWith(order.refusal);
 }
 
-void caller_exchange::Execute(const routing::truncate_response& order) {
-  if (!caller_lost_) {
-    writer_.WriteTruncation(order.refusal,
-                            context_.control.RefusalName(order.refusal.id));
+void caller_exchange::EndWith(const refusals::refusal& refusal) {
+  finished_ = true;
+  if (caller_lost_) {
+    return;
+  }
+  const std::string name = context_.control.RefusalName(refusal.id);
+  if (stream_writer* stream = writer_.stream()) {
+    stream->Truncate(refusal, name);
+  } else if (auto permit = writer_.TakeHeadPermit()) {
+    writer_.WriteProblem(*std::move(permit), refusal, name);
   }
+}
+
+void caller_exchange::Execute(const routing::forward_error_response&) {
   finished_ = true;
+  if (caller_lost_) {
+    return;
+  }
+  if (auto permit = writer_.TakeHeadPermit()) {
+    writer_.WriteResponse(*std::move(permit), saved_response_.head,
+                          std::move(saved_response_.body));
+  }
 }
 
 void caller_exchange::ReportNotStarted(const routing::start_attempt& order,
--- a/src/gateway/internal/caller_exchange.h
+++ b/src/gateway/internal/caller_exchange.h
@@ -40,6 +40,9 @@
   void Execute(const routing::refuse_request& order);
   void Execute(const routing::forward_error_response& order);
   void Execute(const routing::truncate_response& order);
+  /// Tells the caller of a refusal: in a problem document if nothing has been
+  /// written, else by truncating the stream.
+  void EndWith(const refusals::refusal& refusal);
   void ReportNotStarted(const routing::start_attempt& order,
                         routing::failure_kind kind);
   void WatchCaller();
--- a/src/gateway/internal/response_writer.cc
+++ b/src/gateway/internal/response_writer.cc
@@ -81,7 +81,15 @@
   return ok;
 }
 
-bool response_writer::WriteResponse(const net::http_response_head& head,
+std::optional<head_permit> response_writer::TakeHeadPermit() {
+  if (std::exchange(head_permit_taken_, true)) {
+    return std::nullopt;
+  }
+  return head_permit();
+}
+
+bool response_writer::WriteResponse(head_permit,
+                                    const net::http_response_head& head,
                                     std::string body) {
   net::http_response response(http::int_to_status(head.status), version_);
   response.result(head.status);
@@ -99,7 +107,8 @@
   }
 }
 
-bool response_writer::BeginStream(const net::http_response_head& head) {
+bool response_writer::BeginStream(head_permit,
+                                  const net::http_response_head& head) {
   http::response<http::empty_body> response(http::status::ok, version_);
   CopyFields(head, response);
   response.set(http::field::cache_control, "no-cache");
@@ -117,9 +126,27 @@
   connection_.stream.expires_after(connection_.write_timeout);
   const auto written =
       http::async_write_header(connection_.stream, serializer, use_fiber);
+  stream_.emplace(stream_writer(*this));
   return Check(!written.ec);
 }
 
+stream_writer* response_writer::stream() {
+  return stream_ ? &*stream_ : nullptr;
+}
+
+bool stream_writer::WriteEvents(std::string_view events) {
+  return response_.WriteEvents(events);
+}
+
+bool stream_writer::End() {
+  return response_.EndStream();
+}
+
+bool stream_writer::Truncate(const refusals::refusal& refusal,
+                             const std::string& refusal_name) {
+  return response_.TruncateStream(refusal, refusal_name);
+}
+
 bool response_writer::WriteEvents(std::string_view events) {
   const asio::const_buffer bytes(events.data(), events.size());
   return Check(version_ >= kHttp11
@@ -128,11 +155,13 @@
 }
 
 bool response_writer::EndStream() {
+  stream_.reset();
   return version_ < kHttp11 ||
          Check(net::WriteBuffers(connection_, http::make_chunk_last()));
 }
 
-bool response_writer::WriteProblem(const refusals::refusal& refusal,
+bool response_writer::WriteProblem(head_permit,
+                                   const refusals::refusal& refusal,
                                    const std::string& refusal_name) {
   net::http_response response(
       http::int_to_status(HttpStatus(refusal.reason, refusal.run)), version_);
@@ -160,8 +189,9 @@
                         kMillisecondsPerSecond);
 }
 
-bool response_writer::WriteTruncation(const refusals::refusal& refusal,
-                                      const std::string& refusal_name) {
+bool response_writer::TruncateStream(const refusals::refusal& refusal,
+                                     const std::string& refusal_name) {
+  stream_.reset();
   if (!dialect_.signals_truncation()) {
     keep_alive_ = false;
     return true;
--- a/src/route_interface/tests/broken_stream_unittest.cc
+++ b/src/route_interface/tests/broken_stream_unittest.cc
@@ -98,7 +98,21 @@
       "200 OK\r\nContent-Type: text/event-stream\r\n" + length,
       std::string("200 OK\r\nContent-Type: text/event-stream\r\n"),
       std::string(
-          "500 Internal Server Error\r\nContent-Type: text/event-stream\r\n"));
+          "500 Internal Server Error\r\nContent-Type: text/event-stream\r\n"),
+      // Guard against docs/incidents/018: written as a second answer.
+      std::string("409 Conflict\r\nContent-Type: text/event-stream\r\n"),
+      "409 Conflict\r\nContent-Type: text/event-stream\r\n" + length,
+      "404 Not Found\r\nContent-Type: text/event-stream\r\n" + length,
+      "429 Busy\r\nContent-Type: text/event-stream\r\n" + length,
+      std::string("204 No Content\r\nContent-Type: text/event-stream\r\n"),
+      "206 Partial Content\r\nContent-Type: text/event-stream\r\n" + length,
+      "201 Created\r\nContent-Type: text/event-stream\r\n" + length,
+      "302 Found\r\nLocation: /talk/2\r\nContent-Type: "
+      "text/event-stream\r\n" +
+          length,
+      std::string("200 OK\r\n"), "206 Partial Content\r\n" + length,
+      std::string("204 No Content\r\n"),
+      "302 Found\r\nLocation: /talk/2\r\n" + length);
   INFO(second_answer);
   const std::string received = ReceiveStream();
   INFO(received);
