Callers' chunk headers and trailers are bounded, and what is discarded after them

What callers saw: nothing yet; found when the report of bytes without end was followed to all readers. A caller that sends a chunk's size, its extensions or a trailer without end made the router keep all of it until the time limit for reading (15 s), whatever the limits of heads and bodies say.

Cause: Beast's parser asks for more until it has such a part whole, and the connection's buffer had no limit. After a refusal, a second's worth of bytes was read and discarded, however many.

Change: the buffer holds one head and one piece at most; at most 4 MiB are discarded.

--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -35,6 +35,8 @@
 
 using std::chrono::steady_clock;
 
+// Read at a time beyond what is being parsed.
+constexpr std::size_t kReadBytes = 16 * 1024;
 // Delay before the next accept while no connection can be accepted.
 constexpr std::chrono::milliseconds kBlockedRetryDelay{20};
 // Bounds the time for which accepting delays the requests already accepted: so
@@ -49,6 +51,8 @@
 // What callers still send is read for this long before a connection is closed:
 // closing it earlier could reset it before the caller has read its answer.
 constexpr std::chrono::seconds kLingerTime{1};
+// A caller that sends more than this after its answer does not read it.
+constexpr std::size_t kMaxLingerBytes = 4 * 1024 * 1024;
 // Part of the idle timeout that callers are told, so that a request which they
 // send in time does not cross the close.
 constexpr double kToldIdlePart = 0.8;
@@ -426,6 +430,10 @@
   request_parser parser;
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
+  // Bounds what the parser must have whole: a head, the size and the extensions
+  // of a chunk, a trailer.
+  connection.buffer.max_size(std::max<std::size_t>(
+      connection.buffer.size(), limits.max_header_bytes + kReadBytes));
   connection.buffer.reserve(limits.max_header_bytes);
   const time_point began = steady_clock::now();
   request_source source(connection.stream.socket(), [this, began] {
@@ -473,8 +481,9 @@
   const time_point until = steady_clock::now() + kLingerTime;
   request_source source(socket, [until] { return until; });
   std::array<char, 16 * 1024> discarded;
-  while (!ec && steady_clock::now() < until) {
-    source.read_some(asio::buffer(discarded), ec);
+  std::size_t bytes = 0;
+  while (!ec && bytes < kMaxLingerBytes && steady_clock::now() < until) {
+    bytes += source.read_some(asio::buffer(discarded), ec);
   }
 }
 
