Bodies and answers that are kept share a budget of bytes

Report of other operators: bytes without end in a head or body; who read them ran out of memory. Each answer and body was bounded here, their sum was not: max_answer_bytes times the calls at work, max_body_bytes times 3,000 connections.

Change: net::byte_budget. Messages over 16 KiB of one thread share limits.max_held_bytes; if it is spent, the largest that is not whole gives way. What is whole is delivered.

--- a/src/app/internal/caller_monitor.cc
+++ b/src/app/internal/caller_monitor.cc
@@ -30,6 +30,7 @@
   gauge("burdocklock_callers_idle_timeouts", callers.idle_timeouts);
   gauge("burdocklock_callers_crossed_closes", callers.crossed);
   gauge("burdocklock_callers_read_timeouts", callers.read_timeouts);
+  gauge("burdocklock_callers_given_up", callers.given_up);
   gauge("burdocklock_requests_unanswered", traffic.unanswered);
   gauge("burdocklock_requests_left_unread", traffic.left_unread);
   metrics.Gauge("burdocklock_takes_callers",
@@ -86,10 +87,11 @@
 void caller_monitor::LogClosed() {
   const std::uint64_t idle = traffic_.callers.idle_timeouts;
   const std::uint64_t read = traffic_.callers.read_timeouts;
+  const std::uint64_t given_up = traffic_.callers.given_up;
   const std::uint64_t unanswered = traffic_.unanswered;
   const std::uint64_t left_unread = traffic_.left_unread;
   if (idle > reported_idle_timeouts_ || read > reported_read_timeouts_ ||
-      unanswered > reported_unanswered_ ||
+      given_up > reported_given_up_ || unanswered > reported_unanswered_ ||
       left_unread > reported_left_unread_) {
     logger_.Log(
         log_record("callers_closed", unanswered > reported_unanswered_
@@ -97,11 +99,13 @@
                                          : log_level::kInfo)
             .Add("idle_timeouts", idle - reported_idle_timeouts_)
             .Add("read_timeouts", read - reported_read_timeouts_)
+            .Add("given_up", given_up - reported_given_up_)
             .Add("requests_unanswered", unanswered - reported_unanswered_)
             .Add("requests_left_unread", left_unread - reported_left_unread_));
   }
   reported_idle_timeouts_ = idle;
   reported_read_timeouts_ = read;
+  reported_given_up_ = given_up;
   reported_unanswered_ = unanswered;
   reported_left_unread_ = left_unread;
 }
--- a/src/app/internal/caller_monitor.h
+++ b/src/app/internal/caller_monitor.h
@@ -38,6 +38,7 @@
   std::uint64_t reported_accept_failures_ = 0;
   std::uint64_t reported_idle_timeouts_ = 0;
   std::uint64_t reported_read_timeouts_ = 0;
+  std::uint64_t reported_given_up_ = 0;
   std::uint64_t reported_unanswered_ = 0;
   std::uint64_t reported_left_unread_ = 0;
 };
--- a/src/app/internal/router_options.cc
+++ b/src/app/internal/router_options.cc
@@ -54,6 +54,8 @@
       .max_header_bytes = settings.limits.max_header_bytes,
       .max_body_bytes = settings.limits.max_body_bytes,
       .max_answer_bytes = settings.limits.max_answer_bytes,
+      .max_held_bytes =
+          settings.limits.max_held_bytes / settings.limits.traffic_threads,
       .caller_idle = settings.timeouts.caller_idle,
       .caller_read = settings.timeouts.caller_read,
       .caller_write = settings.timeouts.caller_write,
--- a/src/config/internal/settings_reader.cc
+++ b/src/config/internal/settings_reader.cc
@@ -193,6 +193,7 @@
   ReadCount(table, "max_header_bytes", 256, 1 << 20, limits.max_header_bytes);
   ReadCount(table, "max_body_bytes", 1, kMaxBytes, limits.max_body_bytes);
   ReadCount(table, "max_answer_bytes", 1, kMaxBytes, limits.max_answer_bytes);
+  ReadCount(table, "max_held_bytes", 1, kMaxBytes, limits.max_held_bytes);
   ReadCount(table, "max_queued_per_customer", 1, 1'000'000,
             limits.max_queued_per_customer);
   ReadCount(table, "max_queued_total", 1, 1'000'000, limits.max_queued_total);
--- a/src/config/types/settings.h
+++ b/src/config/types/settings.h
@@ -45,6 +45,8 @@
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint32_t max_body_bytes = 4 * 1024 * 1024;
   std::uint32_t max_answer_bytes = 64 * 1024 * 1024;
+  /// Callers' bodies and targets' answers that are kept at the same time.
+  std::uint32_t max_held_bytes = 128 * 1024 * 1024;
   /// Maximum queued requests per customer at this daemon.
   std::uint32_t max_queued_per_customer = 64;
   std::uint32_t max_queued_total = 4096;
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <unordered_set>
 
+#include "framework/net/byte_budget.h"
 #include "framework/net/closed_connection.h"
 #include "framework/net/http_types.h"
 #include "framework/net/listener_counters.h"
@@ -60,8 +61,9 @@
   /// Handles one request. Runs on the connection's fiber and may block it.
   virtual keep_alive Handle(http_connection& connection,
                             http_request& request) = 0;
-  /// Called when a request cannot be read; `code` is kMalformed or kTooLarge.
-  /// The connection is closed afterwards.
+  /// Called when a request cannot be read; `code` is kMalformed, kTooLarge, or
+  /// kNoResources if there is no room for its body at present. The connection
+  /// is closed afterwards.
   virtual void OnBadRequest(http_connection& connection, error_code code) = 0;
 };
 
@@ -90,6 +92,9 @@
   /// Shared by several servers, which then have one limit together; nullptr for
   /// counters of the server's own.
   listener_counters* counters = nullptr;
+  /// Bounds the bodies of requests that are being read or handled; nullptr for
+  /// a budget of the server's own.
+  byte_budget* budget = nullptr;
   /// How long a request may cross the close of its connection: a round trip.
   duration crossing_time = std::chrono::milliseconds(250);
   /// Called when bytes arrive on a connection that was closed while idle.
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -56,6 +56,8 @@
 // Part of the idle timeout that callers are told, so that a request which they
 // send in time does not cross the close.
 constexpr double kToldIdlePart = 0.8;
+// Bodies of requests to a server without a shared budget.
+constexpr std::size_t kOwnBudgetBytes = 64 * 1024 * 1024;
 // Bounds the descriptors that connections hold after they were closed.
 constexpr std::uint32_t kMaxWatched = 256;
 
@@ -146,10 +148,13 @@
   void ServeRequests(http_connection& connection);
   // Returns false if the connection is closed instead.
   static bool AwaitRequest(http_connection& connection);
-  std::optional<http_request> ReadRequest(http_connection& connection);
+  std::optional<http_request> ReadRequest(http_connection& connection,
+                                          byte_hold& hold);
+  static bool Continue(http_connection& connection);
   bool ReadBody(http_connection& connection,
                 request_source& source,
-                request_parser& parser);
+                request_parser& parser,
+                byte_hold& hold);
   // Reads and discards what the caller still sends after its last answer.
   static void Linger(http_connection& connection);
   void ReportReadError(http_connection& connection,
@@ -171,12 +176,16 @@
   /// When connections were last accepted.
   time_point last_accepts = steady_clock::now();
   listener_counters own_counters;
+  byte_budget own_budget{kOwnBudgetBytes};
   idle_connections idle;
   bool stopping = false;
 
   listener_counters& counters() {
     return options.counters != nullptr ? *options.counters : own_counters;
   }
+  byte_budget& budget() {
+    return options.budget != nullptr ? *options.budget : own_budget;
+  }
 };
 
 http_server::http_server(asio::io_context& context,
@@ -391,7 +400,11 @@
 
 void http_server::state::ServeRequests(http_connection& connection) {
   while (!stopping || HasArrived(connection)) {
-    std::optional<http_request> request = ReadRequest(connection);
+    byte_hold hold(budget(), [&connection] {
+      beast::error_code ignored;
+      connection.stream.socket().close(ignored);
+    });
+    std::optional<http_request> request = ReadRequest(connection, hold);
     if (!request) {
       return;
     }
@@ -419,7 +432,8 @@
 }
 
 std::optional<http_request> http_server::state::ReadRequest(
-    http_connection& connection) {
+    http_connection& connection,
+    byte_hold& hold) {
   if (!AwaitRequest(connection)) {
     return std::nullopt;
   }
@@ -445,31 +459,48 @@
     ReportReadError(connection, ec);
     return std::nullopt;
   }
-  if (!ReadBody(connection, source, parser)) {
+  if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
+      !Continue(connection)) {
+    return std::nullopt;
+  }
+  if (!ReadBody(connection, source, parser, hold)) {
     return std::nullopt;
   }
+  hold.Complete();
   return parser.release();
 }
 
+bool http_server::state::Continue(http_connection& connection) {
+  http::response<http::empty_body> response(http::status::continue_, 11);
+  connection.stream.expires_after(connection.write_timeout);
+  const auto written =
+      http::async_write(connection.stream, response, use_fiber);
+  connection.stream.expires_never();
+  return !written.ec;
+}
+
 bool http_server::state::ReadBody(http_connection& connection,
                                   request_source& source,
-                                  request_parser& parser) {
-  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-    http::response<http::empty_body> continue_response(http::status::continue_,
-                                                       11);
-    connection.stream.expires_after(connection.write_timeout);
-    const auto written =
-        http::async_write(connection.stream, continue_response, use_fiber);
-    connection.stream.expires_never();
-    if (written.ec) {
+                                  request_parser& parser,
+                                  byte_hold& hold) {
+  beast::error_code ec;
+  while (!parser.is_done()) {
+    http::read_some(source, connection.buffer, parser, ec);
+    if (hold.given_up()) {
+      // Closed for the sake of others.
+      ++counters().given_up;
+      return false;
+    }
+    if (ec) {
+      ReportReadError(connection, ec);
+      return false;
+    }
+    if (!hold.Resize(parser.get().body().size())) {
+      ++counters().given_up;
+      handler.OnBadRequest(connection, error_code::kNoResources);
+      Linger(connection);
       return false;
     }
-  }
-  beast::error_code ec;
-  http::read(source, connection.buffer, parser, ec);
-  if (ec) {
-    ReportReadError(connection, ec);
-    return false;
   }
   return true;
 }
--- a/src/framework/net/internal/json_reply.cc
+++ b/src/framework/net/internal/json_reply.cc
@@ -21,4 +21,12 @@
   return written && keep ? keep_alive::kYes : keep_alive::kNo;
 }
 
+http::status StatusOfUnread(error_code reason) {
+  if (reason == error_code::kTooLarge) {
+    return http::status::payload_too_large;
+  }
+  return reason == error_code::kNoResources ? http::status::service_unavailable
+                                            : http::status::bad_request;
+}
+
 }  // namespace burdocklock::net
--- a/src/framework/net/json_reply.h
+++ b/src/framework/net/json_reply.h
@@ -20,4 +20,8 @@
                       const http_request& request,
                       json_reply reply);
 
+/// Status of the reply to a request that could not be read for `reason`, as
+/// passed to `i_http_handler::OnBadRequest`.
+http::status StatusOfUnread(error_code reason);
+
 }  // namespace burdocklock::net
--- a/src/framework/net/listener_counters.h
+++ b/src/framework/net/listener_counters.h
@@ -18,6 +18,8 @@
   std::atomic<std::uint64_t> crossed{0};
   /// Connections that were closed because a request did not come whole in time.
   std::atomic<std::uint64_t> read_timeouts{0};
+  /// Requests that were given up for lack of room for their bodies.
+  std::atomic<std::uint64_t> given_up{0};
   /// Failed calls of accept, for example without free file descriptors.
   std::atomic<std::uint64_t> accept_failures{0};
   /// Listeners that cannot accept at present: the limit on open connections or
--- a/src/framework/net/tests/endless_bytes_unittest.cc
+++ b/src/framework/net/tests/endless_bytes_unittest.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -26,6 +27,7 @@
 // has read.
 constexpr std::size_t kMaxBytesTaken = 16 * 1024 * 1024;
 constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kBudgetBytes = 1024 * 1024;
 
 std::string Repeat(const std::string& text) {
   std::string piece;
@@ -51,6 +53,8 @@
 
 struct endless_request_fixture : i_http_handler {
   std::promise<endpoint> bound;
+  listener_counters counters;
+  byte_budget budget{kBudgetBytes};
   asio::io_context io{1};
   fiber_event stop;
   std::thread server;
@@ -59,7 +63,10 @@
   endless_request_fixture() {
     server = std::thread([this] {
       RunFiberThread(io, [this] {
-        http_server subject(io, {.limits = {.max_body_bytes = kMaxBodyBytes}},
+        http_server subject(io,
+                            {.limits = {.max_body_bytes = kMaxBodyBytes},
+                             .counters = &counters,
+                             .budget = &budget},
                             *this);
         bound.set_value(subject.Start().value());
         stop.Wait();
@@ -129,6 +136,39 @@
   CHECK(IsServed());
 }
 
+// Guards against docs/incidents/019: each body was bounded, not their sum.
+TEST_CASE_METHOD(endless_request_fixture,
+                 "endless: many bodies that do not end: the largest give way, "
+                 "a sound one is served") {
+  constexpr int kCallers = 8;
+  constexpr std::size_t kSentBytes = 200 * 1024;
+  asio::io_context caller_io;
+  std::vector<asio::ip::tcp::socket> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back(caller_io).connect(ToTcp(address));
+    asio::write(callers.back(),
+                asio::buffer("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                             std::to_string(kMaxBodyBytes) + "\r\n\r\n" +
+                             std::string(kSentBytes, 'x')));
+  }
+  asio::ip::tcp::socket sound(caller_io);
+  sound.connect(ToTcp(address));
+  constexpr std::size_t kSoundBytes = 150 * 1024;
+  asio::write(sound, asio::buffer("POST / HTTP/1.1\r\nHost: x\r\n"
+                                  "Content-Length: " +
+                                  std::to_string(kSoundBytes) + "\r\n\r\n" +
+                                  std::string(kSoundBytes, 'x')));
+  std::string answer(12, ' ');
+  asio::read(sound, asio::buffer(answer));
+  CHECK(answer == "HTTP/1.1 200");
+  constexpr int kFitting = kBudgetBytes / kSentBytes;
+  for (int tries = 0; tries < 500 && counters.given_up < kCallers - kFitting;
+       ++tries) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK(counters.given_up >= kCallers - kFitting);
+}
+
 struct endless_reply_fixture {
   asio::io_context server_io;
   asio::ip::tcp::acceptor acceptor{server_io,
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -131,7 +131,8 @@
     if (verdict == head_verdict::kOtherRequest && reused_connection_) {
       wrote_extra_ = true;
       std::string skipped;
-      if (auto failure = ReadBody(skipped)) {
+      const auto hold = MakeHold();
+      if (auto failure = ReadBody(skipped, *hold)) {
         return *failure;
       }
       continue;
@@ -221,19 +222,37 @@
       head.status, {.repeatable = call_.spec.repeatable, .may_have_run = true});
 }
 
-std::optional<attempt_failed> attempt_runner::ReadBody(std::string& body) {
+std::unique_ptr<net::byte_hold> attempt_runner::MakeHold() {
+  return std::make_unique<net::byte_hold>(context_.budget,
+                                          [this] { connection_->Close(); });
+}
+
+attempt_failed attempt_runner::FailForLackOfRoom() const {
+  return Fail(failure_kind::kAnswerTooLarge, "read answer",
+              "no room beside other messages");
+}
+
+std::optional<attempt_failed> attempt_runner::ReadBody(std::string& body,
+                                                       net::byte_hold& hold) {
   std::array<char, kReadBytes> piece;
   while (!connection_->AtEnd()) {
     const auto read = connection_->ReadSome(piece.data(), piece.size());
+    if (hold.given_up()) {
+      return FailForLackOfRoom();
+    }
     if (!read) {
       return FailFrom(read.error());
     }
     if (body.size() + read.value() > context_.max_answer_bytes) {
       return Fail(failure_kind::kAnswerTooLarge, "read answer", "too large");
     }
+    if (!hold.Resize(body.size() + read.value())) {
+      return FailForLackOfRoom();
+    }
     body.append(piece.data(), read.value());
     meter_->Add(0);
   }
+  hold.Complete();
   return std::nullopt;
 }
 
@@ -241,7 +260,8 @@
     const net::http_response_head& head) {
   Report(routing::attempt_first_output{.head = *head_});
   std::string body;
-  if (auto failure = ReadBody(body)) {
+  const auto hold = MakeHold();
+  if (auto failure = ReadBody(body, *hold)) {
     return *failure;
   }
   const response_summary summary =
@@ -265,7 +285,8 @@
 attempt_event attempt_runner::SaveErrorResponse(
     const net::http_response_head& head) {
   std::string body;
-  if (auto failure = ReadBody(body)) {
+  auto hold = MakeHold();
+  if (auto failure = ReadBody(body, *hold)) {
     return *failure;
   }
   ReleaseConnection();
@@ -274,7 +295,8 @@
   if (!cancelled_ && !writer_.started()) {
     failure.answer_status = head.status;
   }
-  saved_response_ = {.head = head, .body = std::move(body)};
+  saved_response_ = {
+      .head = head, .body = std::move(body), .hold = std::move(hold)};
   return failure;
 }
 
@@ -284,14 +306,23 @@
     resume_after = LastEventId();
   }
   const auto scanner = context_.dialect.MakeScanner(call_, resume_after);
+  const auto hold = MakeHold();
+  std::size_t unforwarded = 0;
   std::array<char, kReadBytes> piece;
   while (scanner->state() == stream_state::kOpen && !connection_->AtEnd()) {
     const auto read = connection_->ReadSome(piece.data(), piece.size());
+    if (hold->given_up()) {
+      return FailForLackOfRoom();
+    }
     if (!read) {
       return FailFrom(read.error());
     }
     const std::string_view events =
         scanner->Feed(std::string_view(piece.data(), read.value()));
+    unforwarded = events.empty() ? unforwarded + read.value() : 0;
+    if (!hold->Resize(unforwarded)) {
+      return FailForLackOfRoom();
+    }
     if (!events.empty()) {
       if (!ForwardEvents(head, events, scanner->new_tokens())) {
         return Fail(failure_kind::kCallerLost, "write stream", "caller lost");
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "admission/processor_guard.h"
+#include "framework/net/byte_budget.h"
 #include "framework/net/http_client.h"
 #include "gateway/i_control.h"
 #include "gateway/i_target_dialect.h"
@@ -29,6 +30,7 @@
   progress_reporter& progress;
   admission::processor_guard& guard;
   traffic_state& shared;
+  net::byte_budget& budget;
   std::uint32_t max_answer_bytes = 0;
 };
 
@@ -37,6 +39,7 @@
 struct saved_response {
   net::http_response_head head;
   std::string body;
+  std::unique_ptr<net::byte_hold> hold;
 };
 
 /// Invariants: no byte is sent to the caller before the response has been
@@ -75,7 +78,11 @@
   /// Whether the caller may be given the target's response at once.
   [[nodiscard]] bool MayForward(const net::http_response_head& head) const;
   /// Reads the rest of a response into `body`; nullopt on success.
-  std::optional<routing::attempt_failed> ReadBody(std::string& body);
+  std::optional<routing::attempt_failed> ReadBody(std::string& body,
+                                                  net::byte_hold& hold);
+  /// Room for one response, which gives up the attempt if others need it.
+  [[nodiscard]] std::unique_ptr<net::byte_hold> MakeHold();
+  [[nodiscard]] routing::attempt_failed FailForLackOfRoom() const;
   routing::attempt_event ReceiveResponse(const net::http_response_head& head);
   routing::attempt_event SaveErrorResponse(const net::http_response_head& head);
   routing::attempt_event RelayStream(const net::http_response_head& head);
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -99,7 +99,16 @@
                                 error_code code) {
   const net::http_request unread;
   const request_seq id = context_.control.NextRequest();
-  Refuse(connection, unread, context_.control.RequestName(id),
+  const std::string name = context_.control.RequestName(id);
+  if (code == error_code::kNoResources) {
+    Refuse(connection, unread, name,
+           {.request = id,
+            .reason = refusal_reason::kRouterBusy,
+            .retry_after = ElsewhereRetryAfter(id),
+            .detail = "no room for the request's body"});
+    return;
+  }
+  Refuse(connection, unread, name,
          {.request = id,
           .reason = code == error_code::kTooLarge
                         ? refusal_reason::kRequestTooLarge
--- a/src/gateway/internal/operator_handler.cc
+++ b/src/gateway/internal/operator_handler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "config/key_hashing.h"
+#include "framework/net/json_reply.h"
 #include "gateway/call_parser.h"
 
 namespace burdocklock::gateway {
@@ -43,10 +44,7 @@
 
 void operator_handler::OnBadRequest(net::http_connection& connection,
                                     error_code code) {
-  net::http_response response(code == error_code::kTooLarge
-                                  ? http::status::payload_too_large
-                                  : http::status::bad_request,
-                              11);
+  net::http_response response(net::StatusOfUnread(code), 11);
   response.keep_alive(false);
   connection.Write(response);
 }
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -42,6 +42,7 @@
         traffic_state& shared)
       : options(std::move(opts)),
         shared(shared),
+        budget(options.max_held_bytes),
         idle_connections(io, options.target_idle),
         progress(io, control),
         context{
@@ -54,6 +55,7 @@
             .progress = progress,
             .guard = guard,
             .shared = shared,
+            .budget = budget,
             .max_answer_bytes = options.max_answer_bytes},
         handler(MakeHandler(call_dialect)),
         server(
@@ -66,6 +68,7 @@
              .write_timeout = options.caller_write,
              .max_connections = options.max_connections,
              .counters = &shared.callers,
+             .budget = &budget,
              .on_crossed =
                  [&control](const net::crossed_close& crossed) {
                    control.ReportCrossedClose(crossed);
@@ -83,6 +86,7 @@
   gateway_options options;
   traffic_state& shared;
   admission::processor_guard guard;
+  net::byte_budget budget;
   /// Whether this thread is counted as overloaded.
   bool overloaded = false;
   openai_dialect openai;
--- a/src/gateway/types/gateway_options.h
+++ b/src/gateway/types/gateway_options.h
@@ -1,6 +1,7 @@
 // Options of the traffic threads.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -18,6 +19,8 @@
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint32_t max_body_bytes = 4 * 1024 * 1024;
   std::uint32_t max_answer_bytes = 64 * 1024 * 1024;
+  /// Of bodies and answers together that one thread keeps.
+  std::size_t max_held_bytes = 128 * 1024 * 1024;
   duration caller_idle = std::chrono::seconds(60);
   duration caller_read = std::chrono::seconds(15);
   duration caller_write = std::chrono::seconds(30);
--- a/src/route_interface/internal/command_handler.cc
+++ b/src/route_interface/internal/command_handler.cc
@@ -45,10 +45,7 @@
 
 void command_handler::OnBadRequest(net::http_connection& connection,
                                    error_code code) {
-  net::WriteReply(
-      connection, {},
-      {.status = code == error_code::kTooLarge ? http::status::payload_too_large
-                                               : http::status::bad_request});
+  net::WriteReply(connection, {}, {.status = net::StatusOfUnread(code)});
 }
 
 net::json_reply command_handler::HandleCommand(
--- a/src/route_interface/tests/endless_answer_unittest.cc
+++ b/src/route_interface/tests/endless_answer_unittest.cc
@@ -1,6 +1,13 @@
 // A target that sends bytes without end instead of an answer.
+#include <algorithm>
+#include <atomic>
 #include <chrono>
+#include <fstream>
 #include <string>
+#include <thread>
+#include <vector>
+
+#include <unistd.h>
 
 #include <catch2/catch.hpp>
 
@@ -126,5 +133,94 @@
   CheckGivenUp("/orders/1", Head("Content-Length: 1\r\n") + "b", kLetters, 200);
 }
 
+#if defined(__SANITIZE_ADDRESS__)
+// The sanitizer keeps freed memory.
+constexpr std::size_t kMaxGrowthBytes = 512 * 1024 * 1024;
+#else
+constexpr std::size_t kMaxGrowthBytes = 64 * 1024 * 1024;
+#endif
+constexpr std::uint32_t kMaxHeldBytes = 8 * 1024 * 1024;
+constexpr std::uint32_t kMaxOneAnswerBytes = 32 * 1024 * 1024;
+constexpr std::size_t kSoundAnswerBytes = 200 * 1024;
+constexpr int kEndlessCallers = 8;
+constexpr int kCallsEach = 4;
+
+std::size_t ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t pages = 0;
+  std::size_t resident = 0;
+  file >> pages >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+// Targets whose answers to orders have no end, and whose others are sound.
+struct many_endless_answers_fixture : route_path_fixture {
+  app::fake_target::script script = [](const net::http_request& request) {
+    if (request.target().starts_with("/orders/")) {
+      return app::fake_answer{
+          .bytes = endless_answer_fixture::Head("Connection: close\r\n"),
+          .endless = kLetters};
+    }
+    return app::fake_answer{
+        .bytes = BuildResponse(request, "200 OK",
+                               std::string(kSoundAnswerBytes, 's'))};
+  };
+  app::fake_target first{script};
+  app::fake_target second{script};
+  app::fake_target third{script};
+
+  many_endless_answers_fixture()
+      : route_path_fixture({.settings = [](config::settings& settings) {
+          settings.limits.max_answer_bytes = kMaxOneAnswerBytes;
+          settings.limits.max_held_bytes = kMaxHeldBytes;
+        }}) {
+    Replace(1);
+    Announce("t1", first.address());
+    Announce("t2", second.address());
+    Announce("t3", third.address());
+    REQUIRE(BecomesServed());
+  }
+};
+
+// Guards against docs/incidents/019: each answer was bounded, not their sum.
+TEST_CASE_METHOD(many_endless_answers_fixture,
+                 "endless: many answers at a time beside sound ones: memory is "
+                 "bounded, sound calls are served") {
+  const std::size_t before = ResidentBytes();
+  std::atomic<int> running = kEndlessCallers;
+  std::atomic<int> refused = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kEndlessCallers; ++i) {
+    callers.emplace_back([&] {
+      for (int call = 0; call < kCallsEach; ++call) {
+        refused += CallRoute("/orders/1").status == kBadGateway ? 1 : 0;
+      }
+      --running;
+    });
+  }
+  std::size_t most = before;
+  std::thread sampler([&] {
+    while (running > 0) {
+      most = std::max(most, ResidentBytes());
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  });
+  int served = 0;
+  int sound_calls = 0;
+  do {
+    ++sound_calls;
+    const net::http_reply reply = CallRoute("/stock/1");
+    served +=
+        reply.status == 200 && reply.body.size() == kSoundAnswerBytes ? 1 : 0;
+  } while (running > 0);
+  sampler.join();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(refused == kEndlessCallers * kCallsEach);
+  CHECK(served == sound_calls);
+  CHECK(most - before < kMaxGrowthBytes);
+}
+
 }  // namespace
 }  // namespace burdocklock::route_interface
