--- a/src/routing/internal/attempt_accounting.cc
+++ b/src/routing/internal/attempt_accounting.cc
@@ -16,7 +16,8 @@
     case failure_kind::kNoResources:
     case failure_kind::kAnswerTooLarge:
     case failure_kind::kTargetError:
-      return failure.kind != failure_kind::kTargetError || failure.answer_status;
+      return failure.kind != failure_kind::kTargetError ||
+             failure.answer_status;
     case failure_kind::kCancelled:
       return cancel_reason != refusals::refusal_reason::kTargetTimeout;
     default:
