Interim responses are skipped, not forwarded as answers

What callers saw: a target's 102 (or 100, 103) that names the request, as a whole answer of no body; the answer that followed was dropped.

Cause: the first head on a connection was taken for the answer's.

Change: heads below 200 are skipped, eight at most.

Evidence: the test "interim responses that name the request" on the code before: 102 where 200 is due, for an order and a call that may be repeated.

--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -24,6 +24,9 @@
 constexpr std::size_t kReadBytes = 32 * 1024;
 // A live target or its host responds within a round trip.
 constexpr std::chrono::milliseconds kProbeTimeout{150};
+constexpr unsigned kFirstFinalStatus = 200;
+// How many interim responses (1xx) may precede a response.
+constexpr int kMaxInterimResponses = 8;
 // How many responses to earlier requests are skipped on a reused connection.
 constexpr int kMaxStaleResponses = 2;
 
@@ -122,7 +125,7 @@
 
 attempt_event attempt_runner::Receive() {
   for (int stale = 0; stale <= kMaxStaleResponses; ++stale) {
-    const auto head = connection_->ReadHead(context_.max_answer_bytes);
+    const auto head = ReadFinalHead();
     if (!head) {
       return FailFrom(head.error());
     }
@@ -153,6 +156,19 @@
               "only answers to other requests");
 }
 
+result<net::http_response_head> attempt_runner::ReadFinalHead() {
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    auto head = connection_->ReadHead(context_.max_answer_bytes);
+    if (!head || head.value().status >= kFirstFinalStatus) {
+      return head;
+    }
+  }
+  return error{.code = error_code::kMalformed,
+               .step = "read head",
+               .peer = ToString(connection_->peer()),
+               .detail = "too many interim responses"};
+}
+
 void attempt_runner::NoteHead(const net::http_response_head& head,
                               head_verdict verdict) {
   routing::answer_head said =
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -65,6 +65,9 @@
   std::optional<routing::attempt_failed> Connect();
   std::optional<routing::attempt_failed> Send();
   routing::attempt_event Receive();
+  /// Reads the head of a response, skipping interim ones: callers are not sent
+  /// any, as none of them is an answer.
+  result<net::http_response_head> ReadFinalHead();
   /// Records what a head says of the target.
   void NoteHead(const net::http_response_head& head, head_verdict verdict);
   /// Whether the target's address refuses connections.
--- a/src/route_interface/tests/broken_head_unittest.cc
+++ b/src/route_interface/tests/broken_head_unittest.cc
@@ -114,5 +114,35 @@
   }
 }
 
+// Guards against docs/incidents/020: forwarded as the answer, which was lost.
+TEST_CASE_METHOD(route_path_fixture,
+                 "interim responses that name the request: skipped, the answer "
+                 "is delivered") {
+  std::string interim;
+  app::fake_target target([&](const net::http_request& request) {
+    return app::fake_answer{.bytes = interim +
+                                     BuildResponse(request, "200 OK", "b")};
+  });
+  Replace(1);
+  Announce("t", target.address());
+  REQUIRE(BecomesServed());
+  for (const char* head :
+       {"100 Continue", "102 Processing", "103 Early Hints"}) {
+    for (int count : {1, 2}) {
+      interim.clear();
+      for (int i = 0; i < count; ++i) {
+        interim +=
+            "HTTP/1.1 " + std::string(head) + "\r\nX-Request-Id: NAME\r\n\r\n";
+      }
+      for (const char* path : {"/orders/1", "/stock/1"}) {
+        CAPTURE(head, count, path);
+        const net::http_reply reply = CallRoute(path);
+        CHECK(reply.status == 200);
+        CHECK(reply.body == "b");
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace burdocklock::route_interface
