--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -52,7 +52,7 @@
 // closing it earlier could reset it before the caller has read its answer.
 constexpr std::chrono::seconds kLingerTime{1};
 // A caller that sends more than this after its answer does not read it.
-constexpr std::size_t kMaxLingerBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxLingerBytes = 8 * 1024 * 1024;
 // Part of the idle timeout that callers are told, so that a request which they
 // send in time does not cross the close.
 constexpr double kToldIdlePart = 0.8;
