Calls in progress and the limit on admissions are counted and logged

What a router's processor guard does could not be seen: neither its limit nor what is in progress. Traffic threads report when an admitted call has ended; two gauges and two fields of callers_delayed.

--- a/src/admission/internal/processor_guard.cc
+++ b/src/admission/internal/processor_guard.cc
@@ -67,9 +67,14 @@
   }
   shares_.OnSent(customer, cost, now);
   admitted_cost_ += cost;
+  in_progress_cost_ += cost;
   return true;
 }
 
+void processor_guard::OnEnded(double cost) {
+  in_progress_cost_ = std::max(0.0, in_progress_cost_ - cost);
+}
+
 void processor_guard::EndWindow(time_point now) {
   const double seconds = ToSeconds(now - window_started_);
   UpdateLimit(ToSeconds(busy_) / seconds, AdmittedRate(seconds));
--- a/src/admission/processor_guard.h
+++ b/src/admission/processor_guard.h
@@ -27,9 +27,15 @@
   /// Returns whether a request may be processed. `cost` is in units of one
   /// generation.
   bool Admit(const customer_id& customer, double cost, time_point now);
+  /// Records that an admitted request of that cost has ended, however it did.
+  void OnEnded(double cost);
   /// Returns whether so much is refused that new callers are better off at
   /// other routers.
   [[nodiscard]] bool IsHeavilyOverloaded() const { return heavily_overloaded_; }
+  /// Cost per second that is admitted; kNoLimit while there is time left.
+  [[nodiscard]] double limit() const { return limit_; }
+  /// Cost of the requests that were admitted and have not ended.
+  [[nodiscard]] double in_progress() const { return in_progress_cost_; }
 
  private:
   void EndWindow(time_point now);
@@ -44,8 +50,8 @@
   share_limiter shares_{pool_id("processor"),
                         {.basis = capacity_basis::kKnown,
                          .averaging = std::chrono::milliseconds(500)}};
-  /// Cost per second that is admitted; kNoLimit while there is time left.
   double limit_ = kNoLimit;
+  double in_progress_cost_ = 0;
   int busy_windows_ = 0;
   /// Sums over windows in which earlier ones count less.
   double past_cost_ = 0;
--- a/src/admission/tests/processor_guard_unittest.cc
+++ b/src/admission/tests/processor_guard_unittest.cc
@@ -41,6 +41,7 @@
         arrived_.pop_front();
         const bool admitted = guard.Admit(next.customer, 1, at);
         at += admitted ? kServe : kRefuse;
+        guard.OnEnded(admitted ? 1 : 0);
         ++(admitted ? served : refused)[next.customer];
         if (callers_return_at_once) {
           arrived_.push_back({next.customer, at + milliseconds(1)});
@@ -152,9 +153,11 @@
   int Run(duration turn, duration caller_wait, duration time) {
     int refused = 0;
     for (const time_point end = now + time; now < end;) {
-      refused += guard.Admit(customer_id("large"), 1, now) ? 0 : 1;
+      const bool admitted = guard.Admit(customer_id("large"), 1, now);
+      refused += admitted ? 0 : 1;
       guard.OnCallerWait(caller_wait);
       now += turn;
+      guard.OnEnded(admitted ? 1 : 0);
       guard.OnTurn(turn, now);
     }
     return refused;
@@ -190,6 +193,7 @@
   int admitted = 0;
   int refused = 0;
   for (int wave = 0; wave < 8; ++wave) {
+    const int admitted_before = admitted;
     for (int call = 0; call < 100; ++call) {
       ++(guard.Admit(customer_id("large"), 1, now) ? admitted : refused);
     }
@@ -197,6 +201,7 @@
       now += kTurn;
       guard.OnTurn(kTurn, now);
     }
+    guard.OnEnded(admitted - admitted_before);
   }
   CHECK(refused > 0);
   CHECK(admitted >= refused);
--- a/src/admission/tests/relayed_streams_unittest.cc
+++ b/src/admission/tests/relayed_streams_unittest.cc
@@ -1,152 +1,17 @@
-// A router whose callers flood it, in virtual time: a relayed call takes
-// processor time in many turns of the event loop, long after it was admitted.
-#include <algorithm>
+// A router whose callers flood it, in virtual time.
 #include <chrono>
-#include <cmath>
 #include <cstddef>
 #include <cstdint>
-#include <queue>
-#include <tuple>
-#include <vector>
 
 #include <catch2/catch.hpp>
 
-#include "admission/processor_guard.h"
-#include "framework/seeded_random.h"
+#include "admission/tests/relaying_router.h"
 
 namespace burdocklock::admission {
 namespace {
 
-using std::chrono::microseconds;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// One event loop. A turn handles all events that are due when it begins.
-class relaying_router {
- public:
-  static constexpr microseconds kRead{400};
-  static constexpr microseconds kRefuse{300};
-  static constexpr microseconds kSend{900};
-  static constexpr microseconds kOutput{120};
-  static constexpr int kOutputs = 10;
-  // All processor time of a call that is served.
-  static constexpr microseconds kServed = kRead + kSend + kOutputs * kOutput;
-  static constexpr milliseconds kFirstOutput{150};
-  static constexpr milliseconds kBetweenOutputs{60};
-  static constexpr seconds kPatience{3};
-
-  struct second_account {
-    int arrived = 0;
-    int served = 0;
-    int refused = 0;
-    int left = 0;
-  };
-
-  explicit relaying_router(std::uint32_t seed) : random_(seed * 7919) {}
-
-  void Run(double calls_per_second, duration time) {
-    const time_point end = next_call_ + time;
-    while (next_call_ < end) {
-      events_.push(
-          {.due = next_call_, .number = ++last_, .arrived = next_call_});
-      next_call_ += Gap(calls_per_second);
-      while (!events_.empty() &&
-             std::max(now_, events_.top().due) < next_call_) {
-        Turn();
-      }
-    }
-    next_call_ = end;
-  }
-  [[nodiscard]] second_account Sum(std::size_t from, std::size_t to) const {
-    second_account sum;
-    for (std::size_t i = from; i < to && i < accounts_.size(); ++i) {
-      sum.arrived += accounts_[i].arrived;
-      sum.served += accounts_[i].served;
-      sum.refused += accounts_[i].refused;
-      sum.left += accounts_[i].left;
-    }
-    return sum;
-  }
-
- private:
-  struct event {
-    time_point due;
-    std::uint64_t number = 0;
-    time_point arrived;
-    int step = 0;
-    friend bool operator<(const event& a, const event& b) {
-      return std::tie(b.due, b.number) < std::tie(a.due, a.number);
-    }
-  };
-
-  void Turn() {
-    now_ = std::max(now_, events_.top().due);
-    const time_point began = now_;
-    std::vector<event> due;
-    while (!events_.empty() && events_.top().due <= began) {
-      due.push_back(events_.top());
-      events_.pop();
-    }
-    duration longest_wait{};
-    for (const event& event : due) {
-      if (event.step == 0) {
-        longest_wait = std::max(longest_wait, began - event.due);
-      }
-      Handle(event);
-    }
-    guard_.OnCallerWait(longest_wait);
-    guard_.OnTurn(now_ - began, now_);
-  }
-
-  void Handle(event event) {
-    if (event.step == 0) {
-      now_ += kRead;
-      ++Account().arrived;
-    }
-    if (now_ - event.arrived > kPatience) {
-      ++Account().left;
-      return;
-    }
-    if (event.step == 0 && !guard_.Admit(customer_id("large"), 1, now_)) {
-      now_ += kRefuse;
-      ++Account().refused;
-      return;
-    }
-    now_ += event.step == 0 ? kSend : kOutput;
-    if (event.step == kOutputs) {
-      ++Account().served;
-      return;
-    }
-    event.due = now_ + (event.step == 0 ? duration(kFirstOutput)
-                                        : duration(kBetweenOutputs));
-    event.number = ++last_;
-    ++event.step;
-    events_.push(event);
-  }
-
-  second_account& Account() {
-    const auto second = static_cast<std::size_t>(
-        std::chrono::duration_cast<seconds>(now_ - kStart).count());
-    accounts_.resize(std::max(accounts_.size(), second + 1));
-    return accounts_[second];
-  }
-  duration Gap(double per_second) {
-    constexpr std::uint32_t kSteps = 10'000;
-    const double uniform = (1.0 + random_.Below(kSteps - 1)) / kSteps;
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(-std::log(uniform) / per_second));
-  }
-
-  static constexpr time_point kStart{seconds(100)};
-  seeded_random random_;
-  processor_guard guard_;
-  std::priority_queue<event> events_;
-  std::vector<second_account> accounts_;
-  time_point next_call_ = kStart;
-  time_point now_ = kStart;
-  std::uint64_t last_ = 0;
-};
-
 struct flooded_router_fixture {
   static constexpr std::size_t kFloodBegins = 5;
   static constexpr std::size_t kFloodEnds = 17;
--- a/src/app/internal/caller_monitor.cc
+++ b/src/app/internal/caller_monitor.cc
@@ -33,6 +33,8 @@
   gauge("burdocklock_callers_given_up", callers.given_up);
   gauge("burdocklock_requests_unanswered", traffic.unanswered);
   gauge("burdocklock_requests_left_unread", traffic.left_unread);
+  gauge("burdocklock_calls_in_progress", traffic.in_progress);
+  gauge("burdocklock_admission_limit_per_second", traffic.admission_limit);
   metrics.Gauge("burdocklock_takes_callers",
                 [this] { return traffic_.TakesCallers() ? 1.0 : 0.0; });
   metrics.Gauge("burdocklock_event_loop_longest_turn_seconds",
@@ -66,14 +68,16 @@
   const std::uint64_t accept_failures = callers.accept_failures;
   if (longest_turn_ >= kLongTurn || evicted > reported_evicted_ ||
       accept_failures > reported_accept_failures_) {
-    logger_.Log(log_record("callers_delayed", log_level::kWarning)
-                    .Add("period_ms", ToMilliseconds(now - period_started_))
-                    .Add("longest_turn_ms", ToMilliseconds(longest_turn_))
-                    .Add("open", callers.open.load())
-                    .Add("accepted", accepted - reported_accepted_)
-                    .Add("evicted", evicted - reported_evicted_)
-                    .Add("accept_failures",
-                         accept_failures - reported_accept_failures_));
+    logger_.Log(
+        log_record("callers_delayed", log_level::kWarning)
+            .Add("period_ms", ToMilliseconds(now - period_started_))
+            .Add("longest_turn_ms", ToMilliseconds(longest_turn_))
+            .Add("open", callers.open.load())
+            .Add("accepted", accepted - reported_accepted_)
+            .Add("evicted", evicted - reported_evicted_)
+            .Add("accept_failures", accept_failures - reported_accept_failures_)
+            .Add("in_progress", traffic_.in_progress.load())
+            .Add("admission_limit", traffic_.admission_limit.load()));
   }
   LogClosed();
   period_started_ = now;
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -53,8 +53,8 @@
     ++context_.shared.left_unread;
     return net::keep_alive::kNo;
   }
-  if (!context_.guard.Admit(call.spec.customer, ProcessorCost(call.spec),
-                            now)) {
+  const double cost = ProcessorCost(call.spec);
+  if (!context_.guard.Admit(call.spec.customer, cost, now)) {
     return Refuse(connection, request, call.request_name,
                   {.customer = call.spec.customer,
                    .request = call.spec.id,
@@ -73,6 +73,7 @@
   std::make_shared<caller_exchange>(context_, connection, std::move(call),
                                     writer)
       ->Run();
+  context_.guard.OnEnded(cost);
   // As the answer said; after a drain has begun, the next one closes it.
   return writer.keep_alive();
 }
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -1,6 +1,8 @@
 // See the header.
 #include "gateway/traffic_service.h"
 
+#include <cmath>
+#include <cstdint>
 #include <utility>
 
 #include "gateway/caller_handler.h"
@@ -75,6 +77,17 @@
                  }},
             *handler) {}
 
+  void PublishGuard() {
+    const double limit = guard.limit();
+    const std::int64_t limit_now =
+        limit == admission::kNoLimit ? 0 : std::llround(limit);
+    const std::int64_t in_progress_now = std::llround(guard.in_progress());
+    shared.admission_limit +=
+        limit_now - std::exchange(admission_limit, limit_now);
+    shared.in_progress +=
+        in_progress_now - std::exchange(in_progress, in_progress_now);
+  }
+
   std::unique_ptr<net::i_http_handler> MakeHandler(
       const i_call_dialect* call_dialect) {
     if (call_dialect != nullptr) {
@@ -89,6 +102,9 @@
   net::byte_budget budget;
   /// Whether this thread is counted as overloaded.
   bool overloaded = false;
+  /// This thread's parts of the shared sums.
+  std::int64_t in_progress = 0;
+  std::int64_t admission_limit = 0;
   openai_dialect openai;
   target_connections idle_connections;
   progress_reporter progress;
@@ -117,6 +133,7 @@
     state_->overloaded = !state_->overloaded;
     state_->shared.overloaded_threads += state_->overloaded ? 1 : -1;
   }
+  state_->PublishGuard();
 }
 
 result<endpoint> traffic_service::Start() {
--- a/src/gateway/types/traffic_state.h
+++ b/src/gateway/types/traffic_state.h
@@ -16,6 +16,10 @@
   std::atomic<std::uint64_t> left_unread{0};
   /// Threads whose processor time is so short that they refuse most requests.
   std::atomic<std::uint32_t> overloaded_threads{0};
+  /// Generations in progress, plain calls counting for less, and how many are
+  /// admitted a second by the threads that limit them.
+  std::atomic<std::int64_t> in_progress{0};
+  std::atomic<std::int64_t> admission_limit{0};
 
   /// Returns whether a new caller is accepted and served without delay.
   [[nodiscard]] bool TakesCallers() const {
