--- a/src/admission/tests/relayed_streams_unittest.cc
+++ b/src/admission/tests/relayed_streams_unittest.cc
@@ -35,8 +35,7 @@
 // More was admitted than could be served, and turns grew until callers left.
 TEST_CASE_METHOD(flooded_router_fixture,
                  "processor guard: streams flood the router: from two seconds "
-                 "on callers do not leave unserved",
-                 "[.known-red]") {
+                 "on callers do not leave unserved") {
   for (std::uint32_t seed = 1; seed <= 10; ++seed) {
     for (const double flood : {600.0, 800.0, 1000.0, 1200.0}) {
       const auto sum = Play(flood, seed).Sum(kFloodBegins + 2, kFloodEnds);
@@ -49,8 +48,7 @@
 
 TEST_CASE_METHOD(flooded_router_fixture,
                  "processor guard: streams flood the router: three quarters of "
-                 "what its processor allows are served",
-                 "[.known-red]") {
+                 "what its processor allows are served") {
   for (std::uint32_t seed = 1; seed <= 10; ++seed) {
     for (const double flood : {600.0, 800.0, 1000.0, 1200.0}) {
       const auto sum = Play(flood, seed).Sum(kFloodBegins + 2, kFloodEnds);
