Router busy: callers are not asked back before the router has left the rotation

Callers saw: refused by a router without processor time, they came back 0.2 to 0.55 s later and were refused there again.

Cause: Retry-After took for granted that another router gets the retry. The platform goes on sending a client's connections to one router until it has found it not ready twice, a second apart. With the guard that admits only what ends, edge-shah-alam-1 hears 1,528 calls a second where 900 are new and refuses 1,394 of them; a refusal takes about 0.2 ms of processor time (loopback, 20,000 calls, beside other work), so that hardly any time is left to serve.

Change: while over two fifths are refused, Retry-After is 2 to 4 s, the time in which the router leaves the rotation; else 0.2 to 0.4 s. The processor guard says when.

--- a/src/admission/tests/relayed_streams_unittest.cc
+++ b/src/admission/tests/relayed_streams_unittest.cc
@@ -61,5 +61,23 @@
   }
 }
 
+// They came back to the router that had refused them.
+TEST_CASE_METHOD(flooded_router_fixture,
+                 "processor guard: refused callers come back once: three "
+                 "quarters of what the processor allows are served until the "
+                 "router has left the rotation") {
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    for (const double flood : {600.0, 800.0, 1000.0}) {
+      relaying_router router(seed, relaying_router::refused_callers::kComeBack);
+      router.Run(kUsual, seconds(kFloodBegins));
+      router.Run(flood, seconds(3));
+      const auto sum = router.Sum(kFloodBegins, kFloodBegins + 3);
+      INFO("seed " << seed << ", " << flood << " calls a second: "
+                   << sum.refused << " refused, " << sum.left << " left");
+      CHECK(sum.served >= 0.75 * Served(flood) * 2);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace burdocklock::admission
--- a/src/admission/tests/relaying_router.h
+++ b/src/admission/tests/relaying_router.h
@@ -7,12 +7,15 @@
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <queue>
 #include <tuple>
 #include <vector>
 
 #include "admission/processor_guard.h"
 #include "framework/seeded_random.h"
+#include "framework/types/ids.h"
+#include "framework/types/time.h"
 
 namespace burdocklock::admission {
 
@@ -38,7 +41,13 @@
     int left = 0;
   };
 
-  explicit relaying_router(std::uint32_t seed) : random_(seed * 7919) {}
+  /// Refused callers come back once. The router gets no more calls from two
+  /// seconds after it is heavily overloaded.
+  enum class refused_callers { kStayAway, kComeBack };
+
+  explicit relaying_router(std::uint32_t seed,
+                           refused_callers refused = refused_callers::kStayAway)
+      : random_(seed * 7919), refused_(refused) {}
 
   void Run(double calls_per_second, duration time) {
     const time_point end = next_call_ + time;
@@ -70,6 +79,7 @@
     std::uint64_t number = 0;
     time_point arrived;
     int step = 0;
+    bool is_retry = false;
     friend bool operator<(const event& a, const event& b) {
       return std::tie(b.due, b.number) < std::tie(a.due, a.number);
     }
@@ -92,9 +102,29 @@
     }
     guard_.OnCallerWait(longest_wait);
     guard_.OnTurn(now_ - began, now_);
+    if (!guard_.IsHeavilyOverloaded()) {
+      overloaded_since_.reset();
+    } else if (!overloaded_since_) {
+      overloaded_since_ = now_;
+    }
+  }
+  [[nodiscard]] bool IsInRotation() const {
+    return refused_ == refused_callers::kStayAway || !overloaded_since_ ||
+           now_ - *overloaded_since_ < kLeavesRotation;
+  }
+  void ComeBack(const event& refused) {
+    if (refused_ == refused_callers::kStayAway || refused.is_retry) {
+      return;
+    }
+    const time_point at = now_ + guard_.RetryAfter(request_seq(refused.number));
+    events_.push(
+        {.due = at, .number = ++last_, .arrived = at, .is_retry = true});
   }
 
   void Handle(event event) {
+    if (event.step == 0 && !IsInRotation()) {
+      return;
+    }
     if (event.step == 0) {
       now_ += kRead;
       ++Account().arrived;
@@ -107,6 +137,7 @@
     if (event.step == 0 && !guard_.Admit(customer_id("large"), 1, now_)) {
       now_ += kRefuse;
       ++Account().refused;
+      ComeBack(event);
       return;
     }
     now_ += event.step == 0 ? kSend : kOutput;
@@ -136,9 +167,12 @@
         std::chrono::duration<double>(-std::log(uniform) / per_second));
   }
 
+  static constexpr std::chrono::seconds kLeavesRotation{2};
   static constexpr time_point kStart{std::chrono::seconds(100)};
   seeded_random random_;
+  refused_callers refused_;
   processor_guard guard_;
+  std::optional<time_point> overloaded_since_;
   std::priority_queue<event> events_;
   std::vector<second_account> accounts_;
   time_point next_call_ = kStart;
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -14,8 +14,8 @@
 
 namespace {
 
-// Retry-After during shutdown and when the processor is used up: another router
-// can serve the call at once. The steps spread the callers' retries.
+// Retry-After during shutdown: another router can serve the call at once. The
+// steps spread the callers' retries.
 constexpr std::chrono::milliseconds kElsewhereRetryAfter{200};
 constexpr std::chrono::milliseconds kElsewhereRetryStep{50};
 constexpr std::uint64_t kElsewhereRetrySteps = 8;
@@ -59,7 +59,7 @@
                   {.customer = call.spec.customer,
                    .request = call.spec.id,
                    .reason = refusal_reason::kRouterBusy,
-                   .retry_after = ElsewhereRetryAfter(call.spec.id)});
+                   .retry_after = context_.guard.RetryAfter(call.spec.id)});
   }
   call.spec.fingerprint = FingerprintOf(
       call.spec.customer,
@@ -105,7 +105,7 @@
     Refuse(connection, unread, name,
            {.request = id,
             .reason = refusal_reason::kRouterBusy,
-            .retry_after = ElsewhereRetryAfter(id),
+            .retry_after = context_.guard.RetryAfter(id),
             .detail = "no room for the request's body"});
     return;
   }
