--- a/src/admission/internal/processor_guard.cc
+++ b/src/admission/internal/processor_guard.cc
@@ -48,11 +48,6 @@
 constexpr double kMuchRefused = 0.4;
 constexpr std::chrono::milliseconds kOverloadBegins{500};
 constexpr std::chrono::seconds kOverloadEnds{2};
-// Retry-After, to which up to as much is added to spread the retries.
-constexpr std::chrono::milliseconds kSoon{200};
-// Readiness is checked once a second, and two checks take a router out.
-constexpr std::chrono::milliseconds kRotationTime{2000};
-constexpr std::uint64_t kRetrySteps = 16;
 
 }  // namespace
 
@@ -72,13 +67,6 @@
   longest_wait_ = std::max(longest_wait_, wait);
 }
 
-std::chrono::milliseconds processor_guard::RetryAfter(
-    request_seq request) const {
-  const bool refuses_much = series_refuses_much_ || heavily_overloaded_;
-  const std::chrono::milliseconds least = refuses_much ? kRotationTime : kSoon;
-  return least + least * (request.value() % kRetrySteps) / kRetrySteps;
-}
-
 bool processor_guard::Admit(const customer_id& customer,
                             double cost,
                             time_point now) {
--- a/src/admission/processor_guard.h
+++ b/src/admission/processor_guard.h
@@ -36,10 +36,6 @@
   /// Returns whether so much is refused that new callers are better off at
   /// other routers.
   [[nodiscard]] bool IsHeavilyOverloaded() const { return heavily_overloaded_; }
-  /// When a refused caller should come back. While so much is refused that the
-  /// router leaves the rotation, not before it has: the caller would come back
-  /// to this one.
-  [[nodiscard]] std::chrono::milliseconds RetryAfter(request_seq request) const;
   /// Cost per second that is admitted; kNoLimit while there is time left.
   [[nodiscard]] double limit() const { return limit_; }
   /// Cost of the requests that were admitted and have not ended.
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <utility>
 
+#include "admission/retry_elsewhere.h"
 #include "gateway/internal/caller_exchange.h"
 #include "gateway/request_fingerprint.h"
 
@@ -14,11 +15,6 @@
 
 namespace {
 
-// Retry-After during shutdown: another router can serve the call at once. The
-// steps spread the callers' retries.
-constexpr std::chrono::milliseconds kElsewhereRetryAfter{200};
-constexpr std::chrono::milliseconds kElsewhereRetryStep{50};
-constexpr std::uint64_t kElsewhereRetrySteps = 8;
 // Processor time of a call of a plain service, relative to a generation, whose
 // answer comes in many parts.
 constexpr double kServiceCallCost = 0.2;
@@ -27,11 +23,6 @@
   return spec.kind == routing::call_kind::kServiceCall ? kServiceCallCost : 1;
 }
 
-std::chrono::milliseconds ElsewhereRetryAfter(request_seq request) {
-  return kElsewhereRetryAfter +
-         kElsewhereRetryStep * (request.value() % kElsewhereRetrySteps);
-}
-
 }  // namespace
 
 net::keep_alive call_service::Serve(net::http_connection& connection,
@@ -41,11 +32,12 @@
   const std::optional<routing::drain_window> drain =
       context_.control.DrainWindow();
   if (drain && !drain->Accepts(now, call.spec.time_limit)) {
-    return Refuse(connection, request, call.request_name,
-                  {.customer = call.spec.customer,
-                   .request = call.spec.id,
-                   .reason = refusal_reason::kDraining,
-                   .retry_after = ElsewhereRetryAfter(call.spec.id)});
+    return Refuse(
+        connection, request, call.request_name,
+        {.customer = call.spec.customer,
+         .request = call.spec.id,
+         .reason = refusal_reason::kDraining,
+         .retry_after = admission::RetryElsewhereAfter(call.spec.id)});
   }
   // Work for a caller that left while its request waited to be read would be
   // taken from those that are there.
@@ -55,11 +47,12 @@
   }
   const double cost = ProcessorCost(call.spec);
   if (!context_.guard.Admit(call.spec.customer, cost, now)) {
-    return Refuse(connection, request, call.request_name,
-                  {.customer = call.spec.customer,
-                   .request = call.spec.id,
-                   .reason = refusal_reason::kRouterBusy,
-                   .retry_after = context_.guard.RetryAfter(call.spec.id)});
+    return Refuse(
+        connection, request, call.request_name,
+        {.customer = call.spec.customer,
+         .request = call.spec.id,
+         .reason = refusal_reason::kRouterBusy,
+         .retry_after = admission::RetryElsewhereAfter(call.spec.id)});
   }
   call.spec.fingerprint = FingerprintOf(
       call.spec.customer,
@@ -105,7 +98,7 @@
     Refuse(connection, unread, name,
            {.request = id,
             .reason = refusal_reason::kRouterBusy,
-            .retry_after = context_.guard.RetryAfter(id),
+            .retry_after = admission::RetryElsewhereAfter(id),
             .detail = "no room for the request's body"});
     return;
   }
