--- a/src/admission/internal/processor_guard.cc
+++ b/src/admission/internal/processor_guard.cc
@@ -3,13 +3,12 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 
 namespace burdocklock::admission {
 
 namespace {
 
-constexpr std::chrono::milliseconds kWindow{100};
+constexpr std::chrono::milliseconds kWindow{150};
 // Fractions of the time for which the event loop is busy: above the first the
 // limit is lowered, below the second it is raised.
 constexpr double kHighUtilisation = 0.95;
@@ -19,29 +18,20 @@
 // time of calls that are served.
 constexpr std::chrono::milliseconds kDelayingTurn{40};
 constexpr std::chrono::milliseconds kLongWait{100};
+// With turns shorter than this the limit is raised, however busy the loop is.
+constexpr std::chrono::milliseconds kShortTurn{15};
 // Turns of this length delay all callers, whatever the mean utilisation.
 constexpr std::chrono::milliseconds kLongTurn{250};
-// A single busy window may be a burst, unless callers wait for much longer and
-// much more is admitted than ends.
+// A single busy window may be a burst.
 constexpr int kBusyWindowsBeforeLimit = 2;
-constexpr double kSevereCongestion = 1.5;
-constexpr double kSurgeFactor = 2;
-// Least part of the ended work that is admitted anew while callers are delayed.
+// The first decrease also lets the requests that have piled up be served. Later
+// ones are gradual, as streams admitted earlier still use the processor.
+constexpr double kFirstDecrease = 0.8;
 constexpr double kDecrease = 0.95;
-// Most by which the work in progress may grow in a window.
-constexpr double kMaxIncrease = 0.3;
-// Delays scatter: the allowance follows one window in small steps.
-constexpr double kAllowanceDecrease = 0.97;
+constexpr double kIncrease = 1.05;
 constexpr double kMinLimit = 10;
-// An allowance of which less is used tells nothing of what is bearable.
-constexpr double kUsedPart = 0.5;
-// Lets the allowance grow again.
-constexpr double kMinInProgress = 0.2;
-// Time in which work in progress beyond the allowance is to end.
-constexpr std::chrono::milliseconds kDrainTime{500};
-constexpr std::chrono::milliseconds kEndedAveraging{500};
 // Weight of all earlier windows, for a mean over about a second.
-constexpr double kPastWeight = 0.9;
+constexpr double kPastWeight = 0.85;
 // The limit ends when it exceeds the demand by this factor.
 constexpr double kEndFactor = 1.5;
 // Fraction of the demand whose refusal counts as heavy overload.
@@ -83,13 +73,10 @@
 
 void processor_guard::OnEnded(double cost) {
   in_progress_cost_ = std::max(0.0, in_progress_cost_ - cost);
-  ended_cost_ += cost;
 }
 
 void processor_guard::EndWindow(time_point now) {
   const double seconds = ToSeconds(now - window_started_);
-  const double weight = 1 - std::exp(-seconds / ToSeconds(kEndedAveraging));
-  ended_rate_ += weight * (ended_cost_ / seconds - ended_rate_);
   UpdateLimit(ToSeconds(busy_) / seconds, AdmittedRate(seconds));
   UpdateOverload(now);
   window_started_ = now;
@@ -99,59 +86,30 @@
   longest_wait_ = {};
   admitted_cost_ = 0;
   refused_cost_ = 0;
-  ended_cost_ = 0;
-}
-
-double processor_guard::Congestion() const {
-  return std::max(MetTurnSeconds() / ToSeconds(kDelayingTurn),
-                  ToSeconds(longest_wait_) / ToSeconds(kLongWait));
 }
 
 void processor_guard::UpdateLimit(double utilisation, double admitted_rate) {
-  const double congestion = Congestion();
-  const bool is_busy = (utilisation > kHighUtilisation && congestion > 1) ||
-                       longest_turn_ > kLongTurn;
-  const bool is_surge = is_busy && congestion > kSevereCongestion &&
-                        admitted_cost_ > kSurgeFactor * ended_cost_;
-  busy_windows_ = is_busy ? busy_windows_ + 1 : 0;
-  double change = 1;
-  if (is_surge || busy_windows_ >= kBusyWindowsBeforeLimit) {
-    change = std::clamp(1 / congestion, kDecrease, 1.0);
-    LowerAllowance(congestion);
-  } else if (!is_busy && (utilisation < kLowUtilisation || congestion < 1)) {
-    change = 1 + kMaxIncrease * (1 - std::min(congestion, 1.0));
-    RaiseAllowance(change);
-  }
-  if (allowed_in_progress_ == kNoLimit) {
-    return;
-  }
-  limit_ = std::max(kMinLimit, change * ended_rate_ +
-                                   (allowed_in_progress_ - in_progress_cost_) /
-                                       ToSeconds(kDrainTime));
-  if (!is_busy && refused_cost_ == 0 && limit_ > kEndFactor * admitted_rate) {
-    limit_ = kNoLimit;
-    allowed_in_progress_ = kNoLimit;
+  const bool callers_wait =
+      MetTurnSeconds() > ToSeconds(kDelayingTurn) || longest_wait_ > kLongWait;
+  if ((utilisation > kHighUtilisation && callers_wait) ||
+      longest_turn_ > kLongTurn) {
+    if (++busy_windows_ >= kBusyWindowsBeforeLimit) {
+      const double decrease = limit_ == kNoLimit ? kFirstDecrease : kDecrease;
+      limit_ = std::max(kMinLimit, decrease * std::min(limit_, admitted_rate));
+    }
+  } else {
+    busy_windows_ = 0;
+    const bool short_turns = MetTurnSeconds() < ToSeconds(kShortTurn);
+    if (utilisation < kLowUtilisation || (short_turns && !callers_wait)) {
+      limit_ *= kIncrease;
+    }
+    if (refused_cost_ == 0 && limit_ > kEndFactor * admitted_rate) {
+      limit_ = kNoLimit;
+    }
   }
   shares_.SetKnownCapacity(limit_);
 }
 
-void processor_guard::LowerAllowance(double congestion) {
-  // The delay grows with the work in progress.
-  const double bearable = in_progress_cost_ / std::max(congestion, 1.0);
-  allowed_in_progress_ =
-      allowed_in_progress_ == kNoLimit
-          ? bearable
-          : std::clamp(bearable, kAllowanceDecrease * allowed_in_progress_,
-                       allowed_in_progress_);
-  allowed_in_progress_ = std::max(allowed_in_progress_, kMinInProgress);
-}
-
-void processor_guard::RaiseAllowance(double factor) {
-  if (in_progress_cost_ >= kUsedPart * allowed_in_progress_) {
-    allowed_in_progress_ *= factor;
-  }
-}
-
 double processor_guard::AdmittedRate(double window_seconds) {
   past_cost_ = kPastWeight * past_cost_ + admitted_cost_;
   past_seconds_ = kPastWeight * past_seconds_ + window_seconds;
--- a/src/admission/internal/share_limiter.cc
+++ b/src/admission/internal/share_limiter.cc
@@ -107,8 +107,7 @@
     flow_.started += state.started.Rate(now) + state.remote_started;
   }
   flow_.capacity = Capacity();
-  const bool is_limit = options_.basis == capacity_basis::kKnown;
-  const double factor = is_limit || IsBacklogged() ? 1 : kOverloadFactor;
+  const double factor = IsBacklogged() ? 1 : kOverloadFactor;
   share_ = flow_.demand > factor * flow_.capacity
                ? MaxMinShare(std::move(demands), flow_.capacity)
                : kNoLimit;
--- a/src/admission/processor_guard.h
+++ b/src/admission/processor_guard.h
@@ -11,13 +11,9 @@
 
 namespace burdocklock::admission {
 
-/// Measures how busy the event loop is and how long its turns delay callers.
-/// While it has no time left, no more is admitted than ends, and less while
-/// more is in progress than the loop bears without delay: a relayed call takes
-/// time in many turns, and all of them grow with the calls in progress. Each
-/// customer has its max-min share of the admitted work.
-///
-/// Invariant: without a limit `allowed_in_progress_` is kNoLimit, else finite.
+/// Measures how busy the event loop is. While it has no time left, the rate of
+/// admitted work is lowered, else raised again; each customer has its max-min
+/// share of that rate.
 ///
 /// Used on the event loop's thread.
 class processor_guard {
@@ -44,10 +40,6 @@
  private:
   void EndWindow(time_point now);
   void UpdateLimit(double utilisation, double admitted_rate);
-  /// How far the delay that callers meet is above the one aimed at; 1 at it.
-  [[nodiscard]] double Congestion() const;
-  void LowerAllowance(double congestion);
-  void RaiseAllowance(double factor);
   /// The rate at which work was admitted in the window or, if higher, over the
   /// last second: callers whose answers end together return together.
   double AdmittedRate(double window_seconds);
@@ -59,15 +51,11 @@
                         {.basis = capacity_basis::kKnown,
                          .averaging = std::chrono::milliseconds(500)}};
   double limit_ = kNoLimit;
+  double in_progress_cost_ = 0;
   int busy_windows_ = 0;
   /// Sums over windows in which earlier ones count less.
   double past_cost_ = 0;
   double past_seconds_ = 0;
-  /// Cost in progress that does not delay callers, as far as is known.
-  double allowed_in_progress_ = kNoLimit;
-  /// Average of the cost per second that ends.
-  double ended_rate_ = 0;
-  double in_progress_cost_ = 0;
   // Of the current window.
   time_point window_started_{};
   duration busy_{};
@@ -77,7 +65,6 @@
   duration longest_wait_{};
   double admitted_cost_ = 0;
   double refused_cost_ = 0;
-  double ended_cost_ = 0;
   /// Start of the current series of windows that refuse much, or little.
   time_point series_started_{};
   bool series_refuses_much_ = false;
