--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -31,7 +31,7 @@
   using second_account = simulated_second;
   using stream = simulated_stream;
 
-  static constexpr std::uint32_t kSlots = 48;
+  static constexpr std::uint32_t kSlots = simulated_fleet_options{}.slots;
   static constexpr double kColdPerSecond = 12;
 
   explicit simulated_fleet(const simulated_fleet_options& options)
@@ -49,6 +49,9 @@
       At(now_ + std::chrono::milliseconds(random_.Below(1200)),
          [this, i] { Announce(i); });
     }
+    if (options.summary_interval > duration::zero()) {
+      At(now_, [this] { SendSummaries(); });
+    }
     for (std::size_t i = 0; i < options.routers; ++i) {
       At(now_ + std::chrono::milliseconds(random_.Below(200)),
          [this, i] { ReportLoad(i); });
@@ -153,6 +156,17 @@
   [[nodiscard]] const std::map<customer_id, account>& accounts() const {
     return accounts_;
   }
+  /// Arrivals at engines from second `from` until `to`.
+  [[nodiscard]] simulated_arrivals Reached(std::int64_t from,
+                                           std::int64_t to) const {
+    simulated_arrivals sum;
+    for (auto at = reached_.lower_bound(from);
+         at != reached_.end() && at->first < to; ++at) {
+      sum.all += at->second.all;
+      sum.rejected += at->second.rejected;
+    }
+    return sum;
+  }
   /// Numbers of refusals of taken-up streams, by reason.
   [[nodiscard]] const std::map<std::string, int>& refused_taken_up() const {
     return refused_taken_up_;
@@ -234,8 +248,8 @@
         .address = {.port = static_cast<std::uint16_t>(index + 1)},
         .pools = {Pool()},
         .state = targets::target_state::kReady,
-        .slots = kSlots,
-        .cold_slots = kSlots / 4,
+        .slots = options_.slots,
+        .cold_slots = options_.slots / 4,
         .sequence = ++engine.sequence,
         .cold_for =
             std::chrono::duration_cast<std::chrono::milliseconds>(cold_for)};
@@ -276,16 +290,25 @@
       reports_.OnReport(RouterName(router), routers_[router]->OwnLoad(now_),
                         now_);
     }
-    At(now_ + std::chrono::milliseconds(10 + random_.Below(60)),
-       [this, router] { ReceiveLoad(router); });
+    if (options_.summary_interval == duration::zero()) {
+      At(now_ + std::chrono::milliseconds(10 + random_.Below(60)),
+         [this, router] { ReceiveLoad(router, reports_.Totals(now_)); });
+    }
+  }
+  void SendSummaries() {
+    At(now_ + options_.summary_interval, [this] { SendSummaries(); });
+    const control::load_totals totals = reports_.Totals(now_);
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      ReceiveLoad(i, totals);
+    }
   }
 
-  void ReceiveLoad(std::size_t router) {
+  void ReceiveLoad(std::size_t router, const control::load_totals& totals) {
     if (cut_.contains(router)) {
       return;
     }
     const admission::fleet_load others =
-        reports_.LoadOfOthers(reports_.Totals(now_), RouterName(router));
+        reports_.LoadOfOthers(totals, RouterName(router));
     Handle(router, [&](effects& out) {
       routers_[router]->SetOthersLoad(others, now_, out);
     });
@@ -335,6 +358,14 @@
     spec.prompt = targets::prompt{
         .input_tokens = profile.tokens,
         .parts = {{.id = id.value(), .tokens = profile.tokens}}};
+    if (profile.shared_tokens > 0) {
+      const std::uint64_t shared =
+          std::hash<std::string>{}(profile.customer.value());
+      spec.prompt->input_tokens += profile.shared_tokens;
+      spec.prompt->parts.insert(
+          spec.prompt->parts.begin(),
+          {.id = shared, .tokens = profile.shared_tokens});
+    }
     if (stream) {
       AsStream(spec, streams_[*stream]);
       At(now_ + options_.patience, [this, id] { LeaveIfNotBegun(id); });
@@ -455,7 +486,11 @@
     engine& engine = engines_[index];
     open_request& request = requests_.at(id);
     const bool is_gone = IsGone(request, index);
-    if (is_gone || engine.running >= kSlots) {
+    const bool is_full = engine.running >= options_.slots + options_.queue;
+    simulated_arrivals& reached = reached_[SecondsSinceStart()];
+    ++reached.all;
+    reached.rejected += is_full ? 1 : 0;
+    if (is_gone || is_full) {
       Report(id, attempt,
              attempt_failed{.kind = is_gone ? failure_kind::kBroken
                                             : failure_kind::kNotAdmitted,
@@ -625,10 +660,12 @@
       routers_[router]->OnAttempt(id, attempt, event, now_, out);
     });
   }
+  [[nodiscard]] std::int64_t SecondsSinceStart() const {
+    return std::chrono::duration_cast<std::chrono::seconds>(now_ - start_)
+        .count();
+  }
   second_account& AccountOf(const customer_id& customer) {
-    const auto second =
-        std::chrono::duration_cast<std::chrono::seconds>(now_ - start_).count();
-    return accounts_[customer][second];
+    return accounts_[customer][SecondsSinceStart()];
   }
 
   simulated_fleet_options options_;
@@ -648,6 +685,7 @@
   std::set<std::size_t> cut_;
   std::map<std::size_t, time_point> restarted_;
   std::vector<arrival> arrivals_;
+  std::map<std::int64_t, simulated_arrivals> reached_;
   std::vector<wish> wishes_;
   std::uint64_t last_request_ = 0;
 };
--- a/src/routing/tests/simulated_fleet_types.h
+++ b/src/routing/tests/simulated_fleet_types.h
@@ -15,6 +15,9 @@
 struct simulated_fleet_options {
   std::size_t routers = 12;
   std::size_t targets = 30;
+  /// What an engine runs at once, and how many more it lets wait.
+  std::uint32_t slots = 48;
+  std::uint32_t queue = 0;
   /// Prompt tokens that one engine reads in a second.
   double reading_rate = 20'000;
   /// Stated throughput of the pool, as a fraction of what its engines read.
@@ -28,6 +31,9 @@
   duration time_limit = std::chrono::seconds(3);
   /// How long callers of streams wait for the first output.
   duration patience = std::chrono::seconds(2);
+  /// How often the leader sends the sums of the load reports; after each report
+  /// if zero.
+  duration summary_interval{};
   /// One in this many load reports is lost.
   std::uint32_t lost_report_in = 10;
   std::uint32_t seed = 1;
@@ -37,6 +43,8 @@
   customer_id customer;
   double requests_per_second = 1;
   std::uint32_t tokens = 2000;
+  /// The first tokens of all its prompts, which are the same.
+  std::uint32_t shared_tokens = 0;
   /// The router of all its requests; a random one each time if absent.
   std::optional<std::size_t> router;
   /// It breaks its streams off so long after their first output and takes them
@@ -64,6 +72,12 @@
   std::optional<time_point> told;
 };
 
+/// Requests that reached engines in one second.
+struct simulated_arrivals {
+  int all = 0;
+  int rejected = 0;
+};
+
 /// An answer to a router that asked for a pause, or with no end, said that
 /// the engine leaves.
 struct simulated_wish {
