Targets: shared out among the routers where these outnumber a target's slots

What callers saw: with 117 routers a fifth of all calls and more reached a target that rejected them, and were tried again or refused, whatever their customer's share.

Cause: a router compared up to 64 targets and took the one that had least by its figures.

Change: where there are more routers than a target has slots and the others' load is known, a router uses its part of the slots that were free in the last report, rounded up at some targets and down at others, and compares two of them in each of local and other data centres. Those that probably have the prompt's shared parts cached are open to all routers, as before. Smaller fleets: no change. A router's place at a target is computed once, not for each comparison.

--- a/src/routing/internal/router_load.cc
+++ b/src/routing/internal/router_load.cc
@@ -116,7 +116,8 @@
     state.shares.SetRemoteFlows(others.customers, now);
     directory_.SetCompetition(
         pool, {.own_fraction = state.shares.LocalFraction(now),
-               .waiting_elsewhere = state.shares.flow().waiting_elsewhere});
+               .waiting_elsewhere = state.shares.flow().waiting_elsewhere,
+               .load_known = true});
   }
   DispatchAll(now, out);
 }
--- a/src/routing/tests/simulated_fleet.h
+++ b/src/routing/tests/simulated_fleet.h
@@ -553,6 +553,12 @@
          [this, id, attempt, index] { Begin(id, attempt, index); });
       return;
     }
+    if (engines_[index].begun >= options_.slots) {
+      engines_[index].awaiting_slot.emplace_back(id, attempt);
+      return;
+    }
+    ++engines_[index].begun;
+    request.has_slot = true;
     if (!request.started) {
       request.started = true;
       if (request.stream) {
@@ -560,8 +566,10 @@
       }
       second_account& account = AccountOf(request.profile.customer);
       account.started += request.profile.tokens;
-      account.refused_or_late |=
+      const bool is_late =
           now_ - request.arrived > std::chrono::milliseconds(400);
+      account.refused_or_late |= is_late;
+      account.in_time += is_late ? 0 : request.profile.tokens;
     }
     if (engines_[index].rate_limit) {
       engines_[index].told.emplace(request.router, now_);
@@ -614,10 +622,32 @@
            engines_[index].life != request.engine_life;
   }
   void Leave(open_request& request) {
-    if (request.engine) {
-      const bool is_gone = IsGone(request, *request.engine);
-      engines_[*request.engine].running -= is_gone ? 0 : 1;
-      request.engine.reset();
+    if (!request.engine) {
+      return;
+    }
+    const std::size_t index = *request.engine;
+    const bool had_slot = std::exchange(request.has_slot, false);
+    request.engine.reset();
+    if (!IsGone(request, index)) {
+      --engines_[index].running;
+      if (had_slot) {
+        --engines_[index].begun;
+        GiveSlot(index);
+      }
+    }
+  }
+  void GiveSlot(std::size_t index) {
+    auto& waiting = engines_[index].awaiting_slot;
+    if (!waiting.empty()) {
+      const auto [id, attempt] = waiting.front();
+      waiting.pop_front();
+      At(now_, [this, index, id = id, attempt = attempt] {
+        Begin(id, attempt, index);
+        // One that has left takes no slot.
+        if (engines_[index].begun < options_.slots) {
+          GiveSlot(index);
+        }
+      });
     }
   }
 
--- a/src/routing/tests/simulated_fleet_types.h
+++ b/src/routing/tests/simulated_fleet_types.h
@@ -4,8 +4,10 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
@@ -92,6 +94,8 @@
 struct simulated_second {
   double demand = 0;
   double started = 0;
+  /// Of these, the ones that started within the objective.
+  double in_time = 0;
   /// A request was refused or waited longer than its objective.
   bool refused_or_late = false;
 };
@@ -106,7 +110,11 @@
   double rate = 1;
   bool stopped = false;
   std::uint64_t sequence = 0;
+  /// Requests there, and how many of them have begun: those that have a slot.
   std::uint32_t running = 0;
+  std::uint32_t begun = 0;
+  /// Read requests that wait for a slot.
+  std::deque<std::pair<request_seq, attempt_number>> awaiting_slot;
   time_point read_until{};
   std::optional<double> rate_limit;
   std::optional<duration> asks_pause;
@@ -124,6 +132,7 @@
   std::uint64_t engine_life = 0;
   attempt_number attempt;
   bool started = false;
+  bool has_slot = false;
   /// Its router has restarted.
   bool is_lost = false;
   /// It was refused, or its caller has left.
--- a/src/targets/internal/prompt_placement.cc
+++ b/src/targets/internal/prompt_placement.cc
@@ -75,25 +75,25 @@
     const prompt& prompt,
     const placement_constraints& constraints,
     time_point now) {
-  candidates found = Candidates(pool, excluded, constraints, now);
+  const pool_competition& competition = CompetitionFor(pool);
+  const std::size_t compared = ComparedTargets(pool, competition);
+  candidates found = Candidates(pool, excluded, constraints, compared, now);
+  const bool is_part = compared < kMaxCompared ||
+                       found.local.size() + found.remote.size() >= kMaxCompared;
   std::vector<entry*>& all = found.local;
   all.insert(all.end(), found.remote.begin(), found.remote.end());
-  if (all.empty()) {
-    all = std::move(found.last_resort);
-  }
-  if (all.empty()) {
-    return std::nullopt;
-  }
   const std::vector<entry*> preferred =
       PreferredTargets(pool, SharedKey(prompt), now);
   const pool_holders holders = BestHolders(pool, prompt, now);
+  if (is_part && SharedTokens(prompt) > 0) {
+    AddLikely(preferred, holders, excluded, constraints, competition, now, all);
+  }
+  if (all.empty()) {
+    all = std::move(found.last_resort);
+  }
   const bool only_preferred = constraints.preferred_only &&
                               !preferred.empty() && holders.empty() &&
                               SharedTokens(prompt) >= kMinTokensWorthWaiting;
-  const pool_competition& competition = CompetitionFor(pool);
-  if (all.size() >= kMaxCompared) {
-    AddLikely(preferred, holders, excluded, constraints, competition, now, all);
-  }
   const double claimed = constraints.spare_capacity_only
                              ? ClaimedTokens(pool, competition, now)
                              : 0;
@@ -173,8 +173,9 @@
     const bool is_new = target != nullptr &&
                         std::find(all.begin(), all.end(), target) == all.end();
     if (is_new && IsUsable(*target, now) &&
-        Fits(*target, constraints.version)) {
-      AddCandidate(*target, excluded, competition, now, added);
+        Fits(*target, constraints.version) &&
+        HasSlotPart(*target, competition) && HasRoom(*target, now)) {
+      Sort(*target, excluded, added);
     }
   }
   all.insert(all.end(), added.local.begin(), added.local.end());
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -31,6 +31,7 @@
     const pool_id& pool,
     const std::vector<target_id>& excluded,
     const placement_constraints& constraints,
+    std::size_t compared,
     time_point now) {
   candidates found;
   const auto targets = by_pool_.find(pool);
@@ -50,7 +51,7 @@
   const std::vector<entry*>& open = targets->second.open();
   // A random part of them is as good as all, and costs the same in any fleet.
   const std::size_t start =
-      open.size() > kMaxCompared
+      open.size() > compared
           ? random_.Below(static_cast<std::uint32_t>(open.size()))
           : 0;
   for (std::size_t i = 0; i < open.size(); ++i) {
@@ -58,10 +59,17 @@
     if (IsUsable(candidate, now) && Fits(candidate, constraints.version)) {
       AddCandidate(candidate, excluded, competition, now, found);
     }
-    if (found.local.size() + found.remote.size() >= kMaxCompared) {
+    const bool has_enough =
+        found.local.size() >= compared && found.remote.size() >= compared;
+    if (has_enough ||
+        found.local.size() + found.remote.size() >= kMaxCompared) {
       break;
     }
   }
+  if (compared < kMaxCompared) {
+    found.local.resize(std::min(found.local.size(), compared));
+    found.remote.resize(std::min(found.remote.size(), compared));
+  }
   const bool has_other = !found.local.empty() || !found.remote.empty();
   if (!found.last_resort.empty() &&
       (has_other || HasUsableOther(pool, excluded, constraints.version, now))) {
@@ -75,9 +83,17 @@
                                     const pool_competition& competition,
                                     time_point now,
                                     candidates& found) const {
-  if (!HasRoom(candidate, now) || !HasSlotPart(candidate, competition)) {
-    return;
+  const bool may_send = IsSharedOut(candidate, competition)
+                            ? HasFreePart(candidate, competition)
+                            : HasSlotPart(candidate, competition);
+  if (may_send && HasRoom(candidate, now)) {
+    Sort(candidate, excluded, found);
   }
+}
+
+void target_directory::Sort(entry& candidate,
+                            const std::vector<target_id>& excluded,
+                            candidates& found) {
   if (std::find(excluded.begin(), excluded.end(), candidate.announced.target) !=
       excluded.end()) {
     found.last_resort.push_back(&candidate);
@@ -111,8 +127,8 @@
     time_point now,
     const std::optional<software_version>& version,
     const std::optional<target_id>& only) {
-  const candidates found =
-      Candidates(pool, excluded, {.version = version, .only = only}, now);
+  const candidates found = Candidates(
+      pool, excluded, {.version = version, .only = only}, kMaxCompared, now);
   std::vector<target_id> considered;
   for (const auto* group : {&found.local, &found.remote, &found.last_resort}) {
     if (entry* picked = PickAmong(*group, considered)) {
@@ -214,6 +230,7 @@
   for (auto& [target, entry] : entries_) {
     entry.remote_in_flight = 0;
     entry.remote_unread_tokens = 0;
+    entry.in_flight_then = entry.in_flight;
   }
   for (const admission::target_load& load : others) {
     const auto found = entries_.find(load.target);
--- a/src/targets/internal/target_directory.cc
+++ b/src/targets/internal/target_directory.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "targets/rendezvous.h"
+
 namespace burdocklock::targets {
 
 namespace {
@@ -39,6 +41,8 @@
         .last_heard = heard,
         .heard_since = heard,
         .rate_share = RateShare(announcement.target, options_.self, routers_),
+        .place =
+            RendezvousPlace(announcement.target.value(), options_.self.value()),
         .first_grant = last_grant_ + 1};
     const auto [added, inserted] =
         entries_.emplace(announcement.target, std::move(fresh));
--- a/src/targets/known_target.h
+++ b/src/targets/known_target.h
@@ -51,6 +51,12 @@
   std::uint64_t unread_tokens = 0;
   std::uint32_t remote_in_flight = 0;
   std::uint64_t remote_unread_tokens = 0;
+  /// Where this router stands at the target, 0 to 1: a part of its slots that
+  /// is no whole number is rounded up at some targets and down at others, so
+  /// that small parts of many routers add up to the whole.
+  double place = 0;
+  /// Requests in flight when the other routers' load was last received.
+  std::uint32_t in_flight_then = 0;
   /// Measured processing rate of prompt tokens.
   double tokens_per_ms = kDefaultTokensPerMs;
   bool replaced = false;
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -283,18 +283,27 @@
     std::vector<entry*> last_resort;
   };
 
-  /// Returns open targets with room; of many, a random part. With
-  /// `constraints.only`, at most that target.
+  /// Returns open targets with room; of many, a random part, and `compared` at
+  /// most in the local data centre and in others. With `constraints.only`, at
+  /// most that target.
   [[nodiscard]] candidates Candidates(const pool_id& pool,
                                       const std::vector<target_id>& excluded,
                                       const placement_constraints& constraints,
+                                      std::size_t compared,
                                       time_point now);
+  /// How many targets to compare for a prompt.
+  [[nodiscard]] std::size_t ComparedTargets(
+      const pool_id& pool,
+      const pool_competition& competition) const;
   /// Adds the target to the candidates, if it has room.
   void AddCandidate(entry& candidate,
                     const std::vector<target_id>& excluded,
                     const pool_competition& competition,
                     time_point now,
                     candidates& found) const;
+  static void Sort(entry& candidate,
+                   const std::vector<target_id>& excluded,
+                   candidates& found);
   /// Evaluation of sending a prompt to one target.
   struct placement {
     entry* target = nullptr;
@@ -371,6 +380,15 @@
   /// wait at others.
   [[nodiscard]] bool HasSlotPart(const entry& entry,
                                  const pool_competition& competition) const;
+  /// Whether there are more routers than slots, so that each router may send to
+  /// some of the targets only: if all sent to the targets that had most room in
+  /// the last report, these would have to reject most of it.
+  [[nodiscard]] bool IsSharedOut(const entry& entry,
+                                 const pool_competition& competition) const;
+  /// Whether this router may use one more slot of such a target, of those that
+  /// were free in the last report.
+  [[nodiscard]] bool HasFreePart(const entry& entry,
+                                 const pool_competition& competition) const;
   /// Each usable target's part of the tokens that wait at other routers.
   [[nodiscard]] double ClaimedTokens(const pool_id& pool,
                                      const pool_competition& competition,
--- a/src/targets/types/placement.h
+++ b/src/targets/types/placement.h
@@ -35,6 +35,8 @@
   /// Prompt tokens that wait at other routers for room that they are entitled
   /// to.
   double waiting_elsewhere = 0;
+  /// The others' load was received and is recent.
+  bool load_known = false;
 };
 
 /// Restricts the targets that a generation may be sent to.
