--- a/src/framework/logging/internal/boost_logger.cc
+++ b/src/framework/logging/internal/boost_logger.cc
@@ -1,11 +1,16 @@
-// Formats log records as JSON lines and writes them with an asynchronous
-// Boost.Log sink.
+// Formats log records as JSON lines and queues them in a Boost.Log sink, which
+// a thread of the logger empties: all lines of a short time are written at
+// once.
 #include "framework/logging/boost_logger.h"
 
+#include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <ctime>
 #include <fstream>
 #include <iostream>
+#include <mutex>
+#include <thread>
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
@@ -17,7 +22,8 @@
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
-#include <nlohmann/json.hpp>
+
+#include "framework/codec/json_writer.h"
 
 namespace burdocklock {
 
@@ -27,6 +33,9 @@
 // When the queue of the sink is full, new lines are dropped, so that logging
 // never blocks and its memory use is bounded.
 constexpr std::size_t kMaxQueuedLines = 8192;
+// Lines wait for others for this long: a write and a wake-up of the thread for
+// each would cost more than formatting it.
+constexpr std::chrono::milliseconds kWriteDelay{20};
 using log_sink = boost::log::sinks::asynchronous_sink<
     log_backend,
     boost::log::sinks::bounded_fifo_queue<kMaxQueuedLines,
@@ -69,27 +78,68 @@
 std::string FormatLogLine(const log_record& record,
                           const std::string& daemon,
                           std::string_view timestamp) {
-  nlohmann::ordered_json line;
-  line["time"] = timestamp;
-  line["level"] = LevelName(record.level());
-  line["event"] = record.event();
+  json_object_writer line;
+  line.Add("time", timestamp);
+  line.Add("level", LevelName(record.level()));
+  line.Add("event", record.event());
   if (!daemon.empty()) {
-    line["daemon"] = daemon;
+    line.Add("daemon", daemon);
   }
   for (const auto& [key, value] : record.fields()) {
-    std::visit([&line, &key = key](const auto& v) { line[key] = v; }, value);
+    std::visit([&line, &key = key](const auto& v) { line.Add(key, v); }, value);
   }
-  // Replaces invalid UTF-8: an exception here would terminate the process.
-  return line.dump(-1, ' ', false,
-                   nlohmann::ordered_json::error_handler_t::replace);
+  return line.Take();
 }
 
 struct boost_logger::state {
+  // Writes queued lines until `Stop`. Sleeps while there are none.
+  void WriteLines();
+  // Has the lines written within `kWriteDelay`.
+  void Wake();
+  void Stop();
+
   boost_logger_options options;
   boost::shared_ptr<log_sink> sink;
   boost::log::sources::logger_mt source;
+  std::atomic<bool> has_lines{false};
+  std::mutex mutex;
+  std::condition_variable changed;
+  /// Guarded by `mutex`.
+  bool stopping = false;
+  std::thread writer;
 };
 
+void boost_logger::state::WriteLines() {
+  std::unique_lock lock(mutex);
+  while (!stopping) {
+    changed.wait(lock, [this] { return stopping || has_lines; });
+    changed.wait_for(lock, kWriteDelay, [this] { return stopping; });
+    lock.unlock();
+    // Lines queued from here on set it again.
+    has_lines = false;
+    sink->flush();
+    lock.lock();
+  }
+}
+
+void boost_logger::state::Wake() {
+  if (!has_lines.exchange(true)) {
+    // The writer must not miss it between its check and its wait.
+    { const std::lock_guard lock(mutex); }
+    changed.notify_one();
+  }
+}
+
+void boost_logger::state::Stop() {
+  {
+    const std::lock_guard lock(mutex);
+    stopping = true;
+  }
+  changed.notify_one();
+  writer.join();
+  sink->flush();
+}
+
 boost_logger::boost_logger(boost_logger_options options)
     : state_(std::make_unique<state>()) {
   state_->options = std::move(options);
@@ -104,17 +154,16 @@
     backend->add_stream(
         boost::make_shared<std::ofstream>(state_->options.path, std::ios::app));
   }
-  backend->auto_flush(true);
-  state_->sink = boost::make_shared<log_sink>(backend);
+  state_->sink = boost::make_shared<log_sink>(backend, /*start_thread=*/false);
   state_->sink->set_formatter(boost::log::expressions::stream
                               << boost::log::expressions::smessage);
   boost::log::core::get()->add_sink(state_->sink);
+  state_->writer = std::thread([state = state_.get()] { state->WriteLines(); });
 }
 
 boost_logger::~boost_logger() {
   boost::log::core::get()->remove_sink(state_->sink);
-  state_->sink->stop();
-  state_->sink->flush();
+  state_->Stop();
 }
 
 void boost_logger::Log(const log_record& record) {
@@ -123,6 +172,7 @@
   }
   BOOST_LOG(state_->source)
       << FormatLogLine(record, state_->options.daemon, UtcTimestamp());
+  state_->Wake();
 }
 
 }  // namespace burdocklock
--- a/src/framework/tests/codec_unittest.cc
+++ b/src/framework/tests/codec_unittest.cc
@@ -2,12 +2,15 @@
 #include <cstdint>
 #include <limits>
 #include <string>
+#include <vector>
 
+#include <rapidcheck/catch.h>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include "framework/codec/bounded_parse.h"
 #include "framework/codec/format_text.h"
+#include "framework/codec/json_writer.h"
 #include "framework/codec/whole_number.h"
 
 namespace burdocklock {
@@ -62,5 +65,38 @@
   CHECK(ParseTextOrDiscard("\"\xff\"").is_discarded());
 }
 
+TEST_CASE("object written member by member: same text as of a document") {
+  rc::prop("any names and values",
+           [](const std::string& name, const std::string& text, double number,
+              std::int64_t whole, bool flag) {
+             const std::vector<std::string> list = {text, "plain", ""};
+             nlohmann::ordered_json document;
+             json_object_writer writer;
+             const auto add = [&](const std::string& key, const auto& value) {
+               document[key] = value;
+               writer.Add(key, value);
+             };
+             add("a" + name, text);
+             add("b", number);
+             add("c", whole);
+             add("d", flag);
+             add("e", list);
+             const std::string written = writer.Take();
+             const json read = json::parse(written);
+             RC_ASSERT(read == json::parse(FormatText(document)));
+           });
+}
+
+TEST_CASE("object written member by member: numbers keep their form") {
+  json_object_writer writer;
+  writer.Add("whole", 3.0);
+  writer.Add("part", 0.25);
+  writer.Add("none", std::numeric_limits<double>::infinity());
+  writer.Add("large", std::numeric_limits<std::uint64_t>::max());
+  CHECK(
+      writer.Take() ==
+      R"({"whole":3.0,"part":0.25,"none":null,"large":18446744073709551615})");
+}
+
 }  // namespace
 }  // namespace burdocklock
