Messages: written at once if they fit, without timer and suspension

Cause: whole answers, heads of streams and requests to targets were written by an asynchronous operation with a timer each, which suspends the fiber even if all fits into the socket's buffer; and each output of a stream set the socket non-blocking once more, a system call.

Change: what fits is written without waiting; only the rest is waited for, under the same time limit as before. A socket is set non-blocking once.

--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -14,6 +14,7 @@
 #include <boost/outcome/success_failure.hpp>
 
 #include "framework/fiber/use_fiber.h"
+#include "framework/net/write_buffers.h"
 
 namespace burdocklock::net {
 
@@ -94,9 +95,13 @@
 result<void> http_client::Send(http_request& request) {
   state_->parser.reset();
   request.prepare_payload();
-  const auto written = http::async_write(state_->stream, request, use_fiber);
-  if (written.ec) {
-    return state_->MakeError("send request", written.ec);
+  http::request_serializer<http::string_body> serializer(request);
+  beast::error_code ec = WriteWhatFits(state_->stream, serializer);
+  if (ec == asio::error::would_block) {
+    ec = http::async_write(state_->stream, serializer, use_fiber).ec;
+  }
+  if (ec) {
+    return state_->MakeError("send request", ec);
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -24,6 +24,7 @@
 #include "framework/fiber/use_fiber.h"
 #include "framework/net/internal/idle_connections.h"
 #include "framework/net/internal/request_source.h"
+#include "framework/net/write_buffers.h"
 
 namespace burdocklock::net {
 
@@ -84,8 +85,13 @@
 
 bool http_connection::Write(http_response& response) {
   response.prepare_payload();
+  http::response_serializer<http::string_body> serializer(response);
+  const beast::error_code ec = WriteWhatFits(stream, serializer);
+  if (ec != asio::error::would_block) {
+    return !ec;
+  }
   stream.expires_after(write_timeout);
-  const auto written = http::async_write(stream, response, use_fiber);
+  const auto written = http::async_write(stream, serializer, use_fiber);
   stream.expires_never();
   return !written.ec;
 }
@@ -358,7 +364,7 @@
                              .accepted_at = steady_clock::now()};
   beast::error_code ignored;
   connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-  connection.stream.socket().non_blocking(true, ignored);
+  SetNonBlocking(connection.stream);
   connections.insert(&connection);
   idle.Add(connection);
   ServeRequests(connection);
--- a/src/gateway/internal/response_writer.cc
+++ b/src/gateway/internal/response_writer.cc
@@ -122,12 +122,8 @@
   response.keep_alive(keep_alive_);
   PromiseIdle(response);
   started_ = true;
-  http::response_serializer<http::empty_body> serializer(response);
-  connection_.stream.expires_after(connection_.write_timeout);
-  const auto written =
-      http::async_write_header(connection_.stream, serializer, use_fiber);
   stream_.emplace(stream_writer(*this));
-  return Check(!written.ec);
+  return Check(net::WriteHead(connection_, response));
 }
 
 stream_writer* response_writer::stream() {
