Refusals of the traffic threads: sent without the control thread

What callers see: a router that hears three times what it can serve has no time left to serve, as refusing takes it.

Cause: a refusal that a traffic thread decides went to the control thread for its number and its log line and back, two switches of threads, and was decided after the request to the target had been built. Each had a log line of its own.

Change: numbers come from a counter that all threads share, still without gaps; the answer is written at once; refusals are recorded in batches of 100 ms. In a batch more than four of the same customer, reason and run state are one line, "refusals", with all their numbers and request ids. Whether a call is turned away is asked before anything is built for it. A refusal's line now names the request as its caller does.

The check of four refusal records in daemon_unittest waits for them, as they follow the answer by up to 100 ms; it asks for exactly four still.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -84,8 +84,8 @@
       const override;
   void Submit(const routing::request_spec& spec,
               std::shared_ptr<gateway::i_exchange> exchange) override;
-  void RefuseEarly(refusals::refusal refusal,
-                   std::shared_ptr<gateway::i_exchange> exchange) override;
+  refusal_seq NextRefusal() override;
+  void ReportRefusals(std::vector<refusals::named_refusal> refused) override;
   void ReportAttempt(request_seq request,
                      attempt_number attempt,
                      routing::attempt_event event) override;
@@ -140,7 +140,11 @@
   void NoteSuspension(time_point now);
   bool OnPeerMessage(std::uint64_t link, const std::string& bytes);
   void CheckPlannedOutages(time_point now, routing::effects& out);
-  void LogRefusal(const refusals::refusal& refusal);
+  void CountRefusals(const refusals::refusal& kind, std::size_t count);
+  void LogRefusal(const refusals::refusal& refusal,
+                  const std::string& request_name);
+  /// Logs refusals of one kind in one line.
+  void LogRefusals(const std::vector<refusals::named_refusal>& same);
   // The request id given by the caller, or this daemon's id if there is none.
   [[nodiscard]] std::string LogName(request_seq request) const;
   void DeliverTo(request_seq request, gateway::exchange_order order);
--- a/src/app/internal/control_effects.cc
+++ b/src/app/internal/control_effects.cc
@@ -74,7 +74,8 @@
 }
 
 void control_loop::Perform(const routing::refuse_request& effect, time_point) {
-  LogRefusal(effect.refusal);
+  CountRefusals(effect.refusal, 1);
+  LogRefusal(effect.refusal, LogName(*effect.refusal.request));
   DeliverTo(*effect.refusal.request, effect);
 }
 
@@ -85,7 +86,8 @@
 
 void control_loop::Perform(const routing::truncate_response& effect,
                            time_point) {
-  LogRefusal(effect.refusal);
+  CountRefusals(effect.refusal, 1);
+  LogRefusal(effect.refusal, LogName(*effect.refusal.request));
   DeliverTo(*effect.refusal.request, effect);
 }
 
@@ -260,19 +262,46 @@
                   .Add("remaining_ms", ToMilliseconds(effect.remaining)));
 }
 
-void control_loop::LogRefusal(const refusals::refusal& refusal) {
-  ++metrics_.Counter(
-      "burdocklock_refusals_total",
-      {{"reason", ToString(refusal.reason)}, {"run", ToString(refusal.run)}});
-  log_record record("refusal");
-  record.Add("refusal", RefusalName(refusal.id))
-      .Add("customer", refusal.customer.value())
-      .Add("reason", ToString(refusal.reason))
-      .Add("run", ToString(refusal.run));
-  if (refusal.request) {
-    record.Add("request", LogName(*refusal.request));
+void control_loop::CountRefusals(const refusals::refusal& kind,
+                                 std::size_t count) {
+  metrics_.Counter("burdocklock_refusals_total",
+                   {{"reason", ToString(kind.reason)},
+                    {"run", ToString(kind.run)}}) += count;
+}
+
+void control_loop::LogRefusal(const refusals::refusal& refusal,
+                              const std::string& request_name) {
+  logger_.Log(log_record("refusal")
+                  .Add("refusal", RefusalName(refusal.id))
+                  .Add("customer", refusal.customer.value())
+                  .Add("reason", ToString(refusal.reason))
+                  .Add("run", ToString(refusal.run))
+                  .Add("request", request_name)
+                  .Add("detail", refusal.detail));
+}
+
+void control_loop::LogRefusals(
+    const std::vector<refusals::named_refusal>& same) {
+  const refusals::named_refusal& first = same.front();
+  CountRefusals(first.made, same.size());
+  if (same.size() == 1) {
+    LogRefusal(first.made, first.request_name);
+    return;
+  }
+  std::vector<std::string> numbers;
+  std::vector<std::string> requests;
+  for (const refusals::named_refusal& one : same) {
+    numbers.push_back(std::to_string(one.made.id.value()));
+    requests.push_back(one.request_name);
   }
-  logger_.Log(record.Add("detail", refusal.detail));
+  logger_.Log(log_record("refusals")
+                  .Add("count", same.size())
+                  .Add("customer", first.made.customer.value())
+                  .Add("reason", ToString(first.made.reason))
+                  .Add("run", ToString(first.made.run))
+                  .Add("prefix", name_prefix_ + "r")
+                  .Add("refusals", std::move(numbers))
+                  .Add("requests", std::move(requests)));
 }
 
 void control_loop::LogAnnouncement(const targets::announcement& announcement,
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -167,13 +167,17 @@
   });
 }
 
-void control_loop::RefuseEarly(refusals::refusal refusal,
-                               std::shared_ptr<gateway::i_exchange> exchange) {
-  Post([this, refusal = std::move(refusal), exchange = std::move(exchange)](
-           time_point, routing::effects&) {
-    const refusals::refusal recorded = router_.RecordRefusal(refusal);
-    LogRefusal(recorded);
-    exchange->Deliver(routing::refuse_request{.refusal = recorded});
+refusal_seq control_loop::NextRefusal() {
+  return router_.refusal_numbers().Next();
+}
+
+void control_loop::ReportRefusals(
+    std::vector<refusals::named_refusal> refused) {
+  Post([this, refused = std::move(refused)](time_point, routing::effects&) {
+    router_.OnRefusedEarly(refused.size());
+    for (const auto& same : refusals::GroupByKind(refused)) {
+      LogRefusals(same);
+    }
   });
 }
 
--- a/src/app/tests/daemon_unittest.cc
+++ b/src/app/tests/daemon_unittest.cc
@@ -324,6 +324,8 @@
   const std::string last = Exchange("GET /services/none/x");
   CHECK(Contains(last, "404"));
   CHECK(Contains(last, "-r4\""));
+  // They are recorded in batches, after they were sent.
+  logger.WaitFor("refusal", 4);
   CHECK(logger.Count("refusal") == 4);
 }
 
--- a/src/gateway/i_control.h
+++ b/src/gateway/i_control.h
@@ -12,7 +12,7 @@
 #include "framework/net/closed_connection.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
-#include "refusals/types/refusal.h"
+#include "refusals/refusal_groups.h"
 #include "routes/route_index.h"
 #include "routing/types/attempt.h"
 #include "routing/types/drain_window.h"
@@ -76,10 +76,9 @@
 
   virtual void Submit(const routing::request_spec& spec,
                       std::shared_ptr<i_exchange> exchange) = 0;
-  /// Assigns an ID to a refusal decided on the traffic side, records it, and
-  /// orders the exchange to send it.
-  virtual void RefuseEarly(refusals::refusal refusal,
-                           std::shared_ptr<i_exchange> exchange) = 0;
+  /// ID for a refusal that is decided on the traffic side; it must be reported.
+  virtual refusal_seq NextRefusal() = 0;
+  virtual void ReportRefusals(std::vector<refusals::named_refusal> refused) = 0;
   virtual void ReportAttempt(request_seq request,
                              attempt_number attempt,
                              routing::attempt_event event) = 0;
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -13,6 +13,7 @@
 #include "gateway/i_target_dialect.h"
 #include "gateway/internal/response_writer.h"
 #include "gateway/progress_reporter.h"
+#include "gateway/refusal_reporter.h"
 #include "gateway/target_connections.h"
 #include "gateway/types/traffic_state.h"
 #include "routing/types/attempt.h"
@@ -28,6 +29,7 @@
   const i_target_dialect& dialect;
   target_connections& idle_connections;
   progress_reporter& progress;
+  refusal_reporter& refusals;
   admission::processor_guard& guard;
   traffic_state& shared;
   net::byte_budget& budget;
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -25,19 +25,21 @@
 
 }  // namespace
 
-net::keep_alive call_service::Serve(net::http_connection& connection,
-                                    const net::http_request& request,
-                                    outgoing_call call) {
+std::optional<net::keep_alive> call_service::TurnAway(
+    net::http_connection& connection,
+    const net::http_request& request,
+    const routing::request_spec& spec,
+    const std::string& name) {
   const time_point now = std::chrono::steady_clock::now();
+  refusals::refusal refusal{
+      .customer = spec.customer,
+      .request = spec.id,
+      .retry_after = admission::RetryElsewhereAfter(spec.id)};
   const std::optional<routing::drain_window> drain =
       context_.control.DrainWindow();
-  if (drain && !drain->Accepts(now, call.spec.time_limit)) {
-    return Refuse(
-        connection, request, call.request_name,
-        {.customer = call.spec.customer,
-         .request = call.spec.id,
-         .reason = refusal_reason::kDraining,
-         .retry_after = admission::RetryElsewhereAfter(call.spec.id)});
+  if (drain && !drain->Accepts(now, spec.time_limit)) {
+    refusal.reason = refusal_reason::kDraining;
+    return Refuse(connection, request, name, std::move(refusal));
   }
   // Work for a caller that left while its request waited to be read would be
   // taken from those that are there.
@@ -45,22 +47,24 @@
     ++context_.shared.left_unread;
     return net::keep_alive::kNo;
   }
-  const double cost = ProcessorCost(call.spec);
-  if (!context_.guard.Admit(call.spec.customer, cost, now)) {
-    return Refuse(
-        connection, request, call.request_name,
-        {.customer = call.spec.customer,
-         .request = call.spec.id,
-         .reason = refusal_reason::kRouterBusy,
-         .retry_after = admission::RetryElsewhereAfter(call.spec.id)});
+  if (!context_.guard.Admit(spec.customer, ProcessorCost(spec), now)) {
+    refusal.reason = refusal_reason::kRouterBusy;
+    return Refuse(connection, request, name, std::move(refusal));
   }
+  return std::nullopt;
+}
+
+net::keep_alive call_service::Serve(net::http_connection& connection,
+                                    const net::http_request& request,
+                                    outgoing_call call) {
+  const double cost = ProcessorCost(call.spec);
   call.spec.fingerprint = FingerprintOf(
       call.spec.customer,
       {.method = request.method_string(),
        .path = request.target(),
        .body = request.body(),
        .prompt = call.spec.prompt ? &*call.spec.prompt : nullptr});
-  const bool keep = request.keep_alive() && !drain;
+  const bool keep = request.keep_alive() && !context_.control.IsDraining();
   response_writer writer(connection, request, call.request_name, keep,
                          context_.dialect);
   std::make_shared<caller_exchange>(context_, connection, std::move(call),
@@ -75,17 +79,16 @@
                                      const net::http_request& request,
                                      const std::string& name,
                                      refusals::refusal refusal) {
-  const request_seq id = *refusal.request;
+  refusal.id = context_.control.NextRefusal();
   const bool keep = request.keep_alive() && !context_.control.IsDraining() &&
                     request.method() != net::http::verb::unknown &&
                     refusal.reason != refusal_reason::kRouterBusy;
   response_writer writer(connection, request, name, keep, context_.dialect);
-  outgoing_call refused_call{.spec = {.id = id, .caller_name = name},
-                             .request_name = name,
-                             .request = {}};
-  std::make_shared<caller_exchange>(context_, connection,
-                                    std::move(refused_call), writer)
-      ->RunRefused(std::move(refusal));
+  if (auto permit = writer.TakeHeadPermit()) {
+    writer.WriteProblem(*std::move(permit), refusal,
+                        context_.control.RefusalName(refusal.id));
+  }
+  context_.refusals.Add({.made = std::move(refusal), .request_name = name});
   return writer.keep_alive();
 }
 
--- a/src/gateway/internal/call_service.h
+++ b/src/gateway/internal/call_service.h
@@ -1,6 +1,7 @@
 // Common to all caller interfaces: serves accepted calls and sends refusals.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "framework/net/http_server.h"
@@ -13,14 +14,20 @@
  public:
   explicit call_service(traffic_context& context) : context_(context) {}
 
+  /// Turns a call away whose caller has left, which might not end in time while
+  /// the daemon is shutting down, or for which the processor has no time. All
+  /// others must be served. To be asked before work is spent on the call.
+  std::optional<net::keep_alive> TurnAway(net::http_connection& connection,
+                                          const net::http_request& request,
+                                          const routing::request_spec& spec,
+                                          const std::string& name);
   /// Serves the call on the connection's fiber until the response is written or
-  /// the caller disconnects. Refuses it if the daemon is shutting down and the
-  /// call might not end in time, or if the processor has no time for it.
+  /// the caller disconnects.
   net::keep_alive Serve(net::http_connection& connection,
                         const net::http_request& request,
                         outgoing_call call);
-  /// Assigns an ID to a refusal, records it and sends it. `name` is the request
-  /// ID shown to the caller.
+  /// Assigns an ID to a refusal, sends it and has it recorded. `name` is the
+  /// request ID shown to the caller.
   net::keep_alive Refuse(net::http_connection& connection,
                          const net::http_request& request,
                          const std::string& name,
--- a/src/gateway/internal/caller_exchange.cc
+++ b/src/gateway/internal/caller_exchange.cc
@@ -22,15 +22,10 @@
 void caller_exchange::Run() {
   context_.control.Submit(call_.spec, shared_from_this());
   WatchCaller();
-  Loop();
+  PerformOrders();
 }
 
-void caller_exchange::RunRefused(refusals::refusal refusal) {
-  context_.control.RefuseEarly(std::move(refusal), shared_from_this());
-  Loop();
-}
-
-void caller_exchange::Loop() {
+void caller_exchange::PerformOrders() {
   while (!finished_) {
     if (pending_orders_.empty()) {
       pending_orders_changed_.Wait();
--- a/src/gateway/internal/caller_exchange.h
+++ b/src/gateway/internal/caller_exchange.h
@@ -27,13 +27,11 @@
   /// Submits the call and blocks the fiber until the response is written or the
   /// caller disconnects.
   void Run();
-  /// Sends a refusal after the control thread has assigned its ID.
-  void RunRefused(refusals::refusal refusal);
 
   void Deliver(exchange_order order) override;
 
  private:
-  void Loop();
+  void PerformOrders();
   void Accept(exchange_order order);
   void Execute(const routing::start_attempt& order);
   void Execute(const routing::cancel_attempt& order);
@@ -50,7 +48,7 @@
   void OnCallerLost();
 
   traffic_context& context_;
-  // Valid, like `writer_`, only while `Run` or `RunRefused` executes.
+  // Valid, like `writer_`, only while `Run` executes.
   net::http_connection& connection_;
   outgoing_call call_;
   response_writer& writer_;
--- a/src/gateway/internal/routed_handler.cc
+++ b/src/gateway/internal/routed_handler.cc
@@ -110,11 +110,16 @@
     }
     customer = owner->customer;
   }
-  outgoing_call call{.spec = BuildRequestSpec(*route, customer, facts),
+  routing::request_spec spec = BuildRequestSpec(*route, customer, facts);
+  spec.id = id;
+  if (const auto turned_away =
+          calls_.TurnAway(connection, request, spec, facts.name)) {
+    return *turned_away;
+  }
+  outgoing_call call{.spec = std::move(spec),
                      .request_name = facts.name,
                      .request = dialect_.BuildTargetRequest(
                          request, {.name = facts.name, .customer = customer})};
-  call.spec.id = id;
   call.deadline = arrived + *call.spec.time_limit;
   return calls_.Serve(connection, request, std::move(call));
 }
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -47,6 +47,7 @@
         budget(options.max_held_bytes),
         idle_connections(io, options.target_idle),
         progress(io, control),
+        refusals(io, control),
         context{
             .io = io,
             .control = control,
@@ -55,6 +56,7 @@
                            : openai,
             .idle_connections = idle_connections,
             .progress = progress,
+            .refusals = refusals,
             .guard = guard,
             .shared = shared,
             .budget = budget,
@@ -108,6 +110,7 @@
   openai_dialect openai;
   target_connections idle_connections;
   progress_reporter progress;
+  refusal_reporter refusals;
   traffic_context context;
   std::unique_ptr<net::i_http_handler> handler;
   net::http_server server;
--- a/src/routing/internal/request_outcome.cc
+++ b/src/routing/internal/request_outcome.cc
@@ -26,13 +26,6 @@
 
 }  // namespace
 
-refusal request_router::RecordRefusal(refusal refusal) {
-  last_refusal_ = refusal_seq(last_refusal_.value() + 1);
-  refusal.id = last_refusal_;
-  ++totals_.refused;
-  return refusal;
-}
-
 void request_router::Finish(record& record,
                             const outcome& result,
                             time_point now,
@@ -88,12 +81,14 @@
                                     refusal_reason reason,
                                     run_state run,
                                     time_point now) {
-  return RecordRefusal({.customer = record.spec.customer,
-                        .request = record.spec.id,
-                        .reason = reason,
-                        .run = run,
-                        .retry_after = RetryAfter(record, reason, run, now),
-                        .detail = refusals::Describe(reason)});
+  ++totals_.refused;
+  return {.id = refusal_numbers_.Next(),
+          .customer = record.spec.customer,
+          .request = record.spec.id,
+          .reason = reason,
+          .run = run,
+          .retry_after = RetryAfter(record, reason, run, now),
+          .detail = refusals::Describe(reason)};
 }
 
 std::optional<std::chrono::milliseconds> request_router::RetryAfter(
--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -20,6 +20,7 @@
 #include "framework/i_random.h"
 #include "framework/types/ids.h"
 #include "framework/types/time.h"
+#include "refusals/refusal_numbers.h"
 #include "refusals/types/refusal.h"
 #include "routing/i_routing_observer.h"
 #include "routing/request_lifecycle.h"
@@ -150,9 +151,12 @@
   void OnTick(time_point now, effects& out);
   [[nodiscard]] time_point NextDeadline() const;
 
-  /// Assigns an id to a refusal and counts it. Call for refusals that were
-  /// decided before the request reached the router.
-  refusals::refusal RecordRefusal(refusals::refusal refusal);
+  /// Ids for refusals that are decided before the request reaches the router;
+  /// callable from any thread. `OnRefusedEarly` counts them.
+  [[nodiscard]] refusals::refusal_numbers& refusal_numbers() {
+    return refusal_numbers_;
+  }
+  void OnRefusedEarly(std::size_t count) { totals_.refused += count; }
 
   /// Demand and service of one customer in one pool.
   struct customer_load {
@@ -413,7 +417,7 @@
   std::set<std::pair<stream_key, request_seq>> held_;
   /// Set while this router is being stopped.
   std::optional<drain_window> drain_;
-  refusal_seq last_refusal_{0};
+  refusals::refusal_numbers refusal_numbers_;
   router_totals totals_;
 };
 
--- a/tools/routing_cost/main.cc
+++ b/tools/routing_cost/main.cc
@@ -156,11 +156,8 @@
       });
     }
     refusal_.Measure([&] {
-      const refusals::refusal refused = router_.RecordRefusal(
-          {.customer = Customer(0),
-           .request = request_seq(++last_request_),
-           .reason = refusals::refusal_reason::kRouterBusy});
-      last_refusal_ = refused.id.value();
+      router_.OnRefusedEarly(1);
+      last_refusal_ = router_.refusal_numbers().Next().value();
     });
   }
 
