--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -90,6 +90,7 @@
   void OnStreamContradiction(
       const streams::stream_record& contradicting) override;
   void OnStreamsDropped(std::uint64_t count) override;
+  void OnLeastShare(const admission::least_share& least) override;
   void OnError(const error& problem) override;
 
   // gateway::i_operations
@@ -120,6 +121,8 @@
   // Submission time of each batch that is not durable yet.
   std::map<quorum::batch_number, time_point> pending_writes;
   std::unique_ptr<control::control_node> node;
+  /// As last reported; absent if this host has not led.
+  std::optional<admission::least_share> least_share;
   settings_watch watch;
   boost::asio::steady_timer timer;
   time_point timer_at = kNever;
@@ -402,6 +405,17 @@
                  .Add("held", node->streams().size()));
 }
 
+void control_host::state::OnLeastShare(const admission::least_share& least) {
+  least_share = least;
+  logger.Log(log_record("least_share")
+                 .Add("pool", least.pool.value())
+                 .Add("customer", least.customer.value())
+                 .Add("margin", least.margin)
+                 .Add("due", least.due)
+                 .Add("begun", least.begun)
+                 .Add("best", least.best));
+}
+
 void control_host::state::OnError(const error& problem) {
   logger.Log(log_record("control_problem", log_level::kError)
                  .Add("detail", problem.Message()));
@@ -420,6 +434,8 @@
       [this] { return node->state().contents().version; });
   add("burdocklock_routers", [this] { return node->router_count(); });
   add("burdocklock_targets", [this] { return node->registry().size(); });
+  add("burdocklock_least_share_margin",
+      [this] { return least_share ? least_share->margin : 1.0; });
   add("burdocklock_stream_records", [this] { return node->streams().size(); });
   add("burdocklock_stream_records_dropped",
       [this] { return node->streams().dropped(); });
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/share_margin.h"
 #include "control/i_control_commands.h"
 #include "control/i_control_port.h"
 #include "control/i_link_port.h"
@@ -193,6 +194,7 @@
   void SendTargetBatch();
   [[nodiscard]] std::vector<aged_announcement> RecentTargets() const;
   void SendLoad();
+  void ReportLeastShare(const load_totals& totals);
   void SendAllEvidence(link_id link);
   void SendNewEvidence();
   void RemoveSilentPeers();
@@ -206,6 +208,8 @@
   operator_state state_;
   target_registry registry_;
   load_collector load_;
+  admission::share_margin margin_;
+  time_point next_margin_report_{};
   crashes::evidence_store evidence_;
   /// Evidence that routers and other control hosts may lack.
   crashes::evidence new_evidence_;
--- a/src/control/i_control_port.h
+++ b/src/control/i_control_port.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/share_margin.h"
 #include "control/i_control_commands.h"
 #include "control/target_registry.h"
 #include "control/types/message.h"
@@ -36,6 +37,9 @@
       const streams::stream_record& contradicting) = 0;
   /// Records of streams were dropped before their time since the last call.
   virtual void OnStreamsDropped(std::uint64_t count) = 0;
+  /// At the leader, once a second while routers report: who got least of its
+  /// share.
+  virtual void OnLeastShare(const admission::least_share& least) = 0;
   virtual void OnError(const error& problem) = 0;
 };
 
--- a/src/control/internal/control_updates.cc
+++ b/src/control/internal/control_updates.cc
@@ -13,6 +13,7 @@
 
 // Targets not seen for this time are left out of the full list.
 constexpr std::chrono::seconds kMaxTargetAge{30};
+constexpr std::chrono::seconds kMarginReportInterval{1};
 
 std::uint64_t AgeMs(time_point last_seen, time_point now) {
   return last_seen >= now
@@ -55,6 +56,7 @@
   next_load_send_ = kNever;
   last_load_send_ = now_;
   const load_totals totals = load_.Totals(now_);
+  ReportLeastShare(totals);
   for (const auto& [link, peer] : inbound_) {
     if (peer.reports_load) {
       link_port_.Send(link,
@@ -64,6 +66,21 @@
   }
 }
 
+void control_node::ReportLeastShare(const load_totals& totals) {
+  std::vector<admission::customer_flow> flows;
+  for (const auto& [of, flow] : totals.customers) {
+    flows.push_back(flow);
+  }
+  margin_.OnTotals(std::move(flows), now_);
+  if (now_ < next_margin_report_) {
+    return;
+  }
+  next_margin_report_ = now_ + kMarginReportInterval;
+  if (const auto least = margin_.Least()) {
+    port_.OnLeastShare(*least);
+  }
+}
+
 void control_node::Handle(link_id, const evidence_update& m) {
   crashes::evidence news = evidence_.Merge(m.contents, now_);
   if (news.empty()) {
--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -125,6 +125,9 @@
     ++contradictions;
   }
   void OnStreamsDropped(std::uint64_t count) override { dropped += count; }
+  void OnLeastShare(const admission::least_share& least) override {
+    least_share = least;
+  }
   void OnError(const error&) override { ++problems; }
 
   quorum::durable_state disk;
@@ -132,6 +135,7 @@
   int problems = 0;
   int contradictions = 0;
   std::uint64_t dropped = 0;
+  std::optional<admission::least_share> least_share;
 };
 
 struct fake_router_view : i_router_view {
--- a/tools/control_cost/main.cc
+++ b/tools/control_cost/main.cc
@@ -87,6 +87,7 @@
                 control::registry_result) override {}
   void OnStreamContradiction(const streams::stream_record&) override {}
   void OnStreamsDropped(std::uint64_t) override {}
+  void OnLeastShare(const admission::least_share&) override {}
   void OnError(const error&) override {}
 
   std::vector<quorum::batch_number> stored;
