--- a/src/targets/internal/prompt_placement.cc
+++ b/src/targets/internal/prompt_placement.cc
@@ -78,14 +78,15 @@
   const pool_competition& competition = CompetitionFor(pool);
   const std::size_t compared = ComparedTargets(pool, competition);
   candidates found = Candidates(pool, excluded, constraints, compared, now);
-  const bool is_part = compared < kMaxCompared ||
-                       found.local.size() + found.remote.size() >= kMaxCompared;
+  const bool some_left_out =
+      compared < kMaxCompared ||
+      found.local.size() + found.remote.size() >= kMaxCompared;
   std::vector<entry*>& all = found.local;
   all.insert(all.end(), found.remote.begin(), found.remote.end());
   const std::vector<entry*> preferred =
       PreferredTargets(pool, SharedKey(prompt), now);
   const pool_holders holders = BestHolders(pool, prompt, now);
-  if (is_part && SharedTokens(prompt) > 0) {
+  if (some_left_out && SharedTokens(prompt) > 0) {
     AddLikely(preferred, holders, excluded, constraints, competition, now, all);
   }
   if (all.empty()) {
@@ -175,7 +176,7 @@
     if (is_new && IsUsable(*target, now) &&
         Fits(*target, constraints.version) &&
         HasSlotPart(*target, competition) && HasRoom(*target, now)) {
-      Sort(*target, excluded, added);
+      AddToGroup(*target, excluded, added);
     }
   }
   all.insert(all.end(), added.local.begin(), added.local.end());
--- a/src/targets/internal/target_choice.cc
+++ b/src/targets/internal/target_choice.cc
@@ -87,13 +87,13 @@
                             ? HasFreePart(candidate, competition)
                             : HasSlotPart(candidate, competition);
   if (may_send && HasRoom(candidate, now)) {
-    Sort(candidate, excluded, found);
+    AddToGroup(candidate, excluded, found);
   }
 }
 
-void target_directory::Sort(entry& candidate,
-                            const std::vector<target_id>& excluded,
-                            candidates& found) {
+void target_directory::AddToGroup(entry& candidate,
+                                  const std::vector<target_id>& excluded,
+                                  candidates& found) {
   if (std::find(excluded.begin(), excluded.end(), candidate.announced.target) !=
       excluded.end()) {
     found.last_resort.push_back(&candidate);
--- a/src/targets/target_directory.h
+++ b/src/targets/target_directory.h
@@ -301,9 +301,10 @@
                     const pool_competition& competition,
                     time_point now,
                     candidates& found) const;
-  static void Sort(entry& candidate,
-                   const std::vector<target_id>& excluded,
-                   candidates& found);
+  /// Adds it to the local, the remote or the excluded ones.
+  static void AddToGroup(entry& candidate,
+                         const std::vector<target_id>& excluded,
+                         candidates& found);
   /// Evaluation of sending a prompt to one target.
   struct placement {
     entry* target = nullptr;
