--- a/src/targets/internal/target_competition.cc
+++ b/src/targets/internal/target_competition.cc
@@ -1,6 +1,6 @@
-// Which part of a pool's targets a router may use beside the others. Answers the
-// load pattern of many routers whose knowledge of each other is older than the
-// time in which they fill a target. See target_directory.h.
+// Which part of a pool's targets a router may use beside the others. Answers
+// the load pattern of many routers whose knowledge of each other is older than
+// the time in which they fill a target. See target_directory.h.
 #include <algorithm>
 
 #include "targets/target_directory.h"
