Control hosts: a new host also asks over links that others opened to join

Cause: requests to join went only over links that the new host had opened itself, to the few addresses that it is told. If none of those runs, nobody hears of it, although others that are told its address have links to it.

Change: they go over one link to each control host in contact, whichever of the two opened it. A member that does not lead passes the request on as before.

--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -183,6 +183,9 @@
   void ReportNotes(const quorum::raft_output& output);
   void SendQuorum(const quorum::outgoing_message& message);
   void SendJoinRequests();
+  /// One link that is up to each control host in contact, no matter which of
+  /// the two opened it.
+  [[nodiscard]] std::vector<link_id> LinksToHosts() const;
   void UpdateLinks();
   [[nodiscard]] introduction MakeIntroduction() const;
 
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -331,7 +331,7 @@
   if (!raft_.WantsToJoin(now_)) {
     return;
   }
-  for (const link_id link : links_.OpenLinks()) {
+  for (const link_id link : LinksToHosts()) {
     link_port_.Send(
         link,
         quorum_envelope{.from = raft_.self(),
@@ -340,6 +340,18 @@
   }
 }
 
+std::vector<link_id> control_node::LinksToHosts() const {
+  std::vector<link_id> links = links_.OpenLinks();
+  for (const auto& [link, peer] : inbound_) {
+    const std::optional<quorum::member>& host = peer.last_introduction.member;
+    const auto own = host ? links_.FindLink(host->peer_endpoint) : std::nullopt;
+    if (host && !(own && links_.IsUp(*own))) {
+      links.push_back(link);
+    }
+  }
+  return links;
+}
+
 void control_node::RemoveSilentPeers() {
   std::erase_if(inbound_, [this](const auto& peer) {
     const bool is_silent = now_ - peer.second.last_seen >= kPeerTimeout;
--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -257,10 +257,11 @@
   static std::vector<endpoint> Seeds() {
     return {LinkEndpoint(0), LinkEndpoint(1), LinkEndpoint(2)};
   }
-  void StartHost(std::size_t i) {
+  void StartHost(std::size_t i) { StartHost(i, Seeds()); }
+  void StartHost(std::size_t i, std::vector<endpoint> seeds) {
     hosts[i] = std::make_unique<control_node>(
         control_options{.daemon = daemon_id("c" + std::to_string(i)),
-                        .seeds = Seeds(),
+                        .seeds = std::move(seeds),
                         .data_centres = {data_centre_id("cheras")},
                         .raft = {.peer_endpoint = LinkEndpoint(i),
                                  .command_endpoint = CommandEndpoint(i)},
--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -60,6 +60,22 @@
   }
 }
 
+// Nobody that it was told of ran, and it never became a member again.
+TEST_CASE_METHOD(control_fixture,
+                 "lost disk: none of the told hosts runs: joins by the links "
+                 "of those that know its address") {
+  constexpr std::size_t kNobody = 9;
+  const std::size_t lost = (Leader() + 1) % kHosts;
+  const quorum::member_id successor("successor");
+  network.Disconnect(lost, kNobody);
+  ports[lost]->disk = {.self = successor};
+  StartHost(lost, {LinkEndpoint(kNobody)});
+  RunFor(seconds(4));
+  const quorum::member* added = hosts[Leader()]->raft().FindMember(successor);
+  REQUIRE(added != nullptr);
+  CHECK(added->voter);
+}
+
 TEST_CASE_METHOD(control_fixture,
                  "router: restarted next to an outdated control host: applies "
                  "no old state while others are current") {
