Control hosts: answers, log lines and metrics say who leads, and why elections fail

A member keeps how its last attempt to become leader ended (won, overtaken, not a voter, few responses, refused, own vote not stored, votes late) and how many it lost since it knew a leader. `command` lines, 503 answers, /v1/status and gauges have role, term, leader and since when, voters, voters linked, responding, and the version that the host holds. Reads that fail without a redirection are logged.

--- a/src/app/internal/command_call.cc
+++ b/src/app/internal/command_call.cc
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "app/internal/leadership_report.h"
 #include "framework/codec/bounded_parse.h"
 #include "framework/codec/format_text.h"
 #include "framework/codec/member_reader.h"
@@ -40,6 +41,17 @@
   return state->outcome;
 }
 
+net::json_reply MakeUnavailable(const command_outcome& outcome) {
+  if (!outcome.led_by) {
+    return MakeProblem(http::status::service_unavailable, "no leader is known");
+  }
+  nlohmann::ordered_json body{
+      {"error", DescribeMissingLeader(*outcome.led_by)}};
+  AddLeadership(*outcome.led_by, body);
+  return {.status = http::status::service_unavailable,
+          .body = FormatText(body)};
+}
+
 net::json_reply MakeOutcomeReply(const command_outcome& outcome,
                                  const net::http_request& request) {
   switch (outcome.status) {
@@ -64,7 +76,7 @@
     case command_status::kUnknown:
       break;
   }
-  return MakeProblem(http::status::service_unavailable, "no leader is known");
+  return MakeUnavailable(outcome);
 }
 
 bool HasService(const routes::configuration& configuration,
--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -84,6 +84,7 @@
               const quorum::member_id& leader) override;
   void OnMembers(const quorum::membership& members) override;
   void OnVote(const quorum::vote_note& vote) override;
+  void OnElection(const quorum::election_note& election) override;
   void OnJoin(const quorum::join_note& join) override;
   void OnState(control::state_revision revision,
                const control::state_contents& contents) override;
@@ -382,6 +383,17 @@
                  .Add("decision", ToString(vote.decision)));
 }
 
+void control_host::state::OnElection(const quorum::election_note& election) {
+  ++metrics.Counter("burdocklock_elections_total",
+                    {{"result", ToString(election.result)}});
+  logger.Log(log_record("election")
+                 .Add("result", ToString(election.result))
+                 .Add("term", election.term.value())
+                 .Add("voters", election.voters)
+                 .Add("responses", election.responses)
+                 .Add("votes", election.votes));
+}
+
 void control_host::state::OnJoin(const quorum::join_note& join) {
   logger.Log(log_record("join_request")
                  .Add("member", join.joining.value())
@@ -485,6 +497,15 @@
   add("burdocklock_term", [this] { return node->raft().term().value(); });
   add("burdocklock_commit", [this] { return node->raft().commit().value(); });
   add("burdocklock_voters", [this] { return node->raft().VoterCount(); });
+  add("burdocklock_leader_known",
+      [this] { return node->raft().leader().value().empty() ? 0 : 1; });
+  add("burdocklock_leader_since_seconds", [this] {
+    return ToSeconds(steady_clock::now() - node->raft().leader_since());
+  });
+  add("burdocklock_elections_lost",
+      [this] { return node->raft().elections_lost(); });
+  add("burdocklock_voters_linked",
+      [this] { return node->Leadership(steady_clock::now()).voters_linked; });
   add("burdocklock_voters_responding", [this] {
     const quorum::raft_node& raft = node->raft();
     return raft.role() == quorum::raft_role::kLeader
--- a/src/app/internal/control_report.cc
+++ b/src/app/internal/control_report.cc
@@ -1,8 +1,11 @@
 // See the header.
 #include "app/internal/control_report.h"
 
+#include <chrono>
+
 #include <nlohmann/json.hpp>
 
+#include "app/internal/leadership_report.h"
 #include "framework/codec/format_text.h"
 
 namespace burdocklock::app {
@@ -11,17 +14,15 @@
 
 std::string DescribeControlStatus(const config::settings& settings,
                                   const control::control_node& node) {
-  const quorum::raft_node& raft = node.raft();
-  return FormatText(ordered_json{{"daemon", settings.daemon.value()},
-                                 {"data_centre", settings.data_centre.value()},
-                                 {"role", ToString(raft.role())},
-                                 {"term", raft.term().value()},
-                                 {"leader", raft.leader().value()},
-                                 {"commit", raft.commit().value()},
-                                 {"version", node.state().contents().version},
-                                 {"routers", node.router_count()},
-                                 {"targets", node.registry().size()},
-                                 {"stream_records", node.streams().size()}});
+  ordered_json status{{"daemon", settings.daemon.value()},
+                      {"data_centre", settings.data_centre.value()}};
+  AddLeadership(node.Leadership(std::chrono::steady_clock::now()), status);
+  status["commit"] = node.raft().commit().value();
+  status["version"] = node.state().contents().version;
+  status["routers"] = node.router_count();
+  status["targets"] = node.registry().size();
+  status["stream_records"] = node.streams().size();
+  return FormatText(status);
 }
 
 std::string DescribeRegisteredTargets(const control::control_node& node) {
--- a/src/app/internal/timed_commands.cc
+++ b/src/app/internal/timed_commands.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "app/internal/leadership_report.h"
+
 namespace burdocklock::app {
 
 using control::command_done;
@@ -33,7 +35,8 @@
 
 void timed_commands::ReadConfiguration(command_done done) {
   node_.SetTime(steady_clock::now());
-  node_.ReadConfiguration(WithLatency("read_configuration", std::move(done)));
+  node_.ReadConfiguration(
+      WithFailureLog("read_configuration", std::move(done)));
   after_command_();
 }
 
@@ -64,7 +67,7 @@
 
 void timed_commands::ReadRollout(const pool_id& pool, command_done done) {
   node_.SetTime(steady_clock::now());
-  node_.ReadRollout(pool, WithLatency("read_rollout", std::move(done)));
+  node_.ReadRollout(pool, WithFailureLog("read_rollout", std::move(done)));
   after_command_();
 }
 
@@ -100,11 +103,27 @@
   return WithLatency(
       name, [this, record = std::move(record), begin = steady_clock::now(),
              done = std::move(done)](const command_outcome& outcome) mutable {
-        logger_.Log(
-            record.Add("outcome", ToString(outcome.status))
-                .Add("took_ms", ToMilliseconds(steady_clock::now() - begin)));
+        const time_point now = steady_clock::now();
+        record.Add("outcome", ToString(outcome.status))
+            .Add("took_ms", ToMilliseconds(now - begin))
+            .Add("held_version", node_.state().contents().version);
+        AddLeadership(outcome.led_by ? *outcome.led_by : node_.Leadership(now),
+                      record);
+        logger_.Log(record);
         done(outcome);
       });
 }
 
+command_done timed_commands::WithFailureLog(const std::string& name,
+                                            command_done done) {
+  auto logged = WithOutcomeLog(name, log_record("command"), done);
+  auto unlogged = WithLatency(name, std::move(done));
+  return [logged = std::move(logged),
+          unlogged = std::move(unlogged)](const command_outcome& outcome) {
+    const bool is_answered =
+        outcome.status == control::command_status::kDone || outcome.leader;
+    (is_answered ? unlogged : logged)(outcome);
+  };
+}
+
 }  // namespace burdocklock::app
--- a/src/app/internal/timed_commands.h
+++ b/src/app/internal/timed_commands.h
@@ -46,6 +46,10 @@
                                        log_record record,
                                        control::command_done done);
 
+  // Likewise, but logs only outcomes that are neither done nor a redirection.
+  control::command_done WithFailureLog(const std::string& name,
+                                       control::command_done done);
+
   control::control_node& node_;
   i_logger& logger_;
   metric_registry& metrics_;
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -18,6 +18,7 @@
 #include "control/load_collector.h"
 #include "control/operator_state.h"
 #include "control/target_registry.h"
+#include "control/types/leadership.h"
 #include "control/types/message.h"
 #include "crashes/evidence_store.h"
 #include "framework/i_random.h"
@@ -121,6 +122,7 @@
                 std::optional<incarnation> life) override;
 
   [[nodiscard]] const quorum::raft_node& raft() const { return raft_; }
+  [[nodiscard]] leadership Leadership(time_point now) const;
   [[nodiscard]] const operator_state& state() const { return state_; }
   [[nodiscard]] const target_registry& registry() const { return registry_; }
   [[nodiscard]] const streams::stream_origin_store& streams() const {
@@ -171,6 +173,7 @@
   // Commands and reads (control_commands.cc).
   void Propose(const operator_command& command, command_done done);
   [[nodiscard]] command_outcome NotLeaderOutcome() const;
+  [[nodiscard]] command_outcome UnknownOutcome() const;
   void CompleteCommand(const quorum::log_entry& entry);
   void CompleteReads(const std::vector<quorum::read_result>& reads);
   void FailCommands();
--- a/src/control/i_control_commands.h
+++ b/src/control/i_control_commands.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "control/types/leadership.h"
 #include "framework/types/endpoint.h"
 #include "framework/types/ids.h"
 #include "rollouts/types/rollout.h"
@@ -58,6 +59,8 @@
   std::optional<rollouts::rollout> rollout = std::nullopt;
   /// Likewise: how the pool's latest rollouts went, oldest first.
   std::vector<rollouts::rollout_record> rollout_history = {};
+  /// Set unless the command was done: why it may not have been.
+  std::optional<leadership> led_by = std::nullopt;
 };
 
 using command_done = std::function<void(const command_outcome& outcome)>;
--- a/src/control/i_control_port.h
+++ b/src/control/i_control_port.h
@@ -33,6 +33,7 @@
                       const quorum::member_id& leader) = 0;
   virtual void OnMembers(const quorum::membership& members) = 0;
   virtual void OnVote(const quorum::vote_note& vote) = 0;
+  virtual void OnElection(const quorum::election_note& election) = 0;
   virtual void OnJoin(const quorum::join_note& join) = 0;
   virtual void OnState(state_revision revision,
                        const state_contents& contents) = 0;
--- a/src/control/internal/control_commands.cc
+++ b/src/control/internal/control_commands.cc
@@ -7,7 +7,8 @@
 namespace burdocklock::control {
 
 command_outcome control_node::NotLeaderOutcome() const {
-  command_outcome outcome{.status = command_status::kNotLeader};
+  command_outcome outcome{.status = command_status::kNotLeader,
+                          .led_by = Leadership(now_)};
   const quorum::member* leader = raft_.FindMember(raft_.leader());
   if (leader != nullptr && leader->id != raft_.self()) {
     outcome.leader = leader->command_endpoint;
@@ -15,6 +16,10 @@
   return outcome;
 }
 
+command_outcome control_node::UnknownOutcome() const {
+  return {.status = command_status::kUnknown, .led_by = Leadership(now_)};
+}
+
 void control_node::Propose(const operator_command& command, command_done done) {
   const auto accepted = raft_.Propose(EncodeCommand(command), now_);
   if (!accepted) {
@@ -40,7 +45,7 @@
   // Nothing to change, but the read confirms that this host's version is
   // committed and current before the command is acknowledged.
   ReadConfiguration([done = std::move(done)](const command_outcome& read) {
-    done({.status = read.status, .leader = read.leader});
+    done({.status = read.status, .leader = read.leader, .led_by = read.led_by});
   });
 }
 
@@ -101,16 +106,17 @@
 }
 
 void control_node::ReadRollout(const pool_id& pool, command_done done) {
-  ReadConfiguration(
-      [this, pool, done = std::move(done)](const command_outcome& read) {
-        command_outcome outcome{.status = read.status, .leader = read.leader};
-        const auto found = state_.contents().rollouts.find(pool);
-        if (found != state_.contents().rollouts.end()) {
-          outcome.rollout = found->second;
-        }
-        outcome.rollout_history = state_.history().Of(pool);
-        done(outcome);
-      });
+  ReadConfiguration([this, pool,
+                     done = std::move(done)](const command_outcome& read) {
+    command_outcome outcome{
+        .status = read.status, .leader = read.leader, .led_by = read.led_by};
+    const auto found = state_.contents().rollouts.find(pool);
+    if (found != state_.contents().rollouts.end()) {
+      outcome.rollout = found->second;
+    }
+    outcome.rollout_history = state_.history().Of(pool);
+    done(outcome);
+  });
 }
 
 void control_node::CompleteCommand(const quorum::log_entry& entry) {
@@ -120,8 +126,8 @@
   }
   const auto node = pending_commands_.extract(found);
   const bool own = node.mapped().term == entry.term;
-  node.mapped().done(
-      {.status = own ? command_status::kDone : command_status::kUnknown});
+  node.mapped().done(own ? command_outcome{.status = command_status::kDone}
+                         : UnknownOutcome());
 }
 
 void control_node::CompleteReads(
@@ -136,14 +142,14 @@
       node.mapped().done({.status = command_status::kDone,
                           .document = state_.contents().document});
     } else {
-      node.mapped().done({.status = command_status::kUnknown});
+      node.mapped().done(UnknownOutcome());
     }
   }
 }
 
 void control_node::FailCommands() {
   for (auto& [index, command] : std::exchange(pending_commands_, {})) {
-    command.done({.status = command_status::kUnknown});
+    command.done(UnknownOutcome());
   }
 }
 
@@ -164,7 +170,7 @@
     return true;
   });
   for (const command_done& done : expired) {
-    done({.status = command_status::kUnknown});
+    done(UnknownOutcome());
   }
 }
 
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -292,6 +292,9 @@
   for (const quorum::vote_note& vote : output.votes) {
     port_.OnVote(vote);
   }
+  for (const quorum::election_note& election : output.elections) {
+    port_.OnElection(election);
+  }
   for (const quorum::join_note& join : output.joins) {
     port_.OnJoin(join);
   }
@@ -352,6 +355,26 @@
   return links;
 }
 
+leadership control_node::Leadership(time_point now) const {
+  leadership known{.role = raft_.role(),
+                   .term = raft_.term(),
+                   .leader = raft_.leader(),
+                   .known_for = now - raft_.leader_since(),
+                   .voters = raft_.VoterCount(),
+                   .elections_lost = raft_.elections_lost(),
+                   .last_election = raft_.last_election()};
+  for (const quorum::member& member : raft_.members()) {
+    const auto link = links_.FindLink(member.peer_endpoint);
+    const bool is_linked =
+        member.id == raft_.self() || (link && links_.IsActive(*link, now));
+    known.voters_linked += member.voter && is_linked ? 1 : 0;
+  }
+  if (known.role == raft_role::kLeader) {
+    known.voters_responding = raft_.ResponsiveVoterCount(now);
+  }
+  return known;
+}
+
 void control_node::RemoveSilentPeers() {
   std::erase_if(inbound_, [this](const auto& peer) {
     const bool is_silent = now_ - peer.second.last_seen >= kPeerTimeout;
--- a/src/control/internal/link_set.cc
+++ b/src/control/internal/link_set.cc
@@ -65,6 +65,13 @@
   return found != links_.end() && found->second.up;
 }
 
+bool link_set::IsActive(link_id link, time_point now) const {
+  const auto found = links_.find(link);
+  return found != links_.end() && found->second.up &&
+         found->second.has_received &&
+         now - found->second.last_seen < options_.idle_timeout;
+}
+
 bool link_set::AnyActive(time_point now) const {
   return std::any_of(links_.begin(), links_.end(), [&](const auto& link) {
     return link.second.has_received &&
--- a/src/control/link_set.h
+++ b/src/control/link_set.h
@@ -40,6 +40,9 @@
 
   [[nodiscard]] bool Owns(link_id link) const;
   [[nodiscard]] bool IsUp(link_id link) const;
+  /// True if the link is up and a message arrived on it within the idle
+  /// timeout.
+  [[nodiscard]] bool IsActive(link_id link, time_point now) const;
   /// True if a message arrived on any link within the idle timeout.
   [[nodiscard]] bool AnyActive(time_point now) const;
   [[nodiscard]] std::vector<link_id> OpenLinks() const;
--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -124,6 +124,7 @@
               const quorum::member_id&) override {}
   void OnMembers(const quorum::membership&) override {}
   void OnVote(const quorum::vote_note&) override {}
+  void OnElection(const quorum::election_note&) override {}
   void OnJoin(const quorum::join_note&) override {}
   void OnState(state_revision, const state_contents&) override {}
   void OnTarget(const targets::announcement&, registry_result) override {}
--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -60,6 +60,33 @@
   }
 }
 
+// The record of a minute without a leader could not tell why.
+TEST_CASE_METHOD(control_fixture,
+                 "configuration: no majority runs: the answer says who leads, "
+                 "how many voters are linked and how elections end") {
+  const std::size_t alone = (Leader() + 1) % kHosts;
+  Isolate(alone);
+  RunFor(seconds(5));
+  command_outcome outcome;
+  hosts[alone]->SetTime(network.now);
+  hosts[alone]->ReplaceConfiguration(
+      1, "one", [&](const command_outcome& result) { outcome = result; });
+  CHECK(outcome.status == command_status::kNotLeader);
+  CHECK_FALSE(outcome.leader.has_value());
+  REQUIRE(outcome.led_by.has_value());
+  CHECK(outcome.led_by->leader.value().empty());
+  CHECK(outcome.led_by->known_for >= seconds(3));
+  CHECK(outcome.led_by->voters == 3);
+  CHECK(outcome.led_by->voters_linked == 1);
+  CHECK(outcome.led_by->elections_lost >= 2);
+  REQUIRE(outcome.led_by->last_election.has_value());
+  CHECK(outcome.led_by->last_election->result ==
+        quorum::election_result::kFewResponses);
+  const leadership at_leader = hosts[Leader()]->Leadership(network.now);
+  CHECK(at_leader.voters_responding == 2);
+  CHECK(at_leader.elections_lost == 0);
+}
+
 // Nobody that it was told of ran, and it never became a member again.
 TEST_CASE_METHOD(control_fixture,
                  "lost disk: none of the told hosts runs: joins by the links "
--- a/src/quorum/internal/election.cc
+++ b/src/quorum/internal/election.cc
@@ -43,9 +43,52 @@
           .pre_vote = pre_vote};
 }
 
+void raft_node::SetLeader(const member_id& leader, time_point now) {
+  if (leader != leader_) {
+    leader_ = leader;
+    leader_since_ = now;
+  }
+}
+
+std::size_t raft_node::CountVoters(const std::set<member_id>& ids) const {
+  return static_cast<std::size_t>(
+      std::count_if(ids.begin(), ids.end(),
+                    [this](const member_id& id) { return IsVoter(id); }));
+}
+
+election_result raft_node::Obstacle() const {
+  if (!in_pre_vote_ && !votes_.contains(self_)) {
+    return election_result::kOwnVoteNotStored;
+  }
+  if (CountVoters(responders_) + 1 < Majority()) {
+    return election_result::kFewResponses;
+  }
+  return in_pre_vote_ || !refusers_.empty() ? election_result::kRefused
+                                            : election_result::kVotesLate;
+}
+
+void raft_node::EndElection(election_result result) {
+  const bool repeats = result == election_result::kNotVoter && last_election_ &&
+                       last_election_->result == result;
+  const std::uint64_t next = term_.value() + 1;
+  last_election_ = {.result = result,
+                    .term = in_pre_vote_ ? term_number(next) : term_,
+                    .voters = VoterCount(),
+                    .responses = CountVoters(responders_) + 1,
+                    .votes = CountVoters(votes_)};
+  elections_lost_ = result == election_result::kWon ? 0 : elections_lost_ + 1;
+  if (!repeats) {
+    output_.elections.push_back(*last_election_);
+  }
+}
+
 void raft_node::StartPreVote(time_point now) {
   ResetElectionTimer(now);
+  if (role_ == raft_role::kCandidate) {
+    EndElection(Obstacle());
+  }
   if (!IsVoter(self_) || leaving_) {
+    EndElection(election_result::kNotVoter);
     return;
   }
   role_ = raft_role::kCandidate;
@@ -78,10 +121,7 @@
 }
 
 void raft_node::CountVotes(time_point now) {
-  const auto granted = static_cast<std::size_t>(
-      std::count_if(votes_.begin(), votes_.end(),
-                    [this](const member_id& id) { return IsVoter(id); }));
-  if (granted < Majority()) {
+  if (CountVoters(votes_) < Majority()) {
     return;
   }
   if (in_pre_vote_) {
@@ -184,7 +224,9 @@
 void raft_node::BecomeFollower(term_number term, time_point now) {
   if (role_ == raft_role::kLeader) {
     FailReads();
-    leader_ = member_id();
+    SetLeader(member_id(), now);
+  } else if (role_ == raft_role::kCandidate) {
+    EndElection(election_result::kOvertaken);
   }
   role_ = raft_role::kFollower;
   in_pre_vote_ = false;
@@ -193,15 +235,16 @@
   if (term > term_) {
     term_ = term;
     vote_ = member_id();
-    leader_ = member_id();
+    SetLeader(member_id(), now);
     RecordVote();
   }
   ResetElectionTimer(now);
 }
 
 void raft_node::BecomeLeader(time_point now) {
+  EndElection(election_result::kWon);
   role_ = raft_role::kLeader;
-  leader_ = self_;
+  SetLeader(self_, now);
   split_retried_ = false;
   peers_.clear();
   UpdatePeers(now);
--- a/src/quorum/internal/raft_node.cc
+++ b/src/quorum/internal/raft_node.cc
@@ -19,6 +19,7 @@
       log_(std::move(recovered.base), std::move(recovered.entries)),
       commit_index_(log_.base().last_index),
       durable_index_(log_.last_index()),
+      leader_since_(now),
       last_leader_contact_(now) {
   if (!log_.base().state.empty()) {
     output_.applied.emplace_back(log_.base());
@@ -42,7 +43,7 @@
     return;
   }
   if (now >= election_deadline_) {
-    leader_ = member_id();
+    SetLeader(member_id(), now);
     StartPreVote(now);
   }
 }
--- a/src/quorum/internal/replication.cc
+++ b/src/quorum/internal/replication.cc
@@ -20,7 +20,8 @@
   if (term > term_ || role_ != raft_role::kFollower) {
     BecomeFollower(term, now);
   }
-  leader_ = from;
+  SetLeader(from, now);
+  elections_lost_ = 0;
   split_retried_ = false;
   last_leader_contact_ = now;
   ResetElectionTimer(now);
--- a/src/quorum/raft_node.h
+++ b/src/quorum/raft_node.h
@@ -13,6 +13,7 @@
 #include "framework/i_random.h"
 #include "framework/types/time.h"
 #include "quorum/raft_log.h"
+#include "quorum/types/election_note.h"
 #include "quorum/types/log_entry.h"
 #include "quorum/types/quorum_message.h"
 #include "quorum/types/storage_record.h"
@@ -158,6 +159,8 @@
   std::vector<applied_item> applied;
   std::vector<read_result> reads;
   std::vector<vote_note> votes;
+  /// Attempts of this member that have ended; `kNotVoter` without repetitions.
+  std::vector<election_note> elections;
   /// Without repetitions of the same decision, but for hosts that are added.
   std::vector<join_note> joins;
 };
@@ -202,6 +205,14 @@
   /// The last known leader; empty if none was heard within the election
   /// timeout.
   [[nodiscard]] const member_id& leader() const { return leader_; }
+  /// Since when `leader` has been that.
+  [[nodiscard]] time_point leader_since() const { return leader_since_; }
+  /// Attempts of this member to become leader since it last knew of one.
+  [[nodiscard]] std::uint64_t elections_lost() const { return elections_lost_; }
+  /// How this member's last attempt ended, or why it made none.
+  [[nodiscard]] const std::optional<election_note>& last_election() const {
+    return last_election_;
+  }
   [[nodiscard]] const membership& members() const { return log_.members(); }
   [[nodiscard]] const member* FindMember(const member_id& id) const;
   [[nodiscard]] log_index commit() const { return commit_index_; }
@@ -257,6 +268,11 @@
   void StartElection(time_point now);
   void CountVotes(time_point now);
   void RetryIfSplit(time_point now);
+  void SetLeader(const member_id& leader, time_point now);
+  void EndElection(election_result result);
+  /// Why the attempt that is running has not succeeded yet.
+  [[nodiscard]] election_result Obstacle() const;
+  [[nodiscard]] std::size_t CountVoters(const std::set<member_id>& ids) const;
   void BecomeFollower(term_number term, time_point now);
   void BecomeLeader(time_point now);
   void ResetElectionTimer(time_point now);
@@ -334,6 +350,7 @@
 
   raft_role role_ = raft_role::kFollower;
   member_id leader_;
+  time_point leader_since_;
   time_point last_leader_contact_;
   /// The commit index in the leader's latest append request.
   log_index leader_commit_index_;
@@ -347,6 +364,8 @@
   std::set<member_id> refusers_;
   /// A split vote was followed by an early one since a leader was heard.
   bool split_retried_ = false;
+  std::uint64_t elections_lost_ = 0;
+  std::optional<election_note> last_election_;
 
   /// This host is about to stop and neither campaigns nor joins again.
   bool leaving_ = false;
