Elections: voters wait for a candidate whose votes are being written

Cause: a vote, a candidate's own too, counts once it is on disk. If that takes longer than the others' election timeouts, each of them stands as well, has voted for itself in that term, and gives up before its votes are there. None ever wins. The class: a time-out that assumes how long a disk takes.

Change: a candidate tells at once, and each 300 ms, that it stands; voters that would vote for it wait as for a leader and give nobody else a pre-vote for 0.8 s. It is given twice the time after each term without a leader, eight times at most. If its own vote is not on disk by then it says that it gives up, and others stand within 0.75 s; it does not stand again before that vote is written. Members of older software take both for pre-votes.

--- a/src/quorum/internal/election.cc
+++ b/src/quorum/internal/election.cc
@@ -11,6 +11,12 @@
 // these two. Until the first, votes for another candidate may be on their way.
 constexpr std::chrono::milliseconds kMinSplitDelay{150};
 constexpr std::chrono::milliseconds kMaxSplitDelay{450};
+// Less than half of the shortest election timeout, so that one message may be
+// late.
+constexpr std::chrono::milliseconds kCandidacyInterval{300};
+// Voters stand at random times until this after a candidate has given up.
+constexpr std::chrono::milliseconds kMaxTurnDelay{750};
+constexpr std::uint64_t kMaxPatienceDoublings = 3;
 
 }  // namespace
 
@@ -82,24 +88,91 @@
   }
 }
 
+bool raft_node::GiveUpElection(time_point now) {
+  next_candidacy_ = kNever;
+  if (awaited_ == self_) {
+    awaited_until_ = now;
+  }
+  if (role_ != raft_role::kCandidate) {
+    return true;
+  }
+  const election_result obstacle = Obstacle();
+  EndElection(obstacle);
+  role_ = raft_role::kFollower;
+  if (obstacle != election_result::kOwnVoteNotStored) {
+    return true;
+  }
+  // Its next vote would wait for the same disk.
+  vote_request request = MakeVoteRequest(false);
+  request.pre_vote = true;
+  request.standing = candidacy::kGivesUp;
+  SendToOtherVoters(request);
+  return false;
+}
+
+void raft_node::Await(const member_id& candidate, time_point now) {
+  if (role_ == raft_role::kCandidate) {
+    BecomeFollower(term_, now);
+  }
+  awaited_ = candidate;
+  awaited_until_ = now + options_.min_election_timeout;
+  ResetElectionTimer(now);
+}
+
+int raft_node::Patience() const {
+  const std::uint64_t unled = term_.value() - last_led_term_.value();
+  return 1 << std::min(unled == 0 ? 0 : unled - 1, kMaxPatienceDoublings);
+}
+
+void raft_node::RepeatCandidacy(time_point now) {
+  next_candidacy_ = now + kCandidacyInterval;
+  vote_request request = MakeVoteRequest(false);
+  if (!votes_.contains(self_)) {
+    request.pre_vote = true;
+    request.standing = candidacy::kStands;
+  }
+  SendToOtherVoters(request);
+}
+
+void raft_node::SendToOtherVoters(const vote_request& request) {
+  for (const member& member : log_.members()) {
+    if (member.voter && member.id != self_) {
+      Send(member.id, request);
+    }
+  }
+}
+
+void raft_node::StandSoon(term_number after, time_point now) {
+  // Or it would learn of the term by a refusal, and lose its turn.
+  if (after > term_) {
+    BecomeFollower(after, now);
+  }
+  awaited_until_ = now;
+  const auto range =
+      static_cast<std::uint32_t>((kMaxTurnDelay - kMinSplitDelay).count());
+  election_deadline_ = std::min(
+      election_deadline_,
+      now + kMinSplitDelay + std::chrono::milliseconds(random_.Below(range)));
+}
+
 void raft_node::StartPreVote(time_point now) {
   ResetElectionTimer(now);
-  if (role_ == raft_role::kCandidate) {
-    EndElection(Obstacle());
+  if (!GiveUpElection(now)) {
+    return;
   }
   if (!IsVoter(self_) || leaving_) {
     EndElection(election_result::kNotVoter);
     return;
   }
+  if (own_vote_unstored_) {
+    EndElection(election_result::kOwnVoteNotStored);
+    return;
+  }
   role_ = raft_role::kCandidate;
   in_pre_vote_ = true;
   votes_ = {self_};
   responders_.clear();
-  for (const member& member : log_.members()) {
-    if (member.voter && member.id != self_) {
-      Send(member.id, MakeVoteRequest(true));
-    }
-  }
+  SendToOtherVoters(MakeVoteRequest(true));
   CountVotes(now);
 }
 
@@ -108,11 +181,16 @@
   in_pre_vote_ = false;
   term_ = term_number(term_.value() + 1);
   vote_ = self_;
+  election_deadline_ = now + (election_deadline_ - now) * Patience();
+  awaited_ = self_;
+  awaited_until_ = election_deadline_;
   // This member's own vote is counted once it is on disk.
   votes_.clear();
   refusers_.clear();
+  RepeatCandidacy(now);
   RecordVote();
   own_vote_recorded_ = true;
+  own_vote_unstored_ = true;
   for (const member& member : log_.members()) {
     if (member.voter && member.id != self_) {
       SendWhenDurable(member.id, MakeVoteRequest(false));
@@ -140,16 +218,18 @@
       (role_ == raft_role::kLeader && HasQuorum(now))) {
     return vote_decision::kLeaderPresent;
   }
-  if (m.pre_vote ? m.term <= term_ : m.term < term_) {
+  const bool only_asks = m.pre_vote && m.standing == candidacy::kAsks;
+  if (only_asks ? m.term <= term_ : m.term < term_) {
     return vote_decision::kOldTerm;
   }
-  if (!m.pre_vote) {
-    if (m.term > term_) {
-      BecomeFollower(m.term, now);
-    }
-    if (!vote_.value().empty() && vote_ != from) {
-      return vote_decision::kVotedForOther;
-    }
+  if (m.pre_vote && awaited_ != from && now < awaited_until_) {
+    return vote_decision::kOtherStands;
+  }
+  if (!m.pre_vote && m.term > term_) {
+    BecomeFollower(m.term, now);
+  }
+  if (m.term == term_ && !vote_.value().empty() && vote_ != from) {
+    return vote_decision::kVotedForOther;
   }
   return IsUpToDate(m) ? vote_decision::kGranted : vote_decision::kLogBehind;
 }
@@ -157,12 +237,29 @@
 void raft_node::Handle(const member_id& from,
                        const vote_request& m,
                        time_point now) {
+  if (m.standing == candidacy::kGivesUp) {
+    if (awaited_ == from) {
+      StandSoon(m.term, now);
+    }
+    return;
+  }
+  const bool stands = !m.pre_vote || m.standing == candidacy::kStands;
+  const bool repeats = m.standing == candidacy::kStands ||
+                       (!m.pre_vote && m.term == term_ && vote_ == from);
   const vote_decision decision = DecideVote(from, m, now);
   const bool granted = decision == vote_decision::kGranted;
-  output_.votes.push_back({.candidate = from,
-                           .term = m.term,
-                           .pre_vote = m.pre_vote,
-                           .decision = decision});
+  if (!repeats) {
+    output_.votes.push_back({.candidate = from,
+                             .term = m.term,
+                             .pre_vote = m.pre_vote,
+                             .decision = decision});
+  }
+  if (granted && stands) {
+    Await(from, now);
+  } else if (awaited_ == from) {
+    // It no longer stands, or cannot win.
+    awaited_until_ = now;
+  }
   if (!granted || m.pre_vote) {
     Send(from, vote_response{.term = granted ? m.term : term_,
                              .granted = granted,
@@ -173,7 +270,6 @@
     vote_ = from;
     RecordVote();
   }
-  ResetElectionTimer(now);
   SendWhenDurable(from, vote_response{.term = term_, .granted = true});
 }
 
@@ -213,6 +309,7 @@
   }
   if (possible < Majority()) {
     split_retried_ = true;
+    next_candidacy_ = kNever;
     const auto range =
         static_cast<std::uint32_t>((kMaxSplitDelay - kMinSplitDelay).count());
     election_deadline_ = std::min(
@@ -230,6 +327,10 @@
   }
   role_ = raft_role::kFollower;
   in_pre_vote_ = false;
+  next_candidacy_ = kNever;
+  if (awaited_ == self_) {
+    awaited_until_ = now;
+  }
   peers_.clear();
   next_heartbeat_ = kNever;
   if (term > term_) {
@@ -243,6 +344,8 @@
 
 void raft_node::BecomeLeader(time_point now) {
   EndElection(election_result::kWon);
+  next_candidacy_ = kNever;
+  last_led_term_ = term_;
   role_ = raft_role::kLeader;
   SetLeader(self_, now);
   split_retried_ = false;
--- a/src/quorum/internal/quorum_codec.cc
+++ b/src/quorum/internal/quorum_codec.cc
@@ -50,13 +50,19 @@
 namespace {
 
 json ToJson(const vote_request& m) {
-  return json::array({m.term, m.last_index, m.last_term, m.pre_vote});
+  return json::array({m.term, m.last_index, m.last_term, m.pre_vote,
+                      static_cast<unsigned>(m.standing)});
 }
 void FromJson(const json& j, vote_request& m) {
   ReadElement(j, 1, m.term);
   ReadElement(j, 2, m.last_index);
   ReadElement(j, 3, m.last_term);
   ReadElement(j, 4, m.pre_vote);
+  // Absent in messages of older software.
+  constexpr std::size_t kStanding = 5;
+  if (j.size() > kStanding) {
+    m.standing = ToEnum(j.at(kStanding), candidacy::kGivesUp);
+  }
 }
 
 json ToJson(const vote_response& m) {
--- a/src/quorum/internal/raft_node.cc
+++ b/src/quorum/internal/raft_node.cc
@@ -20,7 +20,8 @@
       commit_index_(log_.base().last_index),
       durable_index_(log_.last_index()),
       leader_since_(now),
-      last_leader_contact_(now) {
+      last_leader_contact_(now),
+      last_led_term_(term_) {
   if (!log_.base().state.empty()) {
     output_.applied.emplace_back(log_.base());
   }
@@ -45,13 +46,15 @@
   if (now >= election_deadline_) {
     SetLeader(member_id(), now);
     StartPreVote(now);
+  } else if (now >= next_candidacy_) {
+    RepeatCandidacy(now);
   }
 }
 
 time_point raft_node::NextDeadline() const {
   return std::min(
-      role_ == raft_role::kLeader ? next_heartbeat_ : election_deadline_,
-      next_leave_request_);
+      {role_ == raft_role::kLeader ? next_heartbeat_ : election_deadline_,
+       next_candidacy_, next_leave_request_});
 }
 
 void raft_node::OnMessage(const member_id& from,
@@ -66,6 +69,7 @@
     pending_batch done = std::move(pending_batches_.front());
     pending_batches_.pop_front();
     durable_index_ = std::max(durable_index_, done.last_index);
+    own_vote_unstored_ &= !done.own_vote;
     if (done.term != term_) {
       // The deferred messages and the vote belong to an earlier term.
       continue;
--- a/src/quorum/internal/replication.cc
+++ b/src/quorum/internal/replication.cc
@@ -22,6 +22,7 @@
   }
   SetLeader(from, now);
   elections_lost_ = 0;
+  last_led_term_ = term;
   split_retried_ = false;
   last_leader_contact_ = now;
   ResetElectionTimer(now);
--- a/src/quorum/raft_node.h
+++ b/src/quorum/raft_node.h
@@ -84,6 +84,8 @@
   kLeaderPresent,
   kOldTerm,
   kVotedForOther,
+  /// Another candidate stands, and was heard recently.
+  kOtherStands,
   /// The candidate's log lacks entries that the member has.
   kLogBehind,
 };
@@ -98,6 +100,8 @@
       return "old_term";
     case vote_decision::kVotedForOther:
       return "voted_for_other";
+    case vote_decision::kOtherStands:
+      return "other_stands";
     case vote_decision::kLogBehind:
       return "log_behind";
   }
@@ -266,6 +270,19 @@
   void Handle(const member_id& from, const vote_response& m, time_point now);
   void StartPreVote(time_point now);
   void StartElection(time_point now);
+  /// Ends an attempt that has not succeeded in time; false if others should go
+  /// first.
+  bool GiveUpElection(time_point now);
+  /// Keeps other voters from standing while this one's votes are written.
+  void RepeatCandidacy(time_point now);
+  void SendToOtherVoters(const vote_request& request);
+  /// Has this member stand soon, as a candidate has given up in term `after`.
+  void StandSoon(term_number after, time_point now);
+  /// Waits for the candidate as for a leader.
+  void Await(const member_id& candidate, time_point now);
+  /// How many times as long as the first one an election may last: more after
+  /// each term without a leader, as disks may be slow.
+  [[nodiscard]] int Patience() const;
   void CountVotes(time_point now);
   void RetryIfSplit(time_point now);
   void SetLeader(const member_id& leader, time_point now);
@@ -362,6 +379,14 @@
   std::set<member_id> responders_;
   /// Voters that have refused their vote in this election.
   std::set<member_id> refusers_;
+  /// The candidate that this member waits for, perhaps itself, and until when
+  /// it gives no other one a pre-vote.
+  member_id awaited_;
+  time_point awaited_until_{};
+  /// When to tell again that this member stands.
+  time_point next_candidacy_ = kNever;
+  /// The last term known to have had a leader, or that of the start.
+  term_number last_led_term_;
   /// A split vote was followed by an early one since a leader was heard.
   bool split_retried_ = false;
   std::uint64_t elections_lost_ = 0;
@@ -386,6 +411,8 @@
   raft_output output_;
   std::vector<outgoing_message> deferred_messages_;
   bool own_vote_recorded_ = false;
+  /// A vote of this member for itself is not on disk yet.
+  bool own_vote_unstored_ = false;
   std::deque<pending_batch> pending_batches_;
   batch_number last_batch_{0};
 };
--- a/src/quorum/types/quorum_message.h
+++ b/src/quorum/types/quorum_message.h
@@ -9,6 +9,15 @@
 
 namespace burdocklock::quorum {
 
+/// What a member that wants to lead tells the voters.
+enum class candidacy : std::uint8_t {
+  kAsks,
+  /// It stands, and its own vote is being written: others should wait for it.
+  kStands,
+  /// It has given up, and others need not wait.
+  kGivesUp,
+};
+
 struct vote_request {
   term_number term;
   log_index last_index;
@@ -16,6 +25,9 @@
   /// Pre-vote: asks whether a vote would be granted; `term` is the term in
   /// which the sender would start an election.
   bool pre_vote = false;
+  /// Other than `kAsks` only with `pre_vote`, as which members of older
+  /// software take it.
+  candidacy standing = candidacy::kAsks;
 };
 
 struct vote_response {
