Elections: a candidate that cannot win lets others stand at once

Cause: since voters wait for a candidate, one whose vote was split went on waiting for itself, refused pre-votes, and had twice the time in the next term.

Change: once too many have refused, it grants others pre-votes, and waits no longer than before candidates had more time.

--- a/src/quorum/internal/election.cc
+++ b/src/quorum/internal/election.cc
@@ -1,5 +1,6 @@
 // Elections of raft_node.
 #include <algorithm>
+#include <utility>
 
 #include "quorum/raft_node.h"
 
@@ -181,6 +182,7 @@
   in_pre_vote_ = false;
   term_ = term_number(term_.value() + 1);
   vote_ = self_;
+  split_deadline_ = election_deadline_;
   election_deadline_ = now + (election_deadline_ - now) * Patience();
   awaited_ = self_;
   awaited_until_ = election_deadline_;
@@ -299,7 +301,7 @@
 }
 
 void raft_node::RetryIfSplit(time_point now) {
-  if (role_ != raft_role::kCandidate || split_retried_) {
+  if (role_ != raft_role::kCandidate) {
     return;
   }
   // Voters that did not respond to the pre-vote are taken to be down.
@@ -307,15 +309,19 @@
   for (const member_id& id : responders_) {
     possible += IsVoter(id) && !refusers_.contains(id) ? 1 : 0;
   }
-  if (possible < Majority()) {
-    split_retried_ = true;
-    next_candidacy_ = kNever;
-    const auto range =
-        static_cast<std::uint32_t>((kMaxSplitDelay - kMinSplitDelay).count());
-    election_deadline_ = std::min(
-        election_deadline_,
-        now + kMinSplitDelay + std::chrono::milliseconds(random_.Below(range)));
+  if (possible >= Majority()) {
+    return;
   }
+  next_candidacy_ = kNever;
+  awaited_until_ = now;
+  const auto range =
+      static_cast<std::uint32_t>((kMaxSplitDelay - kMinSplitDelay).count());
+  const time_point retry =
+      std::exchange(split_retried_, true)
+          ? split_deadline_
+          : now + kMinSplitDelay +
+                std::chrono::milliseconds(random_.Below(range));
+  election_deadline_ = std::min(election_deadline_, retry);
 }
 
 void raft_node::BecomeFollower(term_number term, time_point now) {
--- a/src/quorum/raft_node.h
+++ b/src/quorum/raft_node.h
@@ -372,6 +372,8 @@
   /// The commit index in the leader's latest append request.
   log_index leader_commit_index_;
   time_point election_deadline_;
+  /// Until when a further split vote of this election is waited out.
+  time_point split_deadline_;
   bool in_pre_vote_ = false;
   std::set<member_id> votes_;
   /// Voters that have responded in this election, whether they voted for this
