Elections: a candidate stands only while a majority answers it

Cause: a candidate that could not win, or heard nobody, went on telling that it stands, and the voters went on waiting for it. A message that it gives up was taken from an old term and beside a live leader.

Giving up counts from the present term on, and not beside a leader.

--- a/src/quorum/internal/election.cc
+++ b/src/quorum/internal/election.cc
@@ -63,11 +63,12 @@
                     [this](const member_id& id) { return IsVoter(id); }));
 }
 
-election_result raft_node::Obstacle() const {
+election_result raft_node::Obstacle(time_point now) const {
   if (!in_pre_vote_ && !votes_.contains(self_)) {
     return election_result::kOwnVoteNotStored;
   }
-  if (CountVoters(responders_) + 1 < Majority()) {
+  const bool is_alone = !in_pre_vote_ && !HearsMajority(now);
+  if (is_alone || CountVoters(responders_) + 1 < Majority()) {
     return election_result::kFewResponses;
   }
   return in_pre_vote_ || !refusers_.empty() ? election_result::kRefused
@@ -97,7 +98,7 @@
   if (role_ != raft_role::kCandidate) {
     return true;
   }
-  const election_result obstacle = Obstacle();
+  const election_result obstacle = Obstacle(now);
   EndElection(obstacle);
   role_ = raft_role::kFollower;
   if (obstacle != election_result::kOwnVoteNotStored) {
@@ -128,13 +129,25 @@
 void raft_node::RepeatCandidacy(time_point now) {
   next_candidacy_ = now + kCandidacyInterval;
   vote_request request = MakeVoteRequest(false);
-  if (!votes_.contains(self_)) {
-    request.pre_vote = true;
-    request.standing = candidacy::kStands;
+  if (votes_.contains(self_)) {
+    SendToOtherVoters(request);
   }
+  // Answered at once, whatever the voters' disks do.
+  request.pre_vote = true;
+  request.standing = candidacy::kStands;
   SendToOtherVoters(request);
 }
 
+bool raft_node::HearsMajority(time_point now) const {
+  std::set<member_id> heard{self_};
+  for (const auto& [id, when] : responded_) {
+    if (now - when < options_.min_election_timeout) {
+      heard.insert(id);
+    }
+  }
+  return CountVoters(heard) >= Majority();
+}
+
 void raft_node::SendToOtherVoters(const vote_request& request) {
   for (const member& member : log_.members()) {
     if (member.voter && member.id != self_) {
@@ -240,7 +253,7 @@
                        const vote_request& m,
                        time_point now) {
   if (m.standing == candidacy::kGivesUp) {
-    if (awaited_ == from) {
+    if (awaited_ == from && m.term >= term_ && !HasRecentLeaderContact(now)) {
       StandSoon(m.term, now);
     }
     return;
@@ -283,6 +296,7 @@
     return;
   }
   responders_.insert(from);
+  responded_[from] = now;
   if (!m.granted && !m.pre_vote && m.term == term_ && !in_pre_vote_) {
     refusers_.insert(from);
     RetryIfSplit(now);
--- a/src/quorum/internal/raft_node.cc
+++ b/src/quorum/internal/raft_node.cc
@@ -43,7 +43,8 @@
     }
     return;
   }
-  if (now >= election_deadline_) {
+  const bool stands = next_candidacy_ != kNever;
+  if (now >= election_deadline_ || (stands && !HearsMajority(now))) {
     SetLeader(member_id(), now);
     StartPreVote(now);
   } else if (now >= next_candidacy_) {
--- a/src/quorum/raft_node.h
+++ b/src/quorum/raft_node.h
@@ -288,7 +288,10 @@
   void SetLeader(const member_id& leader, time_point now);
   void EndElection(election_result result);
   /// Why the attempt that is running has not succeeded yet.
-  [[nodiscard]] election_result Obstacle() const;
+  [[nodiscard]] election_result Obstacle(time_point now) const;
+  /// Whether a majority has responded to this candidate within the minimum
+  /// election timeout.
+  [[nodiscard]] bool HearsMajority(time_point now) const;
   [[nodiscard]] std::size_t CountVoters(const std::set<member_id>& ids) const;
   void BecomeFollower(term_number term, time_point now);
   void BecomeLeader(time_point now);
@@ -379,6 +382,8 @@
   /// Voters that have responded in this election, whether they voted for this
   /// member or not.
   std::set<member_id> responders_;
+  /// When members last responded to this one as a candidate.
+  std::map<member_id, time_point> responded_;
   /// Voters that have refused their vote in this election.
   std::set<member_id> refusers_;
   /// The candidate that this member waits for, perhaps itself, and until when
