--- a/src/control/tests/message_codec_unittest.cc
+++ b/src/control/tests/message_codec_unittest.cc
@@ -66,6 +66,32 @@
   CHECK(std::get<evidence_update>(got.value()).contents.empty());
 }
 
+TEST_CASE("vote request of older software: it asks, and does not stand") {
+  const quorum_envelope sent{
+      .from = quorum::member_id("a"),
+      .to = quorum::member_id("b"),
+      .contents = quorum::vote_request{.term = quorum::term_number(3),
+                                       .last_index = quorum::log_index(7),
+                                       .last_term = quorum::term_number(2),
+                                       .pre_vote = true,
+                                       .standing = quorum::candidacy::kStands}};
+  nlohmann::json message = nlohmann::json::from_cbor(Encode(sent));
+  nlohmann::json& request = message.back();
+  REQUIRE(request.size() == 6);
+  request.erase(5);
+  std::string bytes;
+  nlohmann::json::to_cbor(message, bytes);
+  const auto got = Decode(bytes);
+  REQUIRE(got.has_value());
+  const auto& contents = std::get<quorum_envelope>(got.value()).contents;
+  const auto& decoded = std::get<quorum::vote_request>(contents);
+  CHECK(decoded.standing == quorum::candidacy::kAsks);
+  CHECK(decoded.pre_vote);
+  CHECK(decoded.term == quorum::term_number(3));
+  CHECK(decoded.last_index == quorum::log_index(7));
+  CHECK(decoded.last_term == quorum::term_number(2));
+}
+
 TEST_CASE("load of targets with and without a rate limit: the same") {
   const admission::fleet_load sent{
       .targets = {
