--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -44,6 +44,31 @@
     disconnected.emplace(b, a);
   }
 
+  // As the daemon that accepted it knows it: each time that it is opened again
+  // it is another link there, and nothing tells the end of the one before.
+  [[nodiscard]] std::uint64_t AcceptedAs(std::uint64_t opened) const {
+    const auto found = accepted_as.find(opened);
+    return found == accepted_as.end() ? opened : found->second;
+  }
+  void AcceptAnew(std::uint64_t opened) {
+    accepted_as[opened] = ++last_link;
+    opened_as[last_link] = opened;
+  }
+  // As the daemon that opened it knows it; none if the link is dead.
+  [[nodiscard]] std::optional<std::uint64_t> OpenedAs(std::size_t daemon,
+                                                      link_id link) const {
+    const auto own = connections.find(link.value());
+    if (own != connections.end() && own->second.from == daemon) {
+      return link.value();
+    }
+    const auto found = opened_as.find(link.value());
+    const std::uint64_t opened =
+        found == opened_as.end() ? link.value() : found->second;
+    const bool is_alive =
+        connections.contains(opened) && AcceptedAs(opened) == link.value();
+    return is_alive ? std::optional(opened) : std::nullopt;
+  }
+
   struct packet {
     time_point due;
     std::size_t to;
@@ -54,6 +79,10 @@
   /// Connections that were reset, and when they are back.
   std::map<std::uint64_t, time_point> down;
   std::map<std::uint64_t, connection> connections;
+  /// Of connections that were opened again: the link of the accepting daemon,
+  /// and the connection of each such link.
+  std::map<std::uint64_t, std::uint64_t> accepted_as;
+  std::map<std::uint64_t, std::uint64_t> opened_as;
   std::deque<packet> packets;
   std::deque<std::pair<std::size_t, link_id>> pending_opens;
   std::uint64_t last_link = 0;
@@ -77,6 +106,7 @@
   }
   [[nodiscard]] bool HasRoom(link_id) const override { return true; }
   void Reopen(link_id link) override {
+    network_.AcceptAnew(link.value());
     network_.pending_opens.emplace_back(self_, link);
   }
   void Close(link_id link) override {
@@ -89,20 +119,22 @@
     }
   }
   void Send(link_id link, const message& message) override {
-    const auto found = network_.connections.find(link.value());
-    if (found == network_.connections.end()) {
+    const auto opened = network_.OpenedAs(self_, link);
+    if (!opened) {
       return;
     }
     if (const auto* update = std::get_if<state_update>(&message)) {
       network_.router_lists += update->routers.empty() ? 0 : 1;
       network_.configurations += update->contents ? 1 : 0;
     }
-    const auto& ends = found->second;
-    const std::size_t to = ends.from == self_ ? ends.to : ends.from;
+    const auto& ends = network_.connections.at(*opened);
+    const bool is_opener = ends.from == self_;
+    const std::size_t to = is_opener ? ends.to : ends.from;
+    const link_id there(is_opener ? network_.AcceptedAs(*opened) : *opened);
     if (!network_.disconnected.contains({self_, to}) &&
-        !network_.down.contains(link.value())) {
+        !network_.down.contains(*opened)) {
       network_.packets.push_back(
-          {network_.now + std::chrono::milliseconds(2), to, link, message});
+          {network_.now + std::chrono::milliseconds(2), to, there, message});
     }
   }
 
@@ -209,11 +241,13 @@
   bool revision_decreased = false;
 };
 
-// Daemons 0 to 2 are control hosts, 3 and 4 routers.
-struct control_fixture {
-  static constexpr std::size_t kHosts = 3;
-  static constexpr std::size_t kRouters = 2;
+// The first daemons are control hosts, the others routers.
+template <std::size_t Hosts, std::size_t Routers>
+struct fleet_fixture {
+  static constexpr std::size_t kHosts = Hosts;
+  static constexpr std::size_t kRouters = Routers;
 
+  std::uint32_t tolerated_losses;
   /// Streams that control hosts started from now on remember.
   std::size_t control_host_capacity = streams::kControlHostCapacity;
   /// Of control hosts that are started from now on.
@@ -227,7 +261,8 @@
   std::vector<std::unique_ptr<fake_router_view>> views;
   std::vector<std::unique_ptr<router_client>> routers;
 
-  control_fixture() {
+  explicit fleet_fixture(std::uint32_t tolerated = 1)
+      : tolerated_losses(tolerated) {
     quorum::membership first;
     for (std::size_t i = 0; i < kHosts; ++i) {
       first.push_back({.id = quorum::member_id("h" + std::to_string(i)),
@@ -265,7 +300,8 @@
                         .seeds = std::move(seeds),
                         .data_centres = {data_centre_id("cheras")},
                         .raft = {.peer_endpoint = LinkEndpoint(i),
-                                 .command_endpoint = CommandEndpoint(i)},
+                                 .command_endpoint = CommandEndpoint(i),
+                                 .tolerated_losses = tolerated_losses},
                         .rollouts = rollout_limits,
                         .stream_capacity = control_host_capacity},
         ports[i]->disk, random, *links[i], *ports[i], network.now);
@@ -386,6 +422,23 @@
       network.Disconnect(daemon, other);
     }
   }
+  // Ends a connection; what it carries is lost.
+  void TellDown(std::uint64_t connection) {
+    const fake_network::connection& ends = network.connections.at(connection);
+    const std::pair<std::size_t, link_id> opener(ends.from, connection);
+    const std::pair<std::size_t, link_id> accepter(
+        ends.to, network.AcceptedAs(connection));
+    for (const auto& [daemon, link] : {opener, accepter}) {
+      std::erase_if(network.packets, [&](const auto& packet) {
+        return packet.link == link && packet.to == daemon;
+      });
+      if (daemon < kHosts) {
+        hosts[daemon]->OnLinkDown(link, network.now);
+      } else {
+        routers[daemon - kHosts]->OnLinkDown(link, network.now);
+      }
+    }
+  }
   // Resets all connections with an end at a daemon that `is_reset` names; they
   // are back after a while.
   template <typename Predicate>
@@ -395,16 +448,7 @@
       if (!is_reset(ends.from) && !is_reset(ends.to)) {
         continue;
       }
-      const link_id link(id);
-      std::erase_if(network.packets,
-                    [&](const auto& packet) { return packet.link == link; });
-      for (const std::size_t end : {ends.from, ends.to}) {
-        if (end < kHosts) {
-          hosts[end]->OnLinkDown(link, network.now);
-        } else {
-          routers[end - kHosts]->OnLinkDown(link, network.now);
-        }
-      }
+      TellDown(id);
       network.down[id] = network.now + kReconnect;
     }
   }
@@ -421,4 +465,7 @@
   }
 };
 
+// Daemons 0 to 2 are control hosts, 3 and 4 routers.
+struct control_fixture : fleet_fixture<3, 2> {};
+
 }  // namespace burdocklock::control
