Routers: one that has restarted finds all control hosts while none leads

Cause: a router is told a few addresses, and learned the others only from hosts that can call their state the newest. Without a leader none can. If the told hosts lag or have restarted, it served their version although others held the acknowledged one.

Evidence: eight hosts in virtual time, the three told ones at version 5, the others at 6, none leads; a restarted router serves 5 for as long as none does. The two new tests fail before and pass.

Change: until the first update from a host that is current, a router adds the hosts that any names to those it links to, within the 2 s that it waits before it applies a state that nobody confirms. The first current update replaces the list.

bl_control_tests: all 83 cases pass.

--- a/src/control/internal/router_client.cc
+++ b/src/control/internal/router_client.cc
@@ -135,16 +135,10 @@
 }
 
 void router_client::Handle(const state_update& m, time_point now) {
-  if (m.current) {
-    std::set<endpoint> hosts(m.control_hosts.begin(), m.control_hosts.end());
-    if (!hosts.empty() && hosts != control_hosts_) {
-      control_hosts_ = std::move(hosts);
-      UpdateLinks(now);
-    }
-    if (!m.routers.empty() && m.routers != routers_) {
-      routers_ = m.routers;
-      view_.OnRouters(routers_);
-    }
+  LearnControlHosts(m, now);
+  if (m.current && !m.routers.empty() && m.routers != routers_) {
+    routers_ = m.routers;
+    view_.OnRouters(routers_);
   }
   if (m.revision <= applied_revision_) {
     return;
@@ -168,6 +162,22 @@
   }
 }
 
+void router_client::LearnControlHosts(const state_update& m, time_point now) {
+  if (m.control_hosts.empty() || (hosts_confirmed_ && !m.current)) {
+    return;
+  }
+  std::set<endpoint> hosts(m.control_hosts.begin(), m.control_hosts.end());
+  if (!m.current) {
+    // Each may know others, and any of them the newest state.
+    hosts.insert(control_hosts_.begin(), control_hosts_.end());
+  }
+  hosts_confirmed_ |= m.current;
+  if (hosts != control_hosts_) {
+    control_hosts_ = std::move(hosts);
+    UpdateLinks(now);
+  }
+}
+
 void router_client::ApplyState(state_revision revision,
                                const state_contents& contents,
                                bool current) {
--- a/src/control/router_client.h
+++ b/src/control/router_client.h
@@ -94,6 +94,7 @@
   void Handle(const stream_answer& m, time_point now);
   void Handle(const rollout_update& m, time_point now);
   void Handle(const unrecognised_message& m, time_point now);
+  void LearnControlHosts(const state_update& m, time_point now);
   void ApplyState(state_revision revision,
                   const state_contents& contents,
                   bool current);
@@ -114,7 +115,10 @@
   /// Newest received state that has not been applied yet, usually because the
   /// sender could not confirm that it is current.
   std::optional<candidate> candidate_;
+  /// Named by the last sender that was current; before the first of these, by
+  /// any.
   std::set<endpoint> control_hosts_;
+  bool hosts_confirmed_ = false;
   std::vector<daemon_id> routers_;
   bool in_contact_ = false;
 };
--- a/src/control/tests/unled_routers_unittest.cc
+++ b/src/control/tests/unled_routers_unittest.cc
@@ -255,5 +255,35 @@
   CHECK(RunUntil(kContact, [&] { return AllServe(6); }));
 }
 
+TEST_CASE_METHOD(unled_fixture,
+                 "no leader: a router restarts, the hosts that it is told lag: "
+                 "it serves the newest version that a host has applied") {
+  LetToldHostsLag();
+  EndLeadership();
+  RestartRouter(0);
+  CHECK(RunUntil(kContact, [&] { return views[0]->state.version > 0; }));
+  CHECK(views[0]->state.document == "six");
+  CHECK_FALSE(views[0]->revision_decreased);
+}
+
+TEST_CASE_METHOD(unled_fixture,
+                 "no leader: only a host that lags is reachable: a router with "
+                 "a newer version keeps it, a new one takes what there is") {
+  LetToldHostsLag();
+  EndLeadership();
+  Leave(0, {1});
+  Leave(1, {1});
+  RestartRouter(1);
+  RunFor(kContact);
+  CHECK(views[0]->state.document == "six");
+  CHECK(views[1]->state.document == "five");
+  Heal();
+  CutHosts([](std::size_t) { return true; });
+  RunFor(kContact);
+  CHECK(AllServe(6));
+  CHECK_FALSE(views[0]->revision_decreased);
+  CHECK_FALSE(views[1]->revision_decreased);
+}
+
 }  // namespace
 }  // namespace burdocklock::control
