Control hosts: a follower's updates are not put off by further changes

What callers saw: a router that reaches a follower but not the leader acted by an old version for as long as changes came more often than each 0.25 s.

Cause: a follower waits 0.25 s before it sends a new state to routers, so that normally only the leader does. Each further change began that time anew.

The new test fails before and passes.

Change: the wait runs from the first change that has not been sent; then routers that lack that one are sent the newest, and the wait for later ones begins.

--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -214,6 +214,9 @@
       const std::vector<link_id>& links);
   /// Whether the router lacks the newest state and was not sent it.
   [[nodiscard]] bool IsBehind(const inbound_peer& router) const;
+  /// Likewise of this revision.
+  [[nodiscard]] bool IsBehind(const inbound_peer& router,
+                              state_revision revision) const;
   /// Has all targets and evidence sent on the link when it has room.
   void ScheduleLists(link_id link, duration delay);
   void SendScheduledLists();
@@ -314,6 +317,8 @@
   time_point next_target_batch_;
   time_point next_join_request_;
   time_point next_state_send_ = kNever;
+  /// Routers that lack it by `next_state_send_` are sent the newest state then.
+  state_revision due_revision_;
   // Last values reported through `port_`.
   quorum::raft_role reported_role_ = quorum::raft_role::kFollower;
   quorum::member_id reported_leader_;
--- a/src/control/internal/control_updates.cc
+++ b/src/control/internal/control_updates.cc
@@ -145,6 +145,10 @@
 
 void control_node::ScheduleStateUpdates() {
   const bool is_leader = raft_.role() == raft_role::kLeader;
+  if (!is_leader && next_state_send_ != kNever) {
+    // Otherwise each change would put off those before it.
+    return;
+  }
   // Changes that follow one another quickly are sent as one.
   const time_point due =
       is_leader
@@ -157,6 +161,7 @@
     }
   }
   next_state_send_ = due;
+  due_revision_ = state_.revision();
   if (due <= now_) {
     SendDueStateUpdates();
   }
@@ -169,7 +174,8 @@
   update.contents = state_.contents();
   std::vector<link_id> behind;
   for (auto& [link, peer] : inbound_) {
-    if (!peer.is_router || !IsBehind(peer) || !link_port_.HasRoom(link)) {
+    if (!peer.is_router || !IsBehind(peer, due_revision_) ||
+        !link_port_.HasRoom(link)) {
       continue;
     }
     peer.sent_revision = state_.revision();
@@ -177,6 +183,9 @@
     behind.push_back(link);
   }
   link_port_.SendToAll(behind, update);
+  if (due_revision_ < state_.revision()) {
+    ScheduleStateUpdates();
+  }
 }
 
 state_update control_node::MakeStateUpdate() const {
@@ -205,9 +214,14 @@
   }
 }
 
-bool control_node::IsBehind(const inbound_peer& router) const {
+bool control_node::IsBehind(const inbound_peer& router,
+                            state_revision revision) const {
   return std::max(router.last_introduction.applied_revision,
-                  router.sent_revision) < state_.revision();
+                  router.sent_revision) < revision;
+}
+
+bool control_node::IsBehind(const inbound_peer& router) const {
+  return IsBehind(router, state_.revision());
 }
 
 void control_node::SendStateUpdate(link_id link, inbound_peer& router) {
--- a/src/control/tests/unled_routers_unittest.cc
+++ b/src/control/tests/unled_routers_unittest.cc
@@ -285,5 +285,24 @@
   CHECK_FALSE(views[1]->revision_decreased);
 }
 
+TEST_CASE_METHOD(unled_fixture,
+                 "changes in quick succession: a router that reaches a "
+                 "follower alone is behind by no more than the bound") {
+  const std::size_t follower = (Leader() + 1) % kHosts;
+  Leave(0, {follower});
+  network.configurations = 0;
+  std::uint64_t version = 0;
+  for (time_point end = network.now + seconds(6); network.now < end;) {
+    ++version;
+    REQUIRE(Replace(Leader(), version, "v" + std::to_string(version)) ==
+            command_status::kDone);
+  }
+  // Each change took 0.1 s.
+  const auto behind = static_cast<std::uint64_t>(kApply / milliseconds(100));
+  CHECK(views[0]->state.version + behind >= version);
+  // Each is sent once by the leader, and at most once by the follower.
+  CHECK(network.configurations <= 2 * version);
+}
+
 }  // namespace
 }  // namespace burdocklock::control
