--- a/src/control/tests/unled_routers_unittest.cc
+++ b/src/control/tests/unled_routers_unittest.cc
@@ -304,5 +304,33 @@
   CHECK(network.configurations <= 2 * version);
 }
 
+TEST_CASE_METHOD(unled_fixture,
+                 "host behind the leader's log: its snapshot is lost on the "
+                 "way: it does not call its state the newest") {
+  REQUIRE(Replace(Leader(), 5, "five") == command_status::kDone);
+  RunFor(seconds(1));
+  const std::size_t behind = (Leader() + 1) % kHosts;
+  CutHosts([&](std::size_t host) { return host == behind; });
+  RunFor(seconds(1));
+  for (std::uint64_t version = 6; version < 150; ++version) {
+    REQUIRE(Replace(Leader(), version, "v" + std::to_string(version)) ==
+            command_status::kDone);
+  }
+  Heal();
+  bool said_newest = false;
+  for (time_point end = network.now + seconds(8); network.now < end;) {
+    network.now += milliseconds(2);
+    Step();
+    std::erase_if(network.packets, [&](const auto& packet) {
+      const auto* quorum = std::get_if<quorum_envelope>(&packet.contents);
+      return packet.to == behind && quorum != nullptr &&
+             std::holds_alternative<quorum::snapshot_request>(quorum->contents);
+    });
+    said_newest |= hosts[behind]->raft().IsCurrent(network.now);
+  }
+  CHECK(VersionAt(behind) == 5);
+  CHECK_FALSE(said_newest);
+}
+
 }  // namespace
 }  // namespace burdocklock::control
--- a/src/quorum/internal/replication.cc
+++ b/src/quorum/internal/replication.cc
@@ -199,6 +199,7 @@
     Send(to, append_request{.term = term_,
                             .previous_index = log_.last_index(),
                             .previous_term = log_.last_term(),
+                            .commit = commit_index_,
                             .round = round_});
     return;
   }
