Control hosts: answers to unknown members take the newest of their links

Cause: a host without a state knows no members and answers the leader over the link that the leader has opened to it. After a cut that nothing tells there are two, the dead one for up to 8 s, and the first was taken. All answers were lost until it was removed.

--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -185,6 +185,10 @@
   void ReportChanges();
   void ReportNotes(const quorum::raft_output& output);
   void SendQuorum(const quorum::outgoing_message& message);
+  /// The link that the host has opened. Of several the one on which it has
+  /// introduced itself last, as the others may be dead.
+  [[nodiscard]] std::optional<link_id> FindInbound(
+      const quorum::member_id& id) const;
   void SendJoinRequests();
   /// One link that is up to each control host in contact, no matter which of
   /// the two opened it.
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -321,13 +321,23 @@
   }
   // There is no outbound link to a member that this host doesn't know yet;
   // reply on the inbound one.
+  if (const auto link = FindInbound(message.to)) {
+    link_port_.Send(*link, envelope);
+  }
+}
+
+std::optional<link_id> control_node::FindInbound(
+    const quorum::member_id& id) const {
+  std::optional<link_id> newest;
+  time_point last_seen;
   for (const auto& [link, peer] : inbound_) {
-    if (peer.last_introduction.member &&
-        peer.last_introduction.member->id == message.to) {
-      link_port_.Send(link, envelope);
-      return;
+    const std::optional<quorum::member>& host = peer.last_introduction.member;
+    if (host && host->id == id && (!newest || peer.last_seen >= last_seen)) {
+      newest = link;
+      last_seen = peer.last_seen;
     }
   }
+  return newest;
 }
 
 void control_node::SendJoinRequests() {
--- a/src/control/tests/unled_routers_unittest.cc
+++ b/src/control/tests/unled_routers_unittest.cc
@@ -20,9 +20,11 @@
 using std::chrono::seconds;
 
 // Stated targets: a daemon that runs and can reach others is in contact with
-// them, and a change is in force once a leader is there.
+// them, a change is in force once a leader is there, and a host with an empty
+// disk has caught up.
 constexpr seconds kContact{4};
 constexpr milliseconds kApply{2500};
+constexpr seconds kCatchUp{6};
 
 // Eight control hosts, of which routers are told the first three.
 struct unled_fixture : fleet_fixture<8, 2> {
@@ -332,5 +334,24 @@
   CHECK_FALSE(said_newest);
 }
 
+TEST_CASE_METHOD(unled_fixture,
+                 "host with an empty disk: links to it were silent before it "
+                 "joined: it votes within the bound after they are back") {
+  REQUIRE(Replace(Leader(), 5, "five") == command_status::kDone);
+  const std::size_t lost = (Leader() + 1) % kHosts;
+  LoseDisk(lost);
+  // Others have introduced themselves; it has not asked to join yet.
+  RunFor(milliseconds(300));
+  Isolate(lost);
+  RunFor(milliseconds(1600));
+  Heal();
+  const auto votes = [&] {
+    const quorum::member* added =
+        hosts[Leader()]->raft().FindMember(ports[lost]->disk.self);
+    return added != nullptr && added->voter;
+  };
+  CHECK(RunUntil(kCatchUp, votes));
+}
+
 }  // namespace
 }  // namespace burdocklock::control
