Control hosts: quorum messages take the member's link while the own one is down

Cause: messages to a known member were sent on this host's own link only, and a link that is down drops them. Requests to join already take either.

Evidence: the new test fails before (the answer goes to the link that is down) and passes.

Change: if the own link is down, messages go over the one that the member has opened.

--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -313,15 +313,12 @@
   const quorum::member* to = raft_.FindMember(message.to);
   const quorum_envelope envelope{
       .from = raft_.self(), .to = message.to, .contents = message.message};
-  if (to != nullptr) {
-    if (const auto link = links_.FindLink(to->peer_endpoint)) {
-      link_port_.Send(*link, envelope);
-      return;
-    }
-  }
-  // There is no outbound link to a member that this host doesn't know yet;
-  // reply on the inbound one.
-  if (const auto link = FindInbound(message.to)) {
+  const auto own =
+      to != nullptr ? links_.FindLink(to->peer_endpoint) : std::nullopt;
+  // There is no link of this host's to a member that it doesn't know yet, and
+  // one that is down carries nothing; then the member's own is taken.
+  const auto link = own && links_.IsUp(*own) ? own : FindInbound(message.to);
+  if (link) {
     link_port_.Send(*link, envelope);
   }
 }
--- a/src/control/tests/quorum_links_unittest.cc
+++ b/src/control/tests/quorum_links_unittest.cc
@@ -99,5 +99,17 @@
   CHECK(AnswerTo(alive) == std::vector<link_id>{alive});
 }
 
+TEST_CASE_METHOD(reply_fixture,
+                 "answer to a known member: the link to it is down: the one "
+                 "that it has opened is taken") {
+  const link_id theirs(51);
+  Start(true);
+  Introduce(theirs);
+  CHECK(AnswerTo(theirs) == std::vector<link_id>{theirs});
+  const link_id own(1);
+  node->OnLinkUp(own, now);
+  CHECK(AnswerTo(theirs) == std::vector<link_id>{own});
+}
+
 }  // namespace
 }  // namespace burdocklock::control
