Control hosts: a host without members names the hosts in contact to routers

What callers saw: a router that restarts while none leads, and reaches only told hosts whose disks were lost, had no state until a leader was back, though others held it.

Cause: a host names its members to routers; one with an empty disk knows none before it has joined, which takes a leader.

Evidence: of three told hosts two have lost their disks (tolerance 2), one is cut off from the router; the new test fails before (no state after contact, 4 s) and passes.

Change: as long as it knows no members a host names those that have introduced themselves to it. Routers take them until a current host names the members.

--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -202,6 +202,8 @@
   void SendDueStateUpdates();
   /// Without contents and list of routers.
   [[nodiscard]] state_update MakeStateUpdate() const;
+  /// Other hosts in contact, for routers as long as no members are known.
+  [[nodiscard]] std::vector<endpoint> IntroducedHosts() const;
   /// Adds the list of routers unless the router has it.
   void AddRouters(inbound_peer& router, state_update& update) const;
   /// Intervals of messages to all routers grow with their number.
--- a/src/control/internal/control_updates.cc
+++ b/src/control/internal/control_updates.cc
@@ -1,6 +1,7 @@
 // Updates that a control host sends to routers and other control hosts:
 // operator state, targets, the load of routers, and where streams began.
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "control/control_node.h"
@@ -195,9 +196,22 @@
   for (const quorum::member& member : raft_.members()) {
     update.control_hosts.push_back(member.peer_endpoint);
   }
+  if (update.control_hosts.empty()) {
+    update.control_hosts = IntroducedHosts();
+  }
   return update;
 }
 
+std::vector<endpoint> control_node::IntroducedHosts() const {
+  std::set<endpoint> hosts;
+  for (const auto& [link, peer] : inbound_) {
+    if (peer.last_introduction.member) {
+      hosts.insert(peer.last_introduction.member->peer_endpoint);
+    }
+  }
+  return {hosts.begin(), hosts.end()};
+}
+
 void control_node::AddRouters(inbound_peer& router,
                               state_update& update) const {
   const bool knows_all = now_ - started_ >= options_.router_list_delay;
--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -86,6 +86,8 @@
   std::deque<packet> packets;
   std::deque<std::pair<std::size_t, link_id>> pending_opens;
   std::uint64_t last_link = 0;
+  /// Nothing that elects or replicates arrives; all else does.
+  bool drops_quorum = false;
   /// Messages with a list of routers, and with a configuration.
   std::uint64_t router_lists = 0;
   std::uint64_t configurations = 0;
@@ -131,6 +133,10 @@
     const bool is_opener = ends.from == self_;
     const std::size_t to = is_opener ? ends.to : ends.from;
     const link_id there(is_opener ? network_.AcceptedAs(*opened) : *opened);
+    if (network_.drops_quorum &&
+        std::holds_alternative<quorum_envelope>(message)) {
+      return;
+    }
     if (!network_.disconnected.contains({self_, to}) &&
         !network_.down.contains(*opened)) {
       network_.packets.push_back(
--- a/src/control/tests/unled_routers_unittest.cc
+++ b/src/control/tests/unled_routers_unittest.cc
@@ -353,5 +353,21 @@
   CHECK(RunUntil(kCatchUp, votes));
 }
 
+TEST_CASE_METHOD(unled_fixture,
+                 "no leader: of the hosts that a restarted router is told two "
+                 "have lost their disks, one is cut off: it finds others") {
+  REQUIRE(Replace(Leader(), 5, "five") == command_status::kDone);
+  RunFor(seconds(1));
+  network.drops_quorum = true;
+  RunFor(seconds(3));
+  REQUIRE_FALSE(FindLeader().has_value());
+  LoseDisk(0);
+  LoseDisk(1);
+  Leave(0, {0, 1, 3, 4, 5, 6, 7});
+  RestartRouter(0);
+  CHECK(RunUntil(kContact, [&] { return views[0]->state.version > 0; }));
+  CHECK(views[0]->state.document == "five");
+}
+
 }  // namespace
 }  // namespace burdocklock::control
