--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -185,6 +185,10 @@
   void ReportChanges();
   void ReportNotes(const quorum::raft_output& output);
   void SendQuorum(const quorum::outgoing_message& message);
+  /// The link that the host has opened. Of several the one on which it has
+  /// introduced itself last, as the others may be dead.
+  [[nodiscard]] std::optional<link_id> FindInbound(
+      const quorum::member_id& id) const;
   void SendJoinRequests();
   /// One link that is up to each control host in contact, no matter which of
   /// the two opened it.
@@ -198,6 +202,8 @@
   void SendDueStateUpdates();
   /// Without contents and list of routers.
   [[nodiscard]] state_update MakeStateUpdate() const;
+  /// Other hosts in contact, for routers as long as no members are known.
+  [[nodiscard]] std::vector<endpoint> IntroducedHosts() const;
   /// Adds the list of routers unless the router has it.
   void AddRouters(inbound_peer& router, state_update& update) const;
   /// Intervals of messages to all routers grow with their number.
@@ -214,6 +220,9 @@
       const std::vector<link_id>& links);
   /// Whether the router lacks the newest state and was not sent it.
   [[nodiscard]] bool IsBehind(const inbound_peer& router) const;
+  /// Likewise of this revision.
+  [[nodiscard]] bool IsBehind(const inbound_peer& router,
+                              state_revision revision) const;
   /// Has all targets and evidence sent on the link when it has room.
   void ScheduleLists(link_id link, duration delay);
   void SendScheduledLists();
@@ -314,6 +323,8 @@
   time_point next_target_batch_;
   time_point next_join_request_;
   time_point next_state_send_ = kNever;
+  /// Routers that lack it by `next_state_send_` are sent the newest state then.
+  state_revision due_revision_;
   // Last values reported through `port_`.
   quorum::raft_role reported_role_ = quorum::raft_role::kFollower;
   quorum::member_id reported_leader_;
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -313,21 +313,28 @@
   const quorum::member* to = raft_.FindMember(message.to);
   const quorum_envelope envelope{
       .from = raft_.self(), .to = message.to, .contents = message.message};
-  if (to != nullptr) {
-    if (const auto link = links_.FindLink(to->peer_endpoint)) {
-      link_port_.Send(*link, envelope);
-      return;
-    }
+  const auto own =
+      to != nullptr ? links_.FindLink(to->peer_endpoint) : std::nullopt;
+  // There is no link of this host's to a member that it doesn't know yet, and
+  // one that is down carries nothing; then the member's own is taken.
+  const auto link = own && links_.IsUp(*own) ? own : FindInbound(message.to);
+  if (link) {
+    link_port_.Send(*link, envelope);
   }
-  // There is no outbound link to a member that this host doesn't know yet;
-  // reply on the inbound one.
+}
+
+std::optional<link_id> control_node::FindInbound(
+    const quorum::member_id& id) const {
+  std::optional<link_id> newest;
+  time_point last_seen;
   for (const auto& [link, peer] : inbound_) {
-    if (peer.last_introduction.member &&
-        peer.last_introduction.member->id == message.to) {
-      link_port_.Send(link, envelope);
-      return;
+    const std::optional<quorum::member>& host = peer.last_introduction.member;
+    if (host && host->id == id && (!newest || peer.last_seen >= last_seen)) {
+      newest = link;
+      last_seen = peer.last_seen;
     }
   }
+  return newest;
 }
 
 void control_node::SendJoinRequests() {
