--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -352,13 +352,13 @@
 
 std::vector<link_id> control_node::LinksToHosts() const {
   std::vector<link_id> links = links_.OpenLinks();
-  std::set<endpoint> reached;
+  std::set<quorum::member_id> reached;
   for (const auto& [link, peer] : inbound_) {
     const std::optional<quorum::member>& host = peer.last_introduction.member;
     const auto own = host ? links_.FindLink(host->peer_endpoint) : std::nullopt;
     if (host && !(own && links_.IsUp(*own)) &&
-        reached.insert(host->peer_endpoint).second) {
-      links.push_back(link);
+        reached.insert(host->id).second) {
+      links.push_back(*FindInbound(host->id));
     }
   }
   return links;
