--- a/src/quorum/internal/election.cc
+++ b/src/quorum/internal/election.cc
@@ -1,5 +1,6 @@
 // Elections of raft_node.
 #include <algorithm>
+#include <utility>
 
 #include "quorum/raft_node.h"
 
@@ -62,11 +63,12 @@
                     [this](const member_id& id) { return IsVoter(id); }));
 }
 
-election_result raft_node::Obstacle() const {
+election_result raft_node::Obstacle(time_point now) const {
   if (!in_pre_vote_ && !votes_.contains(self_)) {
     return election_result::kOwnVoteNotStored;
   }
-  if (CountVoters(responders_) + 1 < Majority()) {
+  const bool is_alone = !in_pre_vote_ && !HearsMajority(now);
+  if (is_alone || CountVoters(responders_) + 1 < Majority()) {
     return election_result::kFewResponses;
   }
   return in_pre_vote_ || !refusers_.empty() ? election_result::kRefused
@@ -96,7 +98,7 @@
   if (role_ != raft_role::kCandidate) {
     return true;
   }
-  const election_result obstacle = Obstacle();
+  const election_result obstacle = Obstacle(now);
   EndElection(obstacle);
   role_ = raft_role::kFollower;
   if (obstacle != election_result::kOwnVoteNotStored) {
@@ -127,13 +129,25 @@
 void raft_node::RepeatCandidacy(time_point now) {
   next_candidacy_ = now + kCandidacyInterval;
   vote_request request = MakeVoteRequest(false);
-  if (!votes_.contains(self_)) {
-    request.pre_vote = true;
-    request.standing = candidacy::kStands;
+  if (votes_.contains(self_)) {
+    SendToOtherVoters(request);
   }
+  // Answered at once, whatever the voters' disks do.
+  request.pre_vote = true;
+  request.standing = candidacy::kStands;
   SendToOtherVoters(request);
 }
 
+bool raft_node::HearsMajority(time_point now) const {
+  std::set<member_id> heard{self_};
+  for (const auto& [id, when] : responded_) {
+    if (now - when < options_.min_election_timeout) {
+      heard.insert(id);
+    }
+  }
+  return CountVoters(heard) >= Majority();
+}
+
 void raft_node::SendToOtherVoters(const vote_request& request) {
   for (const member& member : log_.members()) {
     if (member.voter && member.id != self_) {
@@ -181,6 +195,7 @@
   in_pre_vote_ = false;
   term_ = term_number(term_.value() + 1);
   vote_ = self_;
+  split_deadline_ = election_deadline_;
   election_deadline_ = now + (election_deadline_ - now) * Patience();
   awaited_ = self_;
   awaited_until_ = election_deadline_;
@@ -238,7 +253,7 @@
                        const vote_request& m,
                        time_point now) {
   if (m.standing == candidacy::kGivesUp) {
-    if (awaited_ == from) {
+    if (awaited_ == from && m.term >= term_ && !HasRecentLeaderContact(now)) {
       StandSoon(m.term, now);
     }
     return;
@@ -281,6 +296,7 @@
     return;
   }
   responders_.insert(from);
+  responded_[from] = now;
   if (!m.granted && !m.pre_vote && m.term == term_ && !in_pre_vote_) {
     refusers_.insert(from);
     RetryIfSplit(now);
@@ -299,7 +315,7 @@
 }
 
 void raft_node::RetryIfSplit(time_point now) {
-  if (role_ != raft_role::kCandidate || split_retried_) {
+  if (role_ != raft_role::kCandidate) {
     return;
   }
   // Voters that did not respond to the pre-vote are taken to be down.
@@ -307,15 +323,19 @@
   for (const member_id& id : responders_) {
     possible += IsVoter(id) && !refusers_.contains(id) ? 1 : 0;
   }
-  if (possible < Majority()) {
-    split_retried_ = true;
-    next_candidacy_ = kNever;
-    const auto range =
-        static_cast<std::uint32_t>((kMaxSplitDelay - kMinSplitDelay).count());
-    election_deadline_ = std::min(
-        election_deadline_,
-        now + kMinSplitDelay + std::chrono::milliseconds(random_.Below(range)));
+  if (possible >= Majority()) {
+    return;
   }
+  next_candidacy_ = kNever;
+  awaited_until_ = now;
+  const auto range =
+      static_cast<std::uint32_t>((kMaxSplitDelay - kMinSplitDelay).count());
+  const time_point retry =
+      std::exchange(split_retried_, true)
+          ? split_deadline_
+          : now + kMinSplitDelay +
+                std::chrono::milliseconds(random_.Below(range));
+  election_deadline_ = std::min(election_deadline_, retry);
 }
 
 void raft_node::BecomeFollower(term_number term, time_point now) {
