--- a/src/quorum/tests/slow_election_unittest.cc
+++ b/src/quorum/tests/slow_election_unittest.cc
@@ -35,11 +35,13 @@
     cluster.RunFor(seconds(8));
     REQUIRE(cluster.Leader().has_value());
   }
-  void SlowDisks(milliseconds least, milliseconds most) {
+  void SlowDisks(milliseconds least,
+                 milliseconds most,
+                 milliseconds late_timers = milliseconds(0)) {
     for (std::size_t i = 0; i < kHosts; ++i) {
       cluster.SetDiskDelay(i, least);
     }
-    cluster.SetDelays(milliseconds(0), most - least);
+    cluster.SetDelays(late_timers, most - least);
   }
   std::size_t LoseLeader() {
     const std::size_t leader = *cluster.Leader();
@@ -125,5 +127,19 @@
   }
 }
 
+// What candidates tell is as late as their timers, and voters stop waiting.
+TEST_CASE(
+    "slow disks: syncs of 1 to 3 s, timers up to a second late, the leader "
+    "is lost: another one leads within the time for recovery",
+    "[.known-red]") {
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    slow_hosts hosts(seed);
+    hosts.SlowDisks(seconds(1), seconds(3), seconds(1));
+    hosts.LoseLeader();
+    CHECK(hosts.IsLedWithin(kRecovery));
+  }
+}
+
 }  // namespace
 }  // namespace burdocklock::quorum
