Soak: it says whether the disk that all hosts share has stalled

The check of changes in calm stays as strict as it was. Beside it stand the slowest sync, and the longest wait of a change while neither a fault nor a sync of 0.8 s and more was in progress, with the same bound: if that holds alone, the disk is the cause.

--- a/scripts/soak/checks.sh
+++ b/scripts/soak/checks.sh
@@ -1,5 +1,5 @@
 # Checks of the soak. The bounds come from the settings of klang-valley grown. To be
-# sourced after faults.sh.
+# sourced after disk.sh.
 
 acknowledgement_ms=5000
 contact_ms=4000
@@ -49,12 +49,23 @@
   note "newest acknowledged $newest, read back ${read_back:-none} after $read_back_ms ms"
 }
 
-# longest_in_calm: prints the longest time, in ms, for which a change waited while no
-# fault was in progress.
+# longest_in_calm RECORD...: prints the longest time, in ms, for which a change waited
+# while nothing in these records of lines BEGIN END was in progress.
 longest_in_calm() {
+  (cd "$work_dir" && sort -n "$@") >"$work_dir/intervals"
   awk -v began="$fleet_began" -v ended="$faults_ended" '
     BEGIN { calms = 1; from[1] = began; to[1] = ended }
-    FILENAME ~ /disturbances$/ { to[calms] = $1; from[++calms] = $2; to[calms] = ended; next }
+    FILENAME ~ /intervals$/ {
+      if ($1 > from[calms]) {
+        to[calms] = $1
+        ++calms
+        from[calms] = $2
+      } else if ($2 > from[calms]) {
+        from[calms] = $2
+      }
+      to[calms] = ended
+      next
+    }
     {
       for (i = 1; i <= calms; ++i) {
         begin = $2 > from[i] ? $2 : from[i]
@@ -62,7 +73,7 @@
         if (end - begin > longest) longest = end - begin
       }
     }
-    END { print longest + 0 }' "$work_dir/disturbances" "$work_dir/changes"
+    END { print longest + 0 }' "$work_dir/intervals" "$work_dir/changes"
 }
 
 # old_reads MS: prints how many reads returned a version older than the newest that had
@@ -94,7 +105,11 @@
   check faults "$fault_count" count
   check changes "$(newest_acknowledged)" count at-least 1
   check change_max "$(in_seconds "$slowest")" s
-  check change_in_calm_max "$(in_seconds "$(longest_in_calm)")" s \
+  check change_in_calm_max "$(in_seconds "$(longest_in_calm disturbances)")" s \
+    at-most "$(in_seconds "$change_bound_ms")"
+  check slowest_sync "$(in_seconds "$slowest_sync_ms")" s
+  check change_in_calm_of_disk_max \
+    "$(in_seconds "$(longest_in_calm disturbances stalls)")" s \
     at-most "$(in_seconds "$change_bound_ms")"
   check reads "$(wc -l <"$work_dir/reads")" count at-least 1
   check reads_older_than_acknowledged "$(old_reads "$apply_ms")" count at-most 0
--- a/scripts/soak/faults.sh
+++ b/scripts/soak/faults.sh
@@ -230,10 +230,11 @@
 # Disks and replacements are drawn more often than the rest.
 fault_kinds=(killed disk_lost disk_lost replaced replaced planned paused all_killed)
 
-# may_begin KIND: one planned stop at a time bounds the number of processes.
+# may_begin KIND: one planned stop at a time, and no sync of the disk beside it, bounds
+# the number of processes.
 may_begin() {
   case $1 in
-    planned) ((planned_stops == 0)) ;;
+    planned) ((planned_stops == 0)) && [[ -z $sync_pid ]] ;;
     all_killed) ((${#due_times[@]} == 0)) ;;
   esac
 }
