Soak: a planned stop that does not end is a failed check

A control host that gets SIGTERM ends within 2 s (operations, routes). What causes it, by the code: the fiber of a command in progress waits for an outcome that nobody tells it any more.

--- a/scripts/soak/checks.sh
+++ b/scripts/soak/checks.sh
@@ -115,6 +115,7 @@
   check reads_older_than_acknowledged "$(old_reads "$apply_ms")" count at-most 0
   check reads_behind_at_once "$(old_reads 0)" count
   check planned_stop_max "$(in_seconds "$slowest_stop_ms")" s
+  check endless_stops "$endless_stops" count at-most 0
   check unexpected_ends "$unexpected_ends" count at-most 0
   check operator_failed "$operator_failed" count at-most 0
   check calms_without_change "$unsettled" count at-most 0
--- a/scripts/soak/faults.sh
+++ b/scripts/soak/faults.sh
@@ -16,6 +16,7 @@
 planned_stops=0    # replaced hosts that have not ended yet
 fault_count=0
 slowest_stop_ms=0
+endless_stops=0     # planned stops that did not end in longest_stop_ms
 disturbed_since=   # begin of the present disturbance
 
 # at MS ACTION...: runs the action after MS. A fault lasts until its last action is done.
@@ -179,6 +180,7 @@
   ((took <= slowest_stop_ms)) || slowest_stop_ms=$took
   if kill -0 "${host_pids[$1]}" 2>/dev/null; then
     signal_host "$1" KILL
+    ((++endless_stops))
   fi
   forget_process "$1"
   note "end host-$1 after $took ms"
