Control hosts: one that is stopped answers the commands that are pending, and ends

What callers saw: a control host that got SIGTERM while a change was in progress logged `stopped` and stayed until it was killed; its caller got no answer.

Cause: a command ends by its commit or by its time limit, which ticks check. After the stop nothing ticks, and the process waits for the fiber of the command.

Change: `EndCommands` answers what is pending, and anything later, as unknown.

--- a/src/app/internal/command_call.cc
+++ b/src/app/internal/command_call.cc
@@ -45,8 +45,7 @@
   if (!outcome.led_by) {
     return MakeProblem(http::status::service_unavailable, "no leader is known");
   }
-  nlohmann::ordered_json body{
-      {"error", DescribeMissingLeader(*outcome.led_by)}};
+  nlohmann::ordered_json body{{"error", DescribeUnconfirmed(*outcome.led_by)}};
   AddLeadership(*outcome.led_by, body);
   return {.status = http::status::service_unavailable,
           .body = FormatText(body)};
--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -217,6 +217,9 @@
     stop_requested.Wait();
   }
   watch.Stop();
+  if (node) {
+    node->EndCommands();
+  }
   if (command_server) {
     command_server->Stop();
   }
@@ -499,7 +502,7 @@
   add("burdocklock_voters", [this] { return node->raft().VoterCount(); });
   add("burdocklock_leader_known",
       [this] { return node->raft().leader().value().empty() ? 0 : 1; });
-  add("burdocklock_leader_since_seconds", [this] {
+  add("burdocklock_leader_for_seconds", [this] {
     return ToSeconds(steady_clock::now() - node->raft().leader_since());
   });
   add("burdocklock_elections_lost",
--- a/src/app/internal/leadership_report.cc
+++ b/src/app/internal/leadership_report.cc
@@ -42,7 +42,7 @@
   });
 }
 
-std::string DescribeMissingLeader(const control::leadership& known) {
+std::string DescribeUnconfirmed(const control::leadership& known) {
   if (!known.leader.value().empty()) {
     return known.role == quorum::raft_role::kLeader
                ? "this host leads, but the command was not confirmed in time"
--- a/src/app/internal/leadership_report.h
+++ b/src/app/internal/leadership_report.h
@@ -15,6 +15,6 @@
 void AddLeadership(const control::leadership& known,
                    nlohmann::ordered_json& document);
 /// One sentence for a caller whose command was not done.
-std::string DescribeMissingLeader(const control::leadership& known);
+std::string DescribeUnconfirmed(const control::leadership& known);
 
 }  // namespace burdocklock::app
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -101,6 +101,9 @@
   /// Asks to be removed from the members before this host stops; see
   /// `quorum::raft_node::AwaitsLeave`.
   void Leave(time_point now);
+  /// Answers commands that are pending, and all later ones, as unknown: nobody
+  /// calls `OnTick` any more.
+  void EndCommands();
   void SetSeeds(std::vector<endpoint> seeds, time_point now);
   /// Must be called before each `i_control_commands` call, as those take no
   /// time.
@@ -323,6 +326,7 @@
   time_point next_target_batch_;
   time_point next_join_request_;
   time_point next_state_send_ = kNever;
+  bool commands_ended_ = false;
   /// Routers that lack it by `next_state_send_` are sent the newest state then.
   state_revision due_revision_;
   // Last values reported through `port_`.
--- a/src/control/i_control_commands.h
+++ b/src/control/i_control_commands.h
@@ -59,7 +59,8 @@
   std::optional<rollouts::rollout> rollout = std::nullopt;
   /// Likewise: how the pool's latest rollouts went, oldest first.
   std::vector<rollouts::rollout_record> rollout_history = {};
-  /// Set unless the command was done: why it may not have been.
+  /// What the host knew of the leader if it is not known whether the command
+  /// was done, or this host does not lead.
   std::optional<leadership> led_by = std::nullopt;
 };
 
--- a/src/control/internal/control_commands.cc
+++ b/src/control/internal/control_commands.cc
@@ -21,6 +21,10 @@
 }
 
 void control_node::Propose(const operator_command& command, command_done done) {
+  if (commands_ended_) {
+    done(UnknownOutcome());
+    return;
+  }
   const auto accepted = raft_.Propose(EncodeCommand(command), now_);
   if (!accepted) {
     done(NotLeaderOutcome());
@@ -61,6 +65,10 @@
 }
 
 void control_node::ReadConfiguration(command_done done) {
+  if (commands_ended_) {
+    done(UnknownOutcome());
+    return;
+  }
   last_read_ = quorum::read_id(last_read_.value() + 1);
   // Registered before the request, as the result may be available at once.
   pending_reads_[last_read_] = {.deadline = now_ + options_.command_timeout,
@@ -153,6 +161,14 @@
   }
 }
 
+void control_node::EndCommands() {
+  commands_ended_ = true;
+  FailCommands();
+  for (auto& [id, read] : std::exchange(pending_reads_, {})) {
+    read.done(UnknownOutcome());
+  }
+}
+
 void control_node::ExpireCommands() {
   std::vector<command_done> expired;
   std::erase_if(pending_commands_, [&](auto& command) {
--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -87,6 +87,26 @@
   CHECK(at_leader.elections_lost == 0);
 }
 
+// A host that was stopped while its caller waited never ended.
+TEST_CASE_METHOD(control_fixture,
+                 "commands: the host stops while they are pending: all are "
+                 "answered as unknown, later ones at once") {
+  const std::size_t leader = Leader();
+  Isolate(leader);
+  std::vector<command_status> answers;
+  const auto note = [&](const command_outcome& outcome) {
+    answers.push_back(outcome.status);
+  };
+  hosts[leader]->SetTime(network.now);
+  hosts[leader]->ReplaceConfiguration(1, "one", note);
+  hosts[leader]->ReadConfiguration(note);
+  REQUIRE(answers.empty());
+  hosts[leader]->EndCommands();
+  hosts[leader]->ReplaceConfiguration(2, "two", note);
+  hosts[leader]->ReadConfiguration(note);
+  CHECK(answers == std::vector(4, command_status::kUnknown));
+}
+
 // Nobody that it was told of ran, and it never became a member again.
 TEST_CASE_METHOD(control_fixture,
                  "lost disk: none of the told hosts runs: joins by the links "
--- a/src/control/tests/unled_routers_unittest.cc
+++ b/src/control/tests/unled_routers_unittest.cc
@@ -32,7 +32,6 @@
 
   unled_fixture() : fleet_fixture(2) {}
 
-  static bool IsHost(std::size_t daemon) { return daemon < kHosts; }
   // Between the daemons that `is_cut` names and all other control hosts.
   template <typename Predicate>
   void CutHosts(Predicate is_cut) {
--- a/src/control/types/leadership.h
+++ b/src/control/types/leadership.h
@@ -18,12 +18,13 @@
   /// How long `leader` has been that.
   duration known_for{};
   std::size_t voters = 0;
-  /// Voters with which this host has a link that carries messages, and itself
-  /// if it is a voter.
+  /// Voters to which this host has opened a link that carries messages, and
+  /// itself if it is a voter.
   std::size_t voters_linked = 0;
   /// Voters that respond to this host; known to the leader only.
   std::optional<std::size_t> voters_responding;
-  /// Attempts of this host to become leader since it last knew of one.
+  /// How often this host wanted to become leader and did not since it last
+  /// knew of one.
   std::uint64_t elections_lost = 0;
   std::optional<quorum::election_note> last_election;
 };
--- a/src/quorum/internal/election.cc
+++ b/src/quorum/internal/election.cc
@@ -71,8 +71,9 @@
   if (is_alone || CountVoters(responders_) + 1 < Majority()) {
     return election_result::kFewResponses;
   }
-  return in_pre_vote_ || !refusers_.empty() ? election_result::kRefused
-                                            : election_result::kVotesLate;
+  const bool is_refused =
+      in_pre_vote_ || VoterCount() - CountVoters(refusers_) < Majority();
+  return is_refused ? election_result::kRefused : election_result::kVotesLate;
 }
 
 void raft_node::EndElection(election_result result) {
@@ -116,6 +117,7 @@
   if (role_ == raft_role::kCandidate) {
     BecomeFollower(term_, now);
   }
+  SetLeader(member_id(), now);
   awaited_ = candidate;
   awaited_until_ = now + options_.min_election_timeout;
   ResetElectionTimer(now);
@@ -126,7 +128,7 @@
   return 1 << std::min(unled == 0 ? 0 : unled - 1, kMaxPatienceDoublings);
 }
 
-void raft_node::RepeatCandidacy(time_point now) {
+void raft_node::AnnounceCandidacy(time_point now) {
   next_candidacy_ = now + kCandidacyInterval;
   vote_request request = MakeVoteRequest(false);
   if (votes_.contains(self_)) {
@@ -140,7 +142,7 @@
 
 bool raft_node::HearsMajority(time_point now) const {
   std::set<member_id> heard{self_};
-  for (const auto& [id, when] : responded_) {
+  for (const auto& [id, when] : last_response_) {
     if (now - when < options_.min_election_timeout) {
       heard.insert(id);
     }
@@ -202,7 +204,7 @@
   // This member's own vote is counted once it is on disk.
   votes_.clear();
   refusers_.clear();
-  RepeatCandidacy(now);
+  AnnounceCandidacy(now);
   RecordVote();
   own_vote_recorded_ = true;
   own_vote_unstored_ = true;
@@ -296,7 +298,7 @@
     return;
   }
   responders_.insert(from);
-  responded_[from] = now;
+  last_response_[from] = now;
   if (!m.granted && !m.pre_vote && m.term == term_ && !in_pre_vote_) {
     refusers_.insert(from);
     RetryIfSplit(now);
--- a/src/quorum/internal/raft_node.cc
+++ b/src/quorum/internal/raft_node.cc
@@ -48,7 +48,7 @@
     SetLeader(member_id(), now);
     StartPreVote(now);
   } else if (now >= next_candidacy_) {
-    RepeatCandidacy(now);
+    AnnounceCandidacy(now);
   }
 }
 
--- a/src/quorum/raft_node.h
+++ b/src/quorum/raft_node.h
@@ -206,12 +206,13 @@
   [[nodiscard]] raft_role role() const { return role_; }
   [[nodiscard]] term_number term() const { return term_; }
   [[nodiscard]] const member_id& self() const { return self_; }
-  /// The last known leader; empty if none was heard within the election
-  /// timeout.
+  /// The last known leader; empty once this member wants to lead itself, or
+  /// waits for a candidate.
   [[nodiscard]] const member_id& leader() const { return leader_; }
   /// Since when `leader` has been that.
   [[nodiscard]] time_point leader_since() const { return leader_since_; }
-  /// Attempts of this member to become leader since it last knew of one.
+  /// How often this member wanted to become leader and did not since it last
+  /// knew of one.
   [[nodiscard]] std::uint64_t elections_lost() const { return elections_lost_; }
   /// How this member's last attempt ended, or why it made none.
   [[nodiscard]] const std::optional<election_note>& last_election() const {
@@ -274,7 +275,7 @@
   /// first.
   bool GiveUpElection(time_point now);
   /// Keeps other voters from standing while this one's votes are written.
-  void RepeatCandidacy(time_point now);
+  void AnnounceCandidacy(time_point now);
   void SendToOtherVoters(const vote_request& request);
   /// Has this member stand soon, as a candidate has given up in term `after`.
   void StandSoon(term_number after, time_point now);
@@ -383,7 +384,7 @@
   /// member or not.
   std::set<member_id> responders_;
   /// When members last responded to this one as a candidate.
-  std::map<member_id, time_point> responded_;
+  std::map<member_id, time_point> last_response_;
   /// Voters that have refused their vote in this election.
   std::set<member_id> refusers_;
   /// The candidate that this member waits for, perhaps itself, and until when
--- a/src/quorum/tests/drawn_elections_unittest.cc
+++ b/src/quorum/tests/drawn_elections_unittest.cc
@@ -106,7 +106,7 @@
     }
   }
 
-  // A leader or a candidate most of the time.
+  // A leader or a candidate often.
   [[nodiscard]] std::size_t ChooseHost() {
     const std::uint32_t kind = cluster_.Below(3);
     for (std::size_t i = 0; i < cluster_.size(); ++i) {
--- a/src/quorum/tests/slow_election_unittest.cc
+++ b/src/quorum/tests/slow_election_unittest.cc
@@ -25,6 +25,8 @@
 
 struct slow_hosts {
   fake_cluster cluster;
+  /// Of the leader that was lost.
+  term_number led_term;
 
   explicit slow_hosts(std::uint32_t seed)
       : cluster(kSeedStep * seed,
@@ -45,6 +47,7 @@
   }
   std::size_t LoseLeader() {
     const std::size_t leader = *cluster.Leader();
+    led_term = cluster.Node(leader).term();
     cluster.Crash(leader);
     return leader;
   }
@@ -111,16 +114,20 @@
     slow_hosts hosts(seed);
     hosts.SlowDisks(milliseconds(600), milliseconds(1800));
     hosts.LoseLeader();
+    // One that stands, as a pre-vote leaves the term as it is.
     std::optional<std::size_t> candidate;
-    while (!candidate) {
+    const time_point end = hosts.cluster.now + kRecovery;
+    while (!candidate && hosts.cluster.now < end) {
       hosts.cluster.RunFor(milliseconds(10));
       for (std::size_t i = 0; i < kHosts; ++i) {
         if (hosts.cluster.IsUp(i) &&
-            hosts.cluster.Node(i).role() == raft_role::kCandidate) {
+            hosts.cluster.Node(i).role() == raft_role::kCandidate &&
+            hosts.cluster.Node(i).term() > hosts.led_term) {
           candidate = i;
         }
       }
     }
+    REQUIRE(candidate.has_value());
     hosts.cluster.RunFor(milliseconds(300));
     hosts.cluster.Crash(*candidate);
     CHECK(hosts.IsLedWithin(kRecovery));
--- a/src/quorum/types/quorum_message.h
+++ b/src/quorum/types/quorum_message.h
@@ -26,7 +26,7 @@
   /// which the sender would start an election.
   bool pre_vote = false;
   /// Other than `kAsks` only with `pre_vote`, as which members of older
-  /// software take it.
+  /// software take it; `term` is then the sender's own.
   candidacy standing = candidacy::kAsks;
 };
 
--- a/tools/control_cost/main.cc
+++ b/tools/control_cost/main.cc
@@ -83,6 +83,7 @@
               const quorum::member_id&) override {}
   void OnMembers(const quorum::membership&) override {}
   void OnVote(const quorum::vote_note&) override {}
+  void OnElection(const quorum::election_note&) override {}
   void OnJoin(const quorum::join_note&) override {}
   void OnState(control::state_revision,
                const control::state_contents&) override {}
