Evidence: what is not kept is not sent on, and hosts do not send one another's on

Cause, by reading and a test: merged evidence that is older than all of the 1024 (256) entries that are kept is dropped at once, but was told as news. So each host sent it to all hosts and routers, each of which took it for news again. What hosts had from one another they sent to all others, too.

Change: news is what is kept after merging. Hosts send on to hosts only what routers sent them.

--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -212,6 +212,7 @@
   /// Intervals of messages to all routers grow with their number.
   [[nodiscard]] duration ScaledInterval(duration interval) const;
   [[nodiscard]] std::vector<link_id> RouterLinks() const;
+  [[nodiscard]] bool IsFromHost(link_id link) const;
   /// Has the target sent to routers and, if it was received by this host, to
   /// other control hosts.
   void ScheduleChange(const targets::announcement& changed, bool received_here);
@@ -285,6 +286,9 @@
   crashes::evidence_store evidence_;
   /// Evidence that routers and other control hosts may lack.
   crashes::evidence new_evidence_;
+  /// Those of them that routers sent. Hosts do not send on what they have from
+  /// one another, as each has it from the routers or the one that sent it.
+  crashes::evidence new_evidence_of_routers_;
   /// Where streams began, as routers have told.
   streams::stream_origin_store streams_;
   stream_counts stream_questions_;
--- a/src/control/internal/control_updates.cc
+++ b/src/control/internal/control_updates.cc
@@ -91,11 +91,14 @@
   }
 }
 
-void control_node::Handle(link_id, const evidence_update& m) {
+void control_node::Handle(link_id link, const evidence_update& m) {
   crashes::evidence news = evidence_.Merge(m.contents, now_);
   if (news.empty()) {
     return;
   }
+  if (!IsFromHost(link)) {
+    new_evidence_of_routers_.Append(news);
+  }
   new_evidence_.Append(std::move(news));
   next_evidence_send_ =
       std::min(next_evidence_send_, now_ + options_.evidence_interval);
@@ -103,9 +106,20 @@
 
 void control_node::SendNewEvidence() {
   next_evidence_send_ = kNever;
-  const evidence_update update{.contents = std::exchange(new_evidence_, {})};
-  link_port_.SendToAll(ReadyForNews(links_.OpenLinks()), update);
-  link_port_.SendToAll(ReadyForNews(RouterLinks()), update);
+  const evidence_update for_hosts{
+      .contents = std::exchange(new_evidence_of_routers_, {})};
+  if (!for_hosts.contents.empty()) {
+    link_port_.SendToAll(ReadyForNews(links_.OpenLinks()), for_hosts);
+  }
+  const evidence_update for_routers{.contents =
+                                        std::exchange(new_evidence_, {})};
+  link_port_.SendToAll(ReadyForNews(RouterLinks()), for_routers);
+}
+
+bool control_node::IsFromHost(link_id link) const {
+  const auto peer = inbound_.find(link);
+  return links_.Owns(link) ||
+         (peer != inbound_.end() && !peer->second.is_router);
 }
 
 void control_node::Handle(link_id, const stream_update& m) {
--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -91,6 +91,7 @@
   /// Messages with a list of routers, and with a configuration.
   std::uint64_t router_lists = 0;
   std::uint64_t configurations = 0;
+  std::uint64_t evidence_updates = 0;
   time_point now{std::chrono::seconds(100)};
 };
 
@@ -129,6 +130,8 @@
       network_.router_lists += update->routers.empty() ? 0 : 1;
       network_.configurations += update->contents ? 1 : 0;
     }
+    network_.evidence_updates +=
+        std::holds_alternative<evidence_update>(message) ? 1 : 0;
     const auto& ends = network_.connections.at(*opened);
     const bool is_opener = ends.from == self_;
     const std::size_t to = is_opener ? ends.to : ends.from;
--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -107,6 +107,21 @@
   CHECK(answers == std::vector(4, command_status::kUnknown));
 }
 
+// Hosts sent what none of them keeps to one another again and again.
+TEST_CASE_METHOD(control_fixture,
+                 "evidence: more than is kept: each host sends it on once") {
+  crashes::evidence much;
+  for (std::uint64_t id = 0; id < crashes::kMaxServed + 400; ++id) {
+    much.served.push_back(
+        {.key = {.pool = pool_id("llm"), .id = id}, .age_ms = 2000 - id});
+  }
+  network.evidence_updates = 0;
+  Notice(0, much);
+  RunFor(seconds(4));
+  // From the router to each host, and from each host to all others.
+  CHECK(network.evidence_updates <= kHosts + kHosts * (kHosts - 1 + kRouters));
+}
+
 // Nobody that it was told of ran, and it never became a member again.
 TEST_CASE_METHOD(control_fixture,
                  "lost disk: none of the told hosts runs: joins by the links "
--- a/src/crashes/internal/evidence_store.cc
+++ b/src/crashes/internal/evidence_store.cc
@@ -81,6 +81,16 @@
     }
   }
   DropExcess();
+  // Otherwise hosts would send one another what none of them keeps.
+  std::erase_if(news.ends, [this](const target_end& end) {
+    return !ends_.contains({end.target, end.life});
+  });
+  std::erase_if(news.served, [this](const served_suspect& served) {
+    return !served_.contains(served.key);
+  });
+  std::erase_if(news.blocked, [this](const blocked_suspect& blocked) {
+    return !blocked_.contains(blocked.key);
+  });
   return news;
 }
 
--- a/src/crashes/tests/evidence_store_unittest.cc
+++ b/src/crashes/tests/evidence_store_unittest.cc
@@ -35,6 +35,23 @@
   return found;
 }
 
+TEST_CASE("evidence older than all that is kept, at the bounds: no news") {
+  evidence_store store;
+  evidence kept;
+  for (std::uint64_t id = 0; id < kMaxServed; ++id) {
+    kept.served.push_back({.key = {.pool = kPool, .id = id}});
+    kept.blocked.push_back({.key = {.pool = kPool, .id = id}});
+    kept.ends.push_back(End(id, {id}));
+  }
+  store.Merge(kept, kNow);
+  evidence old{.ends = {End(kMaxServed, {1})},
+               .served = {{.key = {.pool = kPool, .id = kMaxServed}}},
+               .blocked = {{.key = {.pool = kPool, .id = kMaxServed}}}};
+  old.ends.front().age_ms = old.served.front().age_ms =
+      old.blocked.front().age_ms = 5000;
+  CHECK(store.Merge(old, kNow).empty());
+}
+
 TEST_CASE("evidence of several routers about one target: suspects are joined") {
   evidence_store store;
   store.Merge({.ends = {End(1, {1, 2})}}, kNow);
