--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,126 +1,176 @@
-// Clients wait for orders that a sound replica is at work on, on connections
-// that they keep. Meanwhile another replica, which is in trouble, answers one
-// request of another service with a long trailer.
+// Configurations come in quick succession. Meanwhile one control host of three
+// loses its disk and is back; after `catch_up_s` another one does.
 #include "../deployment_2.h"
 
 namespace {
 
 using review::answer;
-using review::arrived_request;
-using review::connection;
+using steady_clock = std::chrono::steady_clock;
 
-constexpr int kClients = 8;
-// Breaks of the rule are counted from the fourth on.
-constexpr int kAllowed = 3;
-constexpr int kWorkMs = 900;
-constexpr std::size_t kTrailerBytes = 72'000;
-constexpr std::size_t kFirstPiece = 50'000;
 constexpr char kKey[] = "key-depot-1";
+// Bounds of hgm-router: `catch_up_s`, `recovery_s`.
+constexpr int kCatchUpMs = 4000;
+constexpr int kRecoveryMs = 12'000;
+constexpr int kDownMs = 1500;
+constexpr int kMarginMs = 300;
+// Time between two changes; storms last 2 s, and follow one another.
+constexpr int kDefaultGapMs = 80;
+constexpr int kStormMs = 2000;
+constexpr int kStorms = 3;
+// Orders that may be in progress at once.
+constexpr int kOrders = 8;
+// How long the operator tries to read back after all are back.
+constexpr int kReadBackMs = 2 * kRecoveryMs;
 
-bool AnswerOrder(connection& to, const arrived_request& order) {
-  review::SleepMs(order.line.find("/slow") == std::string::npos ? 5 : kWorkMs);
-  return to.Send(review::WholeAnswer(order, "accepted " + order.Id()));
+std::string ConfigurationOf(int version) {
+  return review::Configuration(
+      version, {{.name = "r-look", .prefix = "/look/", .service = "look"}},
+      {"look"}, {{.name = "depot-1", .key = kKey}});
 }
 
-bool AnswerLookUp(connection& to, const arrived_request& call, bool trouble) {
-  const bool is_probe = call.Id().starts_with("probe");
-  if (is_probe || !trouble) {
-    return to.Send(review::WholeAnswer(call, "in stock"));
+// The control host that answers a read by itself.
+std::optional<std::size_t> FindLeader(review::deployment& system) {
+  for (int tries = 0; tries < 50; ++tries) {
+    for (std::size_t i = 0; i < system.control_count(); ++i) {
+      const auto to = review::connection::Connect(system.Command(i));
+      if (to && to->Send("GET /-/Config.Read HTTP/1.1\r\nHost: x\r\n\r\n") &&
+          review::ReadAnswer(*to, "GET", std::chrono::seconds(1)).status ==
+              200) {
+        return i;
+      }
+    }
+    review::SleepMs(200);
   }
-  to.Send(review::AnswerHead(call) +
-          "Transfer-Encoding: chunked\r\n\r\n8\r\nin stock\r\n0\r\nX-Note: " +
-          std::string(kFirstPiece, 'y'));
-  review::SleepMs(100);
-  to.Send(std::string(kTrailerBytes - kFirstPiece, 'y') + "\r\n\r\n");
-  review::SleepMs(200);
-  return false;
+  return std::nullopt;
 }
 
-struct kept_client {
-  std::unique_ptr<connection> to;
-  std::string id;
-  answer got;
+// The operator's changes. Each is sent until there is a clear answer, to the
+// next host after each try.
+class operator_orders {
+ public:
+  operator_orders(review::deployment& system,
+                  review::record_file& record,
+                  int gap_ms,
+                  int total_ms)
+      : system_(system), record_(record) {
+    const auto began = steady_clock::now();
+    for (int i = 0; i < kOrders; ++i) {
+      workers_.emplace_back([this, began, gap_ms, total_ms, i] {
+        for (int at = i * gap_ms; at < total_ms && !stopping_;
+             at += kOrders * gap_ms) {
+          std::this_thread::sleep_until(began + review::milliseconds(at));
+          SendUntilAnswered(100 + 2 * (at / gap_ms));
+        }
+      });
+    }
+  }
+  ~operator_orders() {
+    stopping_ = true;
+    for (std::thread& worker : workers_) {
+      worker.join();
+    }
+  }
+
+  [[nodiscard]] int newest() const { return newest_; }
+  [[nodiscard]] int acknowledged() const { return acknowledged_; }
+
+ private:
+  void SendUntilAnswered(int version) {
+    for (std::size_t tries = 0; !stopping_; ++tries) {
+      const answer got = system_.Call("POST", "/-/Config.Replace",
+                                      ConfigurationOf(version), tries);
+      if (got.status / 100 == 2) {
+        ++acknowledged_;
+        int before = newest_;
+        while (before < version &&
+               !newest_.compare_exchange_weak(before, version)) {
+        }
+        record_.Add("version " + std::to_string(version) + " acknowledged");
+        return;
+      }
+      review::SleepMs(100 * static_cast<int>(std::min<std::size_t>(tries, 9)));
+    }
+  }
+
+  review::deployment& system_;
+  review::record_file& record_;
+  std::vector<std::thread> workers_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<int> newest_ = 7;
+  std::atomic<int> acknowledged_ = 0;
 };
 
+int VersionIn(const std::string& document) {
+  const std::string name = "\"version\":";
+  const std::size_t at = document.find(name);
+  return at == std::string::npos
+             ? 0
+             : std::atoi(document.c_str() + at + name.size());
+}
+
 int Run(const review::case_arguments& arguments) {
   review::record_file record(arguments.record);
-  review::replica desk(record, "i-desk-1", "desk", "zone-1", "127.0.53.1",
-                       AnswerOrder);
-  review::replica look(
-      record, "i-look-1", "look", "zone-2", "127.0.53.2",
-      [&arguments](connection& to, const arrived_request& call) {
-        return AnswerLookUp(to, call, arguments.trouble);
-      });
-  review::deployment system(record, arguments.folder, 2);
+  review::deployment system(record, arguments.folder, 1);
   system.Start();
-  const std::string configuration = review::Configuration(
-      7,
-      {{.name = "r-order",
-        .prefix = "/order/",
-        .service = "desk",
-        .type = "non_idempotent",
-        .max_attempts = 1},
-       {.name = "r-look", .prefix = "/look/", .service = "look"}},
-      {"desk", "look"}, {{.name = "depot-1", .key = kKey}});
-  if (!desk.listens() || !look.listens() ||
-      system.Configure(configuration).status != 200) {
+  if (system.Configure(ConfigurationOf(7)).status != 200) {
     return review::kCannotRun;
   }
-  system.Announce({&desk, &look});
-  if (!system.AwaitService(0, {.path = "/order/quick", .key = kKey}) ||
-      !system.AwaitService(0, {.path = "/look/x", .key = kKey})) {
+  review::SleepMs(4000);
+  const auto leader = FindLeader(system);
+  if (!leader) {
     return review::kCannotRun;
   }
-  // In touch needs three quiet seconds.
-  review::SleepMs(4000);
+  record.Add("core-" + std::to_string(*leader + 1) + " leads");
+  const std::size_t first = (*leader + 1) % system.control_count();
+  const std::size_t second = (*leader + 2) % system.control_count();
+  const char* gap = std::getenv("GAP_MS");
+  const int gap_ms = gap == nullptr ? kDefaultGapMs : std::atoi(gap);
 
-  std::vector<kept_client> clients(kClients);
-  for (int i = 0; i < kClients; ++i) {
-    kept_client& client = clients[static_cast<std::size_t>(i)];
-    client.to = connection::Connect(system.Router(0));
-    client.id = "order-" + std::to_string(i + 1);
-    if (!client.to ||
-        !client.to->Send(review::request{.method = "POST",
-                                         .path = "/order/quick",
-                                         .id = client.id + "-first",
-                                         .key = kKey,
-                                         .body = "relay"}
-                             .Bytes()) ||
-        review::ReadAnswer(*client.to, "POST", std::chrono::seconds(3))
-                .status != 200) {
-      return review::kCannotRun;
-    }
+  if (arguments.trouble) {
+    system.LoseWithDisk(first);
   }
-  for (kept_client& client : clients) {
-    record.Add("client sends " + client.id + " on its kept connection");
-    client.to->Send(review::request{.method = "POST",
-                                    .path = "/order/slow",
-                                    .id = client.id,
-                                    .key = kKey,
-                                    .body = "relay"}
-                        .Bytes());
+  review::SleepMs(kDownMs);
+  int newest = 0;
+  {
+    const operator_orders orders(system, record, gap_ms, kStorms * kStormMs);
+    if (arguments.trouble) {
+      system.StartAgain(first);
+    }
+    review::SleepMs(kCatchUpMs + kMarginMs);
+    if (arguments.trouble) {
+      system.LoseWithDisk(second);
+    }
+    review::SleepMs(kDownMs);
+    if (arguments.trouble) {
+      system.StartAgain(second);
+    }
+    review::SleepMs(kCatchUpMs);
+    newest = orders.newest();
+    record.Add(std::to_string(orders.acknowledged()) +
+               " changes acknowledged, the newest " + std::to_string(newest));
   }
-  review::SleepMs(300);
-  const int passed_on = desk.runs();
-  const auto other = connection::Connect(system.Router(0));
-  record.Add("another client sends look-1");
-  other->Send(
-      review::request{.path = "/look/x", .id = "look-1", .key = kKey}.Bytes());
-  record.Add("look-1: " +
-             review::ReadAnswer(*other, "GET", std::chrono::seconds(4)).Text());
 
-  int lost = 0;
-  for (kept_client& client : clients) {
-    client.got =
-        review::ReadAnswer(*client.to, "POST", std::chrono::seconds(4));
-    lost += client.got.status == 0 && client.to->at_end() ? 1 : 0;
-    record.Add(client.id + ": " + client.got.Text());
+  const auto until = steady_clock::now() + review::milliseconds(kReadBackMs);
+  int read = 0;
+  std::string last = "none";
+  for (std::size_t host = 0; read < newest && steady_clock::now() < until;
+       ++host) {
+    const answer got = system.Call("GET", "/-/Config.Read", "", host);
+    last = got.Text() + " " + got.body.substr(0, 160);
+    if (got.status == 200) {
+      read = VersionIn(got.body);
+      if (read < newest) {
+        break;
+      }
+    }
+    review::SleepMs(250);
   }
-  record.Add("replica i-desk-1 has run " + std::to_string(passed_on) +
-             " requests; " + std::to_string(lost) +
-             " clients' connections were closed without an answer");
-  record.Add("edge-1 " + system.EndOf("edge-1").value_or("still runs"));
-  return lost > kAllowed ? review::kBroken : review::kHeld;
+  record.Add("last answer to a read: " + last);
+  record.Add("read back: " +
+             (read == 0 ? std::string("nothing in " +
+                                      std::to_string(kReadBackMs / 1000) + " s")
+                        : "version " + std::to_string(read)));
+  return read < newest ? review::kBroken : review::kHeld;
 }
 
 }  // namespace
--- a/review/deployment_2.h
+++ b/review/deployment_2.h
@@ -21,6 +21,7 @@
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -467,15 +468,37 @@
 
   void Start() {
     for (std::size_t i = 0; i < controls_.size(); ++i) {
-      StartOne("core-" + std::to_string(i + 1), controls_[i], i,
-               "deploy/control.toml.in");
+      StartOne(ControlName(i), controls_[i], i, "deploy/control.toml.in", true);
     }
     for (std::size_t i = 0; i < routers_.size(); ++i) {
       StartOne("edge-" + std::to_string(i + 1), routers_[i], i,
-               "deploy/router.toml.in");
+               "deploy/router.toml.in", true);
     }
   }
 
+  [[nodiscard]] std::size_t control_count() const { return controls_.size(); }
+  [[nodiscard]] address Command(std::size_t index) const {
+    return {.ip = controls_[index], .port = command_port_};
+  }
+
+  // A control host ends with its disk.
+  void LoseWithDisk(std::size_t index) {
+    const std::string name = ControlName(index);
+    const auto found = processes_.find(name);
+    ::kill(found->second, SIGKILL);
+    int status = 0;
+    ::waitpid(found->second, &status, 0);
+    processes_.erase(found);
+    std::filesystem::remove_all(folder_ + "/" + name);
+    record_.Add(name + " is killed and loses its disk");
+  }
+
+  // It starts again at its address, with an empty folder.
+  void StartAgain(std::size_t index) {
+    StartOne(ControlName(index), controls_[index], index,
+             "deploy/control.toml.in", false);
+  }
+
   [[nodiscard]] address Router(std::size_t index) const {
     return {.ip = routers_[index], .port = caller_port_};
   }
@@ -577,10 +600,15 @@
   }
 
  private:
+  static std::string ControlName(std::size_t index) {
+    return "core-" + std::to_string(index + 1);
+  }
+
   std::string Render(const std::string& name,
                      const std::string& ip,
                      std::size_t index,
-                     const std::string& path) const {
+                     const std::string& path,
+                     bool first_start) const {
     std::ifstream in(path);
     std::stringstream all;
     all << in.rdbuf();
@@ -606,7 +634,7 @@
         {"{{ip}}", ip},
         {"{{internal_ports.0}}", std::to_string(link_port_)},
         {"{{seed_nodes|json}}", seeds + "]"},
-        {"{{bootstrap}}", "true"},
+        {"{{bootstrap}}", first_start ? "true" : "false"},
         {"{{fault_tolerance.machine_count}}", "1"},
         {R"({{#zones}}"{{@}}"{{,}}{{/zones}})",
          R"("zone-1","zone-2","zone-3")"},
@@ -629,10 +657,11 @@
   void StartOne(const std::string& name,
                 const std::string& ip,
                 std::size_t index,
-                const std::string& path) {
+                const std::string& path,
+                bool first_start) {
     ::mkdir((folder_ + "/" + name).c_str(), 0755);
     const std::string settings = folder_ + "/" + name + ".toml";
-    std::ofstream(settings) << Render(name, ip, index, path);
+    std::ofstream(settings) << Render(name, ip, index, path, first_start);
     const std::string output = folder_ + "/" + name + ".out";
     const pid_t pid = ::fork();
     if (pid == 0) {
