--- a/review/deployment_2.h
+++ b/review/deployment_2.h
@@ -29,6 +29,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -349,36 +350,109 @@
         zone_(std::move(zone)),
         at_{.ip = std::move(ip)},
         serve_(std::move(serve)) {
-    listener_ = Listen(at_);
-    std::thread([this] { Accept(); }).detach();
+    Open();
   }
 
   [[nodiscard]] bool listens() const { return listener_ >= 0; }
+  [[nodiscard]] std::string version() const {
+    const std::lock_guard lock(mutex_);
+    return version_;
+  }
+
+  ~replica() { End(); }
+  replica(const replica&) = delete;
+  replica& operator=(const replica&) = delete;
+
+  // Its process ends: its connections break, its address refuses new ones, and
+  // it announces nothing.
+  void Crash() {
+    announces_ = false;
+    End();
+    record_.Add("replica " + id_ + " crashes");
+  }
+
+  // It starts again under its id, with this version of its software. It does
+  // not announce itself before `announces` is set.
+  void StartAgain(const std::string& version) {
+    {
+      const std::lock_guard lock(mutex_);
+      version_ = version;
+      sequence_ = 0;
+      born_ = NowMs();
+    }
+    Open();
+    record_.Add("replica " + id_ + " starts again, its version is " + version);
+  }
+  void set_announces(bool announces) { announces_ = announces; }
+  [[nodiscard]] bool announces() const { return announces_; }
   [[nodiscard]] const std::string& id() const { return id_; }
   [[nodiscard]] const std::string& service() const { return service_; }
   [[nodiscard]] int runs() const { return runs_; }
 
   std::string NextHeartbeat() {
+    const std::lock_guard lock(mutex_);
     return R"({"service":")" + service_ + R"(","address":")" + at_.Text() +
-           R"(","zone":")" + zone_ +
-           R"(","version":"v1","slots":16,"phase":"ready","cold_remaining_ms":0,"seq":)" +
+           R"(","zone":")" + zone_ + R"(","version":")" + version_ +
+           R"(","slots":16,"phase":"ready","cold_remaining_ms":0,"seq":)" +
            std::to_string(++sequence_) + R"(,"born":)" + std::to_string(born_) +
            "}";
   }
 
  private:
+  static std::int64_t NowMs() {
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+  }
+
+  void Open() {
+    listener_ = Listen(at_);
+    if (listener_ >= 0) {
+      acceptor_ = std::thread([this] { Accept(); });
+    }
+  }
+
+  void End() {
+    if (acceptor_.joinable()) {
+      ::shutdown(listener_, SHUT_RDWR);
+      acceptor_.join();
+      ::close(listener_);
+      listener_ = -1;
+    }
+    while (true) {
+      {
+        const std::lock_guard lock(mutex_);
+        if (open_.empty()) {
+          return;
+        }
+        for (const int fd : open_) {
+          ::shutdown(fd, SHUT_RDWR);
+        }
+      }
+      SleepMs(5);
+    }
+  }
+
   void Accept() {
     while (true) {
       const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0) {
         return;
       }
-      std::thread([this, fd] { Serve(fd); }).detach();
+      {
+        const std::lock_guard lock(mutex_);
+        open_.insert(fd);
+      }
+      std::thread([this, fd] {
+        connection client(fd);
+        Serve(client);
+        const std::lock_guard lock(mutex_);
+        open_.erase(fd);
+      }).detach();
     }
   }
 
-  void Serve(int fd) {
-    connection client(fd);
+  void Serve(connection& client) {
     arrived_request arrived;
     while (client.ReadHead(arrived.line, arrived.fields,
                            std::chrono::minutes(5))) {
@@ -414,12 +488,16 @@
   std::string zone_;
   address at_;
   serve_function serve_;
-  int listener_ = -1;
+  std::atomic<int> listener_ = -1;
+  std::thread acceptor_;
+  std::atomic<bool> announces_ = true;
   std::atomic<int> runs_ = 0;
-  std::atomic<std::uint64_t> sequence_ = 0;
-  std::int64_t born_ = std::chrono::duration_cast<milliseconds>(
-                           std::chrono::system_clock::now().time_since_epoch())
-                           .count();
+  mutable std::mutex mutex_;
+  // Guarded by `mutex_`.
+  std::set<int> open_;
+  std::string version_ = "v1";
+  std::uint64_t sequence_ = 0;
+  std::int64_t born_ = NowMs();
 };
 
 inline void ReplaceAll(std::string& text,
@@ -567,6 +645,9 @@
     beats_ = std::thread([this, replicas = std::move(replicas)] {
       while (!stopping_) {
         for (replica* one : replicas) {
+          if (!one->announces()) {
+            continue;
+          }
           for (std::size_t host = 0; host < controls_.size(); ++host) {
             if (Call("POST", "/-/Instances.Heartbeat/" + one->id(),
                      one->NextHeartbeat(), host)
@@ -701,6 +782,7 @@
   std::string type = "idempotent";
   int timeout_ms = 3000;
   int max_attempts = 2;
+  bool resumable = false;
 };
 
 struct tenant_terms {
@@ -724,7 +806,8 @@
             R"(,"target_latency_ms":300,"priority":1,"service":")" +
             route.service + R"(","max_attempts":)" +
             std::to_string(route.max_attempts) +
-            R"(,"anonymous":false,"session_affinity":false,"resumable":false})";
+            R"(,"anonymous":false,"session_affinity":false,"resumable":)" +
+            (route.resumable ? "true}" : "false}");
     between = ",";
   }
   text += R"(],"services":[)";
