--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -8,15 +8,15 @@
 using steady_clock = std::chrono::steady_clock;
 
 constexpr char kKey[] = "key-depot-1";
-// Bounds of hgm-router: `catch_up_s`, `recovery_s`.
-constexpr int kCatchUpMs = 4000;
-constexpr int kRecoveryMs = 12'000;
+// Bounds of hgm-router-grown: `catch_up_s`, `recovery_s`.
+constexpr int kCatchUpMs = 6000;
+constexpr int kRecoveryMs = 15'000;
 constexpr int kDownMs = 1500;
 constexpr int kMarginMs = 300;
 // Time between two changes; storms last 2 s, and follow one another.
 constexpr int kDefaultGapMs = 80;
 constexpr int kStormMs = 2000;
-constexpr int kStorms = 3;
+constexpr int kStorms = 4;
 // Orders that may be in progress at once.
 constexpr int kOrders = 8;
 // How long the operator tries to read back after all are back.
