--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -8,7 +8,7 @@
 using steady_clock = std::chrono::steady_clock;
 
 constexpr char kKey[] = "key-depot-1";
-// Bounds of hgm-router-grown: `catch_up_s`, `recovery_s`.
+// Bounds of the grown sites, the longer ones: `catch_up_s`, `recovery_s`.
 constexpr int kCatchUpMs = 6000;
 constexpr int kRecoveryMs = 15'000;
 constexpr int kDownMs = 1500;
