--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,69 +1,189 @@
-// A client fetches with HEAD on a connection that it keeps. The replica answers
-// as HTTP/1.1 says: with the length of the body, and without the body.
+// One request crashes each replica that begins to run it, and comes again and
+// again. All processes are killed at the same moment.
 #include "../deployment_2.h"
 
 namespace {
 
-using review::answer;
 using review::arrived_request;
 using review::connection;
+using review::replica;
+using steady_clock = std::chrono::steady_clock;
 
-constexpr int kCalls = 3;
 constexpr char kKey[] = "key-depot-1";
-constexpr char kBody[] = "in stock: 12";
+constexpr int kReplicas = 10;
+constexpr int kRouters = 2;
+// Bounds of the grown sites, the longer ones: `contact_ms`, and twice as long
+// after a final fault.
+constexpr int kContactMs = 4000;
+constexpr int kAfterKillMs = 2 * kContactMs + 500;
+// Retries at replicas that the rule allows.
+constexpr int kAllowed = 3;
+constexpr int kRepeatMs = 400;
+constexpr int kBackMs = 2500;
+constexpr int kDownMs = 800;
 
-bool AnswerLookUp(connection& to, const arrived_request& call) {
-  const std::string whole = review::WholeAnswer(call, kBody);
-  const bool is_head = call.line.starts_with("HEAD ");
-  return to.Send(is_head ? whole.substr(0, whole.size() - sizeof kBody + 1)
-                         : whole);
-}
+struct world {
+  std::mutex mutex;
+  std::set<int> to_crash;
+  std::vector<steady_clock::time_point> arrivals;
+  std::atomic<bool> bad_comes = false;
+  std::atomic<bool> stopping = false;
+};
 
 int Run(const review::case_arguments& arguments) {
   review::record_file record(arguments.record);
-  review::replica look(record, "i-look-1", "look", "zone-1", "127.0.53.1",
-                       AnswerLookUp);
-  review::deployment system(record, arguments.folder, 1);
+  world state;
+  std::vector<std::unique_ptr<replica>> replicas;
+  std::vector<replica*> all;
+  for (int i = 0; i < kReplicas; ++i) {
+    replicas.push_back(std::make_unique<replica>(
+        record, "i-look-" + std::to_string(i + 1), "look",
+        "zone-" + std::to_string(i % kRouters + 1),
+        "127.0.53." + std::to_string(i + 1),
+        [&state, i](connection& to, const arrived_request& call) {
+          if (call.body != "bad") {
+            review::SleepMs(20);
+            return to.Send(review::WholeAnswer(call, "in stock"));
+          }
+          {
+            const std::lock_guard lock(state.mutex);
+            state.arrivals.push_back(steady_clock::now());
+            state.to_crash.insert(i);
+          }
+          // Until its process has ended.
+          to.Extra(std::chrono::seconds(2));
+          return false;
+        }));
+    all.push_back(replicas.back().get());
+  }
+  review::deployment system(record, arguments.folder, kRouters);
   system.Start();
-  const std::string configuration = review::Configuration(
-      7, {{.name = "r-look", .prefix = "/look/", .service = "look"}}, {"look"},
-      {{.name = "depot-1", .key = kKey}});
-  if (!look.listens() || system.Configure(configuration).status != 200) {
+  if (system
+          .Configure(review::Configuration(
+              7, {{.name = "r-look", .prefix = "/look/", .service = "look"}},
+              {"look"}, {{.name = "depot-1", .key = kKey}}))
+          .status != 200) {
     return review::kCannotRun;
   }
-  system.Announce({&look});
-  if (!system.AwaitService(0, {.path = "/look/x", .key = kKey})) {
-    return review::kCannotRun;
+  system.Announce(all);
+
+  std::vector<std::thread> workers;
+  // Crashes replicas, and has them back.
+  workers.emplace_back([&] {
+    std::map<int, steady_clock::time_point> down;
+    while (!state.stopping) {
+      std::set<int> now;
+      {
+        const std::lock_guard lock(state.mutex);
+        now.swap(state.to_crash);
+      }
+      for (const int i : now) {
+        if (down.contains(i)) {
+          continue;
+        }
+        all[static_cast<std::size_t>(i)]->Crash();
+        down[i] = steady_clock::now() + review::milliseconds(kBackMs);
+      }
+      std::erase_if(down, [&](const auto& entry) {
+        if (entry.second > steady_clock::now()) {
+          return false;
+        }
+        all[static_cast<std::size_t>(entry.first)]->StartAgain();
+        return true;
+      });
+      review::SleepMs(2);
+    }
+  });
+  // The bad request, at each router in turn, and sound ones.
+  const auto send = [&](const std::string& id, const std::string& body,
+                        std::size_t router) {
+    const auto to = connection::Connect(system.Router(router));
+    if (to) {
+      to->Send(review::request{.method = "POST",
+                               .path = "/look/x",
+                               .id = id,
+                               .key = kKey,
+                               .body = body}
+                   .Bytes());
+      return review::ReadAnswer(*to, "POST", std::chrono::seconds(4)).status;
+    }
+    return 0;
+  };
+  workers.emplace_back([&] {
+    for (int n = 1; !state.stopping; ++n) {
+      if (state.bad_comes) {
+        const std::string id = "bad-" + std::to_string(n);
+        record.Add(id + ": status " +
+                   std::to_string(send(
+                       id, "bad", static_cast<std::size_t>(n % kRouters))));
+      }
+      review::SleepMs(kRepeatMs);
+    }
+  });
+  std::atomic<int> sound = 0;
+  std::atomic<int> served = 0;
+  for (int w = 0; w < 4; ++w) {
+    workers.emplace_back([&, w] {
+      for (int n = 1; !state.stopping; ++n) {
+        const std::string id =
+            "sound-" + std::to_string(w) + "-" + std::to_string(n);
+        ++sound;
+        served += send(id, id, static_cast<std::size_t>(n % kRouters)) == 200;
+        review::SleepMs(50);
+      }
+    });
   }
-  review::SleepMs(4000);
 
-  const std::string method = arguments.trouble ? "HEAD" : "GET";
-  const auto client = connection::Connect(system.Router(0));
-  if (!client) {
-    return review::kCannotRun;
+  review::SleepMs(5000);
+  state.bad_comes = true;
+  steady_clock::time_point third{};
+  for (int waited = 0; waited < 100 && third == steady_clock::time_point{};
+       ++waited) {
+    review::SleepMs(100);
+    const std::lock_guard lock(state.mutex);
+    if (state.arrivals.size() >= 3) {
+      third = state.arrivals[2];
+    }
   }
-  int served = 0;
-  std::string extra;
-  for (int i = 1; i <= kCalls && extra.empty(); ++i) {
-    const std::string id = "look-" + std::to_string(i);
-    record.Add("client sends " + method + " " + id);
-    client->Send(review::request{
-        .method = method, .path = "/look/x", .id = id, .key = kKey}
-                     .Bytes());
-    const answer got =
-        review::ReadAnswer(*client, method, std::chrono::seconds(5));
-    record.Add(id + ": " + got.Text());
-    served += got.status == 200 ? 1 : 0;
-    // No request waits now, so nothing may come.
-    extra = client->Extra(review::milliseconds(300));
-    if (!extra.empty()) {
-      record.Add("with no request waiting the client gets " +
-                 std::to_string(extra.size()) + " bytes: " + extra);
+  bool can_run = third != steady_clock::time_point{};
+  // When machines are not in touch.
+  std::pair<steady_clock::time_point, steady_clock::time_point> excused;
+  review::SleepMs(12'000);
+  if (can_run) {
+    state.bad_comes = false;
+    review::SleepMs(500);
+    const auto from = steady_clock::now();
+    if (arguments.trouble) {
+      system.KillAll(review::milliseconds(kDownMs));
     }
+    review::SleepMs(kAfterKillMs);
+    excused = {from, steady_clock::now()};
+    state.bad_comes = true;
+    review::SleepMs(6000);
+  }
+  state.stopping = true;
+  for (std::thread& worker : workers) {
+    worker.join();
+  }
+  int late = 0;
+  for (const auto& arrival : state.arrivals) {
+    const bool is_excused =
+        excused.first <= arrival && arrival <= excused.second;
+    late += arrival > third + review::milliseconds(kContactMs) && !is_excused
+                ? 1
+                : 0;
+  }
+  record.Add("the bad request reached replicas " +
+             std::to_string(state.arrivals.size()) + " times, " +
+             std::to_string(late) +
+             " of them from machines in touch later than contact_ms after the "
+             "third crash; " +
+             std::to_string(served.load()) + " of " +
+             std::to_string(sound.load()) + " sound requests served");
+  if (!can_run) {
+    return review::kCannotRun;
   }
-  record.Add("served " + std::to_string(served) + "; the replica has run " +
-             std::to_string(look.runs()) + " requests");
-  return extra.empty() ? review::kHeld : review::kBroken;
+  return late > kAllowed ? review::kBroken : review::kHeld;
 }
 
 }  // namespace
--- a/review/deployment_2.h
+++ b/review/deployment_2.h
@@ -357,6 +357,25 @@
   replica(const replica&) = delete;
   replica& operator=(const replica&) = delete;
 
+  // Its process ends: its connections break and its address refuses new ones.
+  void Crash() {
+    announces_ = false;
+    End();
+    record_.Add("replica " + id_ + " crashes");
+  }
+  // It starts again under its id.
+  void StartAgain() {
+    {
+      const std::lock_guard lock(mutex_);
+      sequence_ = 0;
+      born_ = NowMs();
+    }
+    Open();
+    announces_ = true;
+    record_.Add("replica " + id_ + " is back");
+  }
+  [[nodiscard]] bool announces() const { return announces_; }
+
   [[nodiscard]] bool listens() const { return listener_ >= 0; }
   [[nodiscard]] const std::string& id() const { return id_; }
   [[nodiscard]] const std::string& service() const { return service_; }
@@ -463,6 +482,7 @@
   serve_function serve_;
   std::atomic<int> listener_ = -1;
   std::thread acceptor_;
+  std::atomic<bool> announces_ = true;
   std::atomic<int> runs_ = 0;
   mutable std::mutex mutex_;
   // Guarded by `mutex_`.
@@ -515,15 +535,7 @@
     }
   }
 
-  void Start() {
-    for (std::size_t i = 0; i < controls_.size(); ++i) {
-      StartOne(ControlName(i), controls_[i], i, "deploy/control.toml.in", true);
-    }
-    for (std::size_t i = 0; i < routers_.size(); ++i) {
-      StartOne("edge-" + std::to_string(i + 1), routers_[i], i,
-               "deploy/router.toml.in", true);
-    }
-  }
+  void Start() { StartAll(true); }
 
   [[nodiscard]] std::size_t control_count() const { return controls_.size(); }
   [[nodiscard]] address Command(std::size_t index) const {
@@ -542,6 +554,22 @@
     record_.Add(name + " is killed and loses its disk");
   }
 
+  // All processes are killed at the same moment, and back after the time. Disks
+  // are kept.
+  void KillAll(milliseconds down) {
+    for (auto& [name, pid] : processes_) {
+      ::kill(pid, SIGKILL);
+    }
+    for (auto& [name, pid] : processes_) {
+      int status = 0;
+      ::waitpid(pid, &status, 0);
+    }
+    processes_.clear();
+    record_.Add("all processes are killed");
+    std::this_thread::sleep_for(down);
+    StartAll(false);
+  }
+
   // It starts again at its address, with an empty folder.
   void StartAgain(std::size_t index) {
     StartOne(ControlName(index), controls_[index], index,
@@ -616,6 +644,9 @@
     beats_ = std::thread([this, replicas = std::move(replicas)] {
       while (!stopping_) {
         for (replica* one : replicas) {
+          if (!one->announces()) {
+            continue;
+          }
           for (std::size_t host = 0; host < controls_.size(); ++host) {
             if (Call("POST", "/-/Instances.Heartbeat/" + one->id(),
                      one->NextHeartbeat(), host)
@@ -653,6 +684,17 @@
     return "core-" + std::to_string(index + 1);
   }
 
+  void StartAll(bool first_start) {
+    for (std::size_t i = 0; i < controls_.size(); ++i) {
+      StartOne(ControlName(i), controls_[i], i, "deploy/control.toml.in",
+               first_start);
+    }
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      StartOne("edge-" + std::to_string(i + 1), routers_[i], i,
+               "deploy/router.toml.in", first_start);
+    }
+  }
+
   std::string Render(const std::string& name,
                      const std::string& ip,
                      std::size_t index,
