Leader: the majority and the members are looked at by a deadline of their own

Cause: a leader looked at its majority and at its members only when its heartbeat was due, and each change and each read broadcasts and puts the heartbeat off by 150 ms. With a change each 80 ms, or a read each 15 ms, it was never due: a returned host stayed a learner, its former id stayed a voter, and the next loss took the majority. A leader that was cut off while reads came did not step down either.

Change: `next_upkeep_`, which nothing but itself and an election sets.

Measured: "replacement: as many again are lost while clients ask" and "log: leader cut off while reads come" fail before and pass now.

--- a/src/quorum/internal/election.cc
+++ b/src/quorum/internal/election.cc
@@ -355,6 +355,7 @@
   }
   peers_.clear();
   next_heartbeat_ = kNever;
+  next_upkeep_ = kNever;
   if (term > term_) {
     term_ = term;
     vote_ = member_id();
@@ -374,6 +375,7 @@
   peers_.clear();
   UpdatePeers(now);
   elected_ = now;
+  next_upkeep_ = now + options_.heartbeat_interval;
   // A member that is lost was not heard by this one during the election either.
   for (auto& [id, peer] : peers_) {
     if (!responders_.contains(id)) {
--- a/src/quorum/internal/membership_changes.cc
+++ b/src/quorum/internal/membership_changes.cc
@@ -184,6 +184,15 @@
   return FindSilentMember(now);
 }
 
+void raft_node::Upkeep(time_point now) {
+  next_upkeep_ = now + options_.heartbeat_interval;
+  if (HasQuorum(now)) {
+    UpdateMembership(now);
+  } else {
+    BecomeFollower(term_, now);
+  }
+}
+
 void raft_node::UpdateMembership(time_point now) {
   if (!MayChangeMembers()) {
     return;
--- a/src/quorum/internal/raft_node.cc
+++ b/src/quorum/internal/raft_node.cc
@@ -33,12 +33,10 @@
     SendLeaveRequest(now);
   }
   if (role_ == raft_role::kLeader) {
-    if (!HasQuorum(now)) {
-      BecomeFollower(term_, now);
-      return;
+    if (now >= next_upkeep_) {
+      Upkeep(now);
     }
     if (now >= next_heartbeat_) {
-      UpdateMembership(now);
       Broadcast(now);
     }
     return;
@@ -53,9 +51,10 @@
 }
 
 time_point raft_node::NextDeadline() const {
-  return std::min(
-      {role_ == raft_role::kLeader ? next_heartbeat_ : election_deadline_,
-       next_candidacy_, next_leave_request_});
+  const time_point role_deadline = role_ == raft_role::kLeader
+                                       ? std::min(next_heartbeat_, next_upkeep_)
+                                       : election_deadline_;
+  return std::min({role_deadline, next_candidacy_, next_leave_request_});
 }
 
 void raft_node::OnMessage(const member_id& from,
--- a/src/quorum/raft_node.h
+++ b/src/quorum/raft_node.h
@@ -330,6 +330,8 @@
   join_decision DecideJoin(const join_request& m,
                            bool passed_on,
                            time_point now);
+  /// Steps down without a majority, otherwise sees to the members.
+  void Upkeep(time_point now);
   void UpdateMembership(time_point now);
   void SendLeaveRequest(time_point now);
   void StepDownIfRemoved(time_point now);
@@ -410,6 +412,9 @@
   std::map<member_id, peer_progress> peers_;
   std::uint64_t round_ = 0;
   time_point next_heartbeat_ = kNever;
+  /// When the majority and the members are looked at next. Apart from
+  /// `next_heartbeat_`, which each change and each read puts off.
+  time_point next_upkeep_ = kNever;
   log_index term_start_index_;
   time_point elected_;
   std::vector<pending_read> reads_;
--- a/src/quorum/tests/quorum_unittest.cc
+++ b/src/quorum/tests/quorum_unittest.cc
@@ -56,6 +56,20 @@
   }
 };
 
+// Guards against docs/incidents/026: reads put off the check of the majority.
+TEST_CASE_METHOD(three_host_fixture,
+                 "log: leader cut off while reads come: steps down") {
+  const std::size_t leader = Leader();
+  cluster.Isolate(leader);
+  for (std::uint64_t id = 1; id <= 200; ++id) {
+    cluster.RequestRead(leader, id);
+    cluster.RunFor(milliseconds(10));
+  }
+  CHECK(cluster.Node(leader).role() != raft_role::kLeader);
+  REQUIRE(cluster.read_results.contains(1));
+  CHECK_FALSE(cluster.read_results.at(1));
+}
+
 TEST_CASE_METHOD(three_host_fixture,
                  "log: first start: one leader acknowledges") {
   Leader();
--- a/src/quorum/tests/replacement_unittest.cc
+++ b/src/quorum/tests/replacement_unittest.cc
@@ -19,6 +19,7 @@
 // A lost host counts until its successor has run for this time.
 constexpr seconds kCatchUp{4};
 constexpr int kSeeds = 40;
+constexpr int kLoadSeeds = 4;
 
 enum class replacement_order {
   /// The successor starts first, then the old host is stopped by a signal.
@@ -77,11 +78,30 @@
      milliseconds(0), true},
 };
 
+// What clients ask of the leader while hosts are lost; 0 for nothing.
+struct client_load {
+  const char* name;
+  milliseconds between_changes;
+  milliseconds between_reads;
+};
+
+constexpr client_load kNoLoad{"none", milliseconds(0), milliseconds(0)};
+// Shorter and longer gaps than the leader's heartbeat interval of 150 ms.
+constexpr client_load kLoads[] = {
+    {"a change each 80 ms", milliseconds(80), milliseconds(0)},
+    {"a change each 400 ms, a read each 15 ms", milliseconds(400),
+     milliseconds(15)},
+    {"a read each 100 ms", milliseconds(0), milliseconds(100)},
+};
+
 // A cluster of 2 * tolerance + 1 hosts of which some are replaced.
 class replaced_hosts {
  public:
-  replaced_hosts(std::uint32_t seed, std::size_t tolerance)
+  replaced_hosts(std::uint32_t seed,
+                 std::size_t tolerance,
+                 const client_load& load = kNoLoad)
       : tolerance_(tolerance),
+        load_(load),
         cluster_(seed,
                  2 * tolerance + 1,
                  2 * tolerance + 1,
@@ -125,9 +145,10 @@
     for (const std::size_t host : Choose(leader)) {
       cluster_.Crash(host);
     }
-    cluster_.RunFor(seconds(1));
+    Run(seconds(1));
     StartSuccessors();
-    cluster_.RunFor(seconds(10));
+    Run(seconds(10));
+    cluster_.RunFor(seconds(1));
   }
 
   void CheckServed() {
@@ -179,6 +200,7 @@
   void Run(duration time) {
     const time_point end = cluster_.now + time;
     while (cluster_.now < end) {
+      AskLeader();
       cluster_.RunFor(milliseconds(5));
       if (!Bears(Count(), tolerance_)) {
         bears_since_ = cluster_.now;
@@ -186,7 +208,25 @@
     }
   }
 
+  void AskLeader() {
+    if (load_.between_changes > milliseconds(0) &&
+        cluster_.now >= next_change_) {
+      next_change_ = cluster_.now + load_.between_changes;
+      cluster_.Propose("load");
+    }
+    const auto leader = cluster_.Leader();
+    if (load_.between_reads > milliseconds(0) && leader &&
+        cluster_.now >= next_read_) {
+      next_read_ = cluster_.now + load_.between_reads;
+      cluster_.RequestRead(*leader, ++last_read_);
+    }
+  }
+
   std::size_t tolerance_;
+  client_load load_;
+  time_point next_change_{};
+  time_point next_read_{};
+  std::uint64_t last_read_ = 0;
   fake_cluster cluster_;
   time_point successors_started_{};
   time_point bears_since_{};
@@ -214,6 +254,27 @@
   }
 }
 
+// Guards against docs/incidents/026: changes and reads put off the heartbeat,
+// and with it the promotion of learners and the removal of lost voters.
+TEST_CASE(
+    "replacement: as many again are lost while clients ask: majority kept") {
+  for (const client_load& load : kLoads) {
+    for (const std::size_t tolerance : {1, 2}) {
+      for (const replacement& first : kReplacements) {
+        for (std::uint32_t seed = 1; seed <= kLoadSeeds; ++seed) {
+          CAPTURE(load.name, tolerance, first.name, seed);
+          replaced_hosts hosts(seed, tolerance, load);
+          hosts.Replace(first);
+          CAPTURE(hosts.Count().voters, hosts.Count().running);
+          REQUIRE(Bears(hosts.Count(), tolerance));
+          hosts.LoseOthers(seed % 2 == 0);
+          hosts.CheckServed();
+        }
+      }
+    }
+  }
+}
+
 // Prints the table of docs/design/007.
 TEST_CASE("replacement: every order: seconds to spare", "[.report]") {
   for (const std::size_t tolerance : {1, 2}) {
