Leader: a learner that keeps pace has caught up, however many entries come

Cause: a learner counted as caught up when it lagged 16 entries at most. While changes come each 5 ms more than that are on their way to it at any moment, so it was promoted late or not at all.

Change: rounds. A round ends when the learner has what the log held at its start; one shorter than the minimum election timeout (0.8 s) is keeping pace.

--- a/src/quorum/internal/membership_changes.cc
+++ b/src/quorum/internal/membership_changes.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-// A learner is promoted when it lags the log by at most this many entries.
+// A learner that lags the log by at most this many entries has caught up.
 constexpr std::uint64_t kMaxCaughtUpLag = 16;
 // A member that has not repeated its request to leave for this time is taken to
 // have stopped or started again.
@@ -80,9 +80,12 @@
   });
   for (const member& member : log_.members()) {
     if (member.id != self_) {
-      peers_.try_emplace(member.id, peer_progress{.next = log_.last_index() + 1,
-                                                  .match = log_index(0),
-                                                  .last_ack = now});
+      peers_.try_emplace(member.id,
+                         peer_progress{.next = log_.last_index() + 1,
+                                       .match = log_index(0),
+                                       .last_ack = now,
+                                       .round_target = log_.last_index(),
+                                       .round_began = now});
     }
   }
 }
@@ -193,6 +196,22 @@
   }
 }
 
+void raft_node::FollowRounds(peer_progress& peer, time_point now) {
+  if (peer.match >= peer.round_target) {
+    peer.keeps_pace = now - peer.round_began < options_.min_election_timeout;
+    peer.round_target = log_.last_index();
+    peer.round_began = now;
+  }
+}
+
+bool raft_node::HasCaughtUp(const peer_progress& peer, time_point now) const {
+  // While entries keep coming there are always some on their way.
+  const bool keeps_pace =
+      peer.keeps_pace && now - peer.round_began < options_.min_election_timeout;
+  return peer.match >= term_start_index_ &&
+         (keeps_pace || peer.match + kMaxCaughtUpLag >= log_.last_index());
+}
+
 void raft_node::UpdateMembership(time_point now) {
   if (!MayChangeMembers()) {
     return;
@@ -204,10 +223,7 @@
         !IsResponsive(learner.id, now)) {
       continue;
     }
-    const bool caught_up =
-        peer->second.match + kMaxCaughtUpLag >= log_.last_index() &&
-        peer->second.match >= term_start_index_;
-    if (caught_up) {
+    if (HasCaughtUp(peer->second, now)) {
       learner.voter = true;
       ChangeMembers(std::move(members), now);
       return;
--- a/src/quorum/internal/replication.cc
+++ b/src/quorum/internal/replication.cc
@@ -148,6 +148,7 @@
   } else {
     peer.match = std::max(peer.match, m.match);
     peer.next = std::max(peer.next, peer.match + 1);
+    FollowRounds(peer, now);
     AdvanceCommit();
     if (peer.next <= log_.last_index()) {
       SendEntries(from, peer, now);
--- a/src/quorum/raft_node.h
+++ b/src/quorum/raft_node.h
@@ -249,6 +249,12 @@
     std::uint64_t acked_round = 0;
     time_point last_ack;
     time_point snapshot_sent{};
+    /// A learner's round of replication ends when it has what the leader's log
+    /// ended with as the round began.
+    log_index round_target;
+    time_point round_began{};
+    /// The last round was shorter than the minimum election timeout.
+    bool keeps_pace = false;
     /// When the member last asked to be removed.
     std::optional<time_point> leave_requested = std::nullopt;
   };
@@ -333,6 +339,9 @@
   /// Steps down without a majority, otherwise sees to the members.
   void Upkeep(time_point now);
   void UpdateMembership(time_point now);
+  void FollowRounds(peer_progress& peer, time_point now);
+  [[nodiscard]] bool HasCaughtUp(const peer_progress& peer,
+                                 time_point now) const;
   void SendLeaveRequest(time_point now);
   void StepDownIfRemoved(time_point now);
   void ChangeMembers(membership members, time_point now);
--- a/src/quorum/tests/replacement_unittest.cc
+++ b/src/quorum/tests/replacement_unittest.cc
@@ -92,6 +92,9 @@
     {"a change each 400 ms, a read each 15 ms", milliseconds(400),
      milliseconds(15)},
     {"a read each 100 ms", milliseconds(0), milliseconds(100)},
+    {"a change each 5 ms", milliseconds(5), milliseconds(0)},
+    {"a change each 10 ms, a read each 5 ms", milliseconds(10),
+     milliseconds(5)},
 };
 
 // A cluster of 2 * tolerance + 1 hosts of which some are replaced.
