HTTP: a field that no container holds is refused, not thrown at

Cause: Beast's `fields::insert` throws std::length_error at a name or value of more than 65,533 bytes; its parser calls it without a check, and nothing catches between there and the fiber's entry. The parser's header limit does not cover trailers, and the client's buffer held up to 96 KiB, so that such a trailer could be whole in it.

Change: both readers of HTTP messages (`http_client`, `http_server`, that is all listeners, targets, health probes and the command-line client) use `checked_parser`, which fails with header_limit at such a field; the client's buffer is bounded to 64 KiB, which a head, a chunk's head or a trailer must fit.

--- a/src/framework/net/http_types.h
+++ b/src/framework/net/http_types.h
@@ -1,6 +1,8 @@
 // Aliases for Asio and Beast types, without the headers of the I/O operations.
 #pragma once
 
+#include <cstddef>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/basic_stream.hpp>
@@ -23,6 +25,10 @@
 using http_request = http::request<http::string_body>;
 using http_response = http::response<http::string_body>;
 
+/// Longest name and longest value that `http::fields` holds; it throws at
+/// longer ones.
+inline constexpr std::size_t kMaxFieldBytes = 65'533;
+
 /// Converts to an Asio endpoint; the address must be valid.
 inline asio::ip::tcp::endpoint ToTcp(const endpoint& endpoint) {
   return {asio::ip::make_address(endpoint.address), endpoint.port};
--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -2,25 +2,26 @@
 // heads and bodies, and classifies errors.
 #include "framework/net/http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/outcome/success_failure.hpp>
 
 #include "framework/fiber/use_fiber.h"
+#include "framework/net/internal/checked_parser.h"
 #include "framework/net/write_buffers.h"
 
 namespace burdocklock::net {
 
 namespace {
 
-using response_parser = http::response_parser<http::buffer_body>;
+using response_parser = checked_parser<false, http::buffer_body>;
 
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 constexpr std::size_t kReadBytes = 32 * 1024;
@@ -43,7 +44,8 @@
       ec == boost::system::errc::address_not_available) {
     return error_code::kNoResources;
   }
-  if (ec == http::error::body_limit || ec == http::error::header_limit) {
+  if (ec == http::error::body_limit || ec == http::error::header_limit ||
+      ec == http::error::buffer_overflow) {
     return error_code::kTooLarge;
   }
   const auto& http_category =
@@ -58,7 +60,11 @@
 }  // namespace
 
 struct http_client::state {
-  explicit state(asio::io_context& context) : stream(context) {}
+  explicit state(asio::io_context& context) : stream(context) {
+    // Bounds what the parser must have whole: a head, the size and the
+    // extensions of a chunk, a trailer.
+    buffer.max_size(kMaxHeadBytes);
+  }
 
   [[nodiscard]] error MakeError(const char* step,
                                 const beast::error_code& ec) const {
@@ -163,11 +169,12 @@
 
 result<void> http_client::FillBuffer() {
   // What is left in the buffer is an unfinished chunk header or trailer.
-  if (state_->buffer.size() > kMaxHeadBytes) {
+  const std::size_t room = kMaxHeadBytes - state_->buffer.size();
+  if (room == 0) {
     return state_->MakeError("read answer", http::error::header_limit);
   }
   const auto read = state_->stream.async_read_some(
-      state_->buffer.prepare(kReadBytes), use_fiber);
+      state_->buffer.prepare(std::min(kReadBytes, room)), use_fiber);
   state_->buffer.commit(read.value);
   if (!read.ec) {
     return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -11,7 +11,6 @@
 
 #include <boost/asio/socket_base.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
--- a/src/framework/net/internal/http_server_state.h
+++ b/src/framework/net/internal/http_server_state.h
@@ -9,15 +9,14 @@
 #include <optional>
 #include <unordered_set>
 
-#include <boost/beast/http/parser.hpp>
-
 #include "framework/net/http_server.h"
+#include "framework/net/internal/checked_parser.h"
 #include "framework/net/internal/idle_connections.h"
 #include "framework/net/internal/request_source.h"
 
 namespace burdocklock::net {
 
-using request_parser = http::request_parser<http::string_body>;
+using request_parser = checked_parser<true, http::string_body>;
 
 // Bodies of requests to a server without a shared budget.
 inline constexpr std::size_t kOwnBudgetBytes = 64 * 1024 * 1024;
--- /dev/null
+++ b/src/framework/net/tests/odd_message_unittest.cc
@@ -0,0 +1,153 @@
+// Messages that no sound peer sends, over loopback: what they end is one
+// request or one connection.
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "framework/fiber/fiber_thread.h"
+#include "framework/fiber/use_fiber.h"
+#include "framework/net/http_client.h"
+#include "framework/net/http_server.h"
+#include "framework/net/tests/blocking_caller.h"
+
+namespace burdocklock::net {
+namespace {
+
+// Pieces are sent with this time between them, so that they are read apart.
+constexpr std::chrono::milliseconds kBetweenPieces{100};
+constexpr std::size_t kLongField = 72'000;
+// Of a long trailer, what a client takes before it has all of it.
+constexpr std::size_t kFirstPiece = 60'000;
+// Of a value in a trailer that fits into 64 KiB.
+constexpr std::size_t kLongestTrailer = 65'500;
+
+const std::string kHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+using pieces = std::vector<std::string>;
+
+// Answers one request with pieces, whatever was asked.
+struct odd_answer_fixture {
+  asio::io_context server_io;
+  asio::ip::tcp::acceptor acceptor{server_io,
+                                   {asio::ip::address_v4::loopback(), 0}};
+
+  result<http_reply> FetchAnswer(const pieces& answer) {
+    std::thread server([&] {
+      asio::ip::tcp::socket socket = acceptor.accept();
+      beast::error_code ec;
+      for (const std::string& piece : answer) {
+        asio::write(socket, asio::buffer(piece), ec);
+        std::this_thread::sleep_for(kBetweenPieces);
+      }
+    });
+    const endpoint peer{.port = acceptor.local_endpoint().port()};
+    asio::io_context io{1};
+    std::optional<result<http_reply>> reply;
+    std::thread client([&] {
+      RunFiberThread(io, [&] {
+        reply = Fetch(io, peer, http_request(http::verb::get, "/", 11),
+                      std::chrono::seconds(20));
+      });
+    });
+    client.join();
+    server.join();
+    return *reply;
+  }
+};
+
+// Guards against docs/incidents/027: a trailer field that is whole in the
+// buffer and longer than a field can be ended the process.
+TEST_CASE_METHOD(odd_answer_fixture,
+                 "odd answer: a field is longer than fields can be: refused") {
+  const std::string name(kLongField, 'n');
+  const std::string value(kLongField, 'v');
+  const std::string trailer = GENERATE_COPY("X-Check: " + value, name + ": 1");
+  const auto reply = FetchAnswer({kHead + "4\r\nxxxx\r\n",
+                                  "0\r\n" + trailer.substr(0, kFirstPiece),
+                                  trailer.substr(kFirstPiece) + "\r\n\r\n"});
+  REQUIRE_FALSE(reply);
+  CHECK(reply.error().code == error_code::kTooLarge);
+}
+
+TEST_CASE_METHOD(odd_answer_fixture,
+                 "odd answer: a trailer is as long as one can be: taken") {
+  const std::string trailer =
+      "0\r\nX-Check: " + std::string(kLongestTrailer, 'v') + "\r\n\r\n";
+  const auto reply = FetchAnswer({kHead + "4\r\nxxxx\r\n", trailer});
+  REQUIRE(reply);
+  CHECK(reply.value().body == "xxxx");
+}
+
+struct odd_request_fixture : i_http_handler {
+  // More than a field can hold, as configurations may set it.
+  static constexpr std::uint32_t kMaxHeaderBytes = 256 * 1024;
+
+  std::promise<endpoint> bound;
+  asio::io_context io{1};
+  fiber_event stop;
+  std::thread server;
+  endpoint address;
+
+  odd_request_fixture() {
+    server = std::thread([this] {
+      RunFiberThread(io, [this] {
+        http_server subject(
+            io, {.limits = {.max_header_bytes = kMaxHeaderBytes}}, *this);
+        bound.set_value(subject.Start().value());
+        stop.Wait();
+        subject.Stop();
+      });
+    });
+    address = bound.get_future().get();
+  }
+  ~odd_request_fixture() override {
+    asio::post(io, [this] { stop.Set(); });
+    server.join();
+  }
+
+  keep_alive Handle(http_connection& connection, http_request&) override {
+    http_response response(http::status::ok, 11);
+    return connection.Write(response) ? keep_alive::kYes : keep_alive::kNo;
+  }
+  void OnBadRequest(http_connection& connection, error_code code) override {
+    http_response response(code == error_code::kTooLarge
+                               ? http::status::request_header_fields_too_large
+                               : http::status::bad_request,
+                           11);
+    connection.Write(response);
+  }
+};
+
+// Guards against docs/incidents/027: a header field beyond what fields hold
+// ended the process where heads may be as large.
+TEST_CASE_METHOD(odd_request_fixture,
+                 "odd request: a field is longer than fields can be: refused, "
+                 "others served") {
+  const std::string value(kMaxFieldBytes + 1, 'v');
+  const std::string request = GENERATE_COPY(
+      "GET / HTTP/1.1\r\nX-Check: " + value + "\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Check: " +
+          value + "\r\n\r\n");
+  CHECK(blocking_caller(address).Ask(request) == 431);
+  CHECK(blocking_caller(address).Ask() == 200);
+}
+
+TEST_CASE_METHOD(odd_request_fixture,
+                 "odd request: a field is as long as fields can be: served") {
+  CHECK(blocking_caller(address).Ask(
+            "GET / HTTP/1.1\r\nX-Check: " + std::string(kMaxFieldBytes, 'v') +
+            "\r\n\r\n") == 200);
+}
+
+}  // namespace
+}  // namespace burdocklock::net
