HTTP: TRACE with a body is refused on arrival and never written

Cause: Beast's `prepare_payload` throws std::invalid_argument for TRACE with a body, when the request is about to be written to a target. HTTP forbids that body (RFC 9110, 9.3.8), so the request is malformed on arrival.

Change: the server answers it as malformed (400); the client returns kMalformed with nothing sent.

--- a/src/framework/net/http_client.h
+++ b/src/framework/net/http_client.h
@@ -30,7 +30,8 @@
   ~http_client();
 
   result<void> Connect(const endpoint& peer);
-  /// Sends a request. If it fails, the peer may have received a part of it.
+  /// Sends a request. If it fails, the peer may have received a part of it;
+  /// kMalformed, with nothing sent, for a request that must not have a body.
   result<void> Send(http_request& request);
   /// Reads the status line and the header fields; kMalformed for a status
   /// outside 100 to 599.
--- a/src/framework/net/http_types.h
+++ b/src/framework/net/http_types.h
@@ -29,6 +29,12 @@
 /// longer ones.
 inline constexpr std::size_t kMaxFieldBytes = 65'533;
 
+/// Whether a request may have the body that it has: Beast throws at writing
+/// TRACE with one, which HTTP forbids.
+inline bool MayHaveBody(const http_request& request) {
+  return request.method() != http::verb::trace || request.body().empty();
+}
+
 /// Converts to an Asio endpoint; the address must be valid.
 inline asio::ip::tcp::endpoint ToTcp(const endpoint& endpoint) {
   return {asio::ip::make_address(endpoint.address), endpoint.port};
--- a/src/framework/net/internal/http_client.cc
+++ b/src/framework/net/internal/http_client.cc
@@ -103,6 +103,9 @@
 
 result<void> http_client::Send(http_request& request) {
   state_->parser.reset();
+  if (!MayHaveBody(request)) {
+    return state_->MakeError("send request", http::error::bad_method);
+  }
   request.prepare_payload();
   http::request_serializer<http::string_body> serializer(request);
   beast::error_code ec = WriteWhatFits(state_->stream, serializer);
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -152,7 +152,8 @@
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   const std::size_t parsed = parser.put(connection.buffer.cdata(), ec);
-  if (ec || !parser.is_done() || parsed != connection.buffer.size()) {
+  if (ec || !parser.is_done() || parsed != connection.buffer.size() ||
+      !MayHaveBody(parser.get())) {
     return false;
   }
   http_request request = parser.release();
@@ -280,6 +281,10 @@
   if (!ReadBody(connection, source, parser, hold)) {
     return std::nullopt;
   }
+  if (!MayHaveBody(parser.get())) {
+    ReportReadError(connection, http::error::bad_method);
+    return std::nullopt;
+  }
   hold.Complete();
   return parser.release();
 }
--- a/src/framework/net/tests/odd_message_unittest.cc
+++ b/src/framework/net/tests/odd_message_unittest.cc
@@ -142,6 +142,32 @@
   CHECK(blocking_caller(address).Ask() == 200);
 }
 
+TEST_CASE_METHOD(odd_request_fixture,
+                 "odd request: TRACE has a body: refused, others served") {
+  CHECK(blocking_caller(address).Ask(
+            "TRACE / HTTP/1.1\r\nContent-Length: 4\r\n\r\nxxxx") == 400);
+  CHECK(blocking_caller(address).Ask("TRACE / HTTP/1.1\r\n\r\n") == 200);
+  CHECK(blocking_caller(address).Ask() == 200);
+}
+
+// Guards against docs/incidents/027: writing TRACE with a body ended the
+// process.
+TEST_CASE_METHOD(odd_request_fixture,
+                 "odd request: TRACE with a body is to be sent: an error") {
+  http_request request(http::verb::trace, "/", 11);
+  request.body() = "xxxx";
+  asio::io_context client_io{1};
+  std::optional<result<http_reply>> reply;
+  std::thread client([&] {
+    RunFiberThread(client_io, [&] {
+      reply = Fetch(client_io, address, request, std::chrono::seconds(20));
+    });
+  });
+  client.join();
+  REQUIRE_FALSE(*reply);
+  CHECK(reply->error().code == error_code::kMalformed);
+}
+
 TEST_CASE_METHOD(odd_request_fixture,
                  "odd request: a field is as long as fields can be: served") {
   CHECK(blocking_caller(address).Ask(
