Configuration: a customer's name that no header field holds is refused

Callers would see: each call of that customer ends the router, as targets are told the customer in a header field, whose value Beast bounds to 65,533 bytes (by reading; a configuration may be 4 MiB). Other names that become fields come from heads of requests, which are bounded, or are decimal numbers.

Measured: "configuration: customer's name longer than header fields: fails" fails before and passes now. docs/incidents/027.

--- a/src/routes/internal/configuration_checks.cc
+++ b/src/routes/internal/configuration_checks.cc
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Targets are told the customer in a header field, which holds no more.
+constexpr std::size_t kMaxCustomerNameBytes = 65'533;
+
 result<void> Success() {
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -71,6 +74,9 @@
   std::unordered_set<customer_id> seen_customers;
   std::unordered_map<std::string, customer_id> key_owners;
   for (const route_customer& customer : configuration.customers) {
+    if (customer.customer.value().size() > kMaxCustomerNameBytes) {
+      return InvalidConfiguration("a customer's name is too long");
+    }
     if (!seen_customers.insert(customer.customer).second) {
       return InvalidConfiguration("customer " + customer.customer.value() +
                                   " is named twice");
--- a/src/routes/tests/routes_unittest.cc
+++ b/src/routes/tests/routes_unittest.cc
@@ -46,6 +46,18 @@
   CHECK(Passes());
 }
 
+// Guards against docs/incidents/027: such a name ended the router at the
+// customer's first call.
+TEST_CASE_METHOD(
+    configuration_fixture,
+    "configuration: customer's name longer than header fields: fails") {
+  constexpr std::size_t kLongest = 65'533;
+  tested.customers[0].customer = customer_id(std::string(kLongest, 'a'));
+  CHECK(Passes());
+  tested.customers[0].customer = customer_id(std::string(kLongest + 1, 'a'));
+  CHECK_FALSE(Passes());
+}
+
 TEST_CASE_METHOD(configuration_fixture,
                  "configuration: route of an unknown service: fails") {
   tested.routes[1].services[0].service = pool_id("nobody");
