An exception ends one attempt or one connection, not the process

Cause: connections are served by fibers, and an exception that leaves a fiber ends the process.

Change: * an attempt that throws fails as one with a wrong answer, with the text; * what else throws while a connection is served closes that connection, is logged (`connection_failed`) and counted (`burdocklock_callers_failed`), for callers, operators, control hosts and readiness; * a call that throws outside its attempt is given up at the control thread, too; * `counted_call` takes an admitted call out of what is in progress however it ends; `TurnAway` is `Admit`, which hands it out.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -97,6 +97,7 @@
   void ReportCallerLeft(request_seq request) override;
   void Announce(targets::announcement announcement) override;
   void ReportCrossedClose(const net::crossed_close& crossed) override;
+  void ReportFailedConnection(const std::string& cause) override;
 
   // i_operations
   [[nodiscard]] bool IsReady() const override;
--- a/src/app/internal/caller_monitor.cc
+++ b/src/app/internal/caller_monitor.cc
@@ -32,6 +32,7 @@
   gauge("burdocklock_callers_crossed_closes", callers.crossed);
   gauge("burdocklock_callers_read_timeouts", callers.read_timeouts);
   gauge("burdocklock_callers_given_up", callers.given_up);
+  gauge("burdocklock_callers_failed", callers.failed);
   gauge("burdocklock_callers_refused_at_once", callers.refused_at_once);
   gauge("burdocklock_callers_moved", traffic.moved);
   gauge("burdocklock_callers_limit", traffic.max_connections);
--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -18,6 +18,7 @@
 #include "app/internal/control_links.h"
 #include "app/internal/control_log.h"
 #include "app/internal/control_report.h"
+#include "app/internal/logged_listener.h"
 #include "app/internal/settings_watch.h"
 #include "app/internal/timed_commands.h"
 #include "control/control_node.h"
@@ -64,7 +65,9 @@
               }),
         timer(io),
         operators(*this, settings.operator_tokens),
-        operator_server(io, {.listen = settings.operators}, operators) {}
+        operator_server(io,
+                        LoggedListener(settings.operators, logger),
+                        operators) {}
 
   void RunControl();
   void OnDurable(quorum::batch_number batch);
@@ -262,8 +265,7 @@
                                               [this] { ArmTimer(); });
   command_handler = adapter.MakeCommandHandler(*commands);
   command_server = std::make_unique<net::http_server>(
-      io, net::http_server_options{.listen = settings.commands},
-      *command_handler);
+      io, LoggedListener(settings.commands, logger), *command_handler);
   for (net::http_server* server : {command_server.get(), &operator_server}) {
     const result<endpoint> bound = server->Start();
     if (!bound) {
--- a/src/app/internal/control_loop.cc
+++ b/src/app/internal/control_loop.cc
@@ -7,6 +7,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "app/internal/logged_listener.h"
 #include "app/internal/router_options.h"
 
 namespace burdocklock::app {
@@ -251,6 +252,10 @@
                   .Add("bytes", crossed.bytes));
 }
 
+void control_loop::ReportFailedConnection(const std::string& cause) {
+  LogFailedConnection(cause, logger_);
+}
+
 std::size_t control_loop::UnfinishedCount() const {
   return router_.totals().waiting + router_.totals().in_flight;
 }
--- a/src/app/internal/daemon.cc
+++ b/src/app/internal/daemon.cc
@@ -17,6 +17,7 @@
 
 #include "app/control_loop.h"
 #include "app/internal/caller_monitor.h"
+#include "app/internal/logged_listener.h"
 #include "app/internal/router_options.h"
 #include "app/internal/settings_watch.h"
 #include "config/sheet_index.h"
@@ -83,7 +84,7 @@
         monitor(shared_traffic, control.metrics(), logger),
         operators(control, this->settings.operator_tokens),
         operator_server(control_io,
-                        {.listen = this->settings.operators},
+                        LoggedListener(this->settings.operators, logger),
                         operators) {}
 
   void OnTurn(duration busy, time_point now);
@@ -189,7 +190,7 @@
   readiness_handler =
       adapter->MakeReadinessHandler([this] { return control.IsReady(); });
   readiness = std::make_unique<net::http_server>(
-      control_io, net::http_server_options{.listen = settings.readiness},
+      control_io, LoggedListener(settings.readiness, logger),
       *readiness_handler);
   const result<endpoint> bound = readiness->Start();
   if (!bound) {
--- a/src/framework/net/http_server.h
+++ b/src/framework/net/http_server.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_set>
 
 #include "framework/net/byte_budget.h"
@@ -60,7 +61,8 @@
  public:
   virtual ~i_http_handler() = default;
 
-  /// Handles one request. Runs on the connection's fiber and may block it.
+  /// Handles one request. Runs on the connection's fiber and may block it. An
+  /// exception closes the connection.
   virtual keep_alive Handle(http_connection& connection,
                             http_request& request) = 0;
   /// Called when a request cannot be read; `code` is kMalformed, kTooLarge, or
@@ -113,6 +115,9 @@
   duration crossing_time = std::chrono::milliseconds(250);
   /// Called when bytes arrive on a connection that was closed while idle.
   std::function<void(const crossed_close&)> on_crossed;
+  /// Called with the cause when a connection is closed because an exception
+  /// came out of what serves it. Must not suspend a fiber.
+  std::function<void(const std::string& cause)> on_failed;
 };
 
 /// All members must be called on the thread that runs the io_context.
--- a/src/framework/net/internal/http_server.cc
+++ b/src/framework/net/internal/http_server.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -124,7 +126,10 @@
                       .write_timeout = options.write_timeout,
                       .accepted_at = steady_clock::now()});
   SetNonBlocking(connection->stream);
-  if (TurnsAway() && RefuseAtOnce(*connection)) {
+  bool refused = false;
+  const bool is_sound =
+      Contain([&] { refused = TurnsAway() && RefuseAtOnce(*connection); });
+  if (refused || !is_sound) {
     return;
   }
   if (!HasRoom()) {
@@ -170,7 +175,7 @@
   connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   connections.insert(&connection);
   idle.Add(connection);
-  ServeRequests(connection);
+  Contain([&] { ServeRequests(connection); });
   idle.Remove(connection);
   connections.erase(&connection);
   evicting -= connection.closed == close_cause::kEvicted ? 1 : 0;
@@ -180,6 +185,19 @@
                                       ignored);
 }
 
+bool http_server::state::Contain(const std::function<void()>& serve) {
+  try {
+    serve();
+    return true;
+  } catch (const std::exception& problem) {
+    ++counters().failed;
+    if (options.on_failed) {
+      options.on_failed(problem.what());
+    }
+    return false;
+  }
+}
+
 void http_server::state::WatchClosed(http_connection& connection) {
   if (stopping || !connection.closed ||
       connection.closed == close_cause::kEvicted ||
--- a/src/framework/net/internal/http_server_state.h
+++ b/src/framework/net/internal/http_server_state.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_set>
@@ -72,6 +73,9 @@
   // Without a fiber: what has not arrived whole is left to one.
   bool RefuseAtOnce(http_connection& connection);
   void ServeConnection(http_connection& connection);
+  // Bounds what an exception ends to what `serve` does. Returns false if one
+  // came out of it.
+  bool Contain(const std::function<void()>& serve);
   void ServeRequests(http_connection& connection);
   // Returns false if the connection is closed instead.
   static bool AwaitRequest(http_connection& connection);
--- a/src/framework/net/listener_counters.h
+++ b/src/framework/net/listener_counters.h
@@ -25,6 +25,9 @@
   std::atomic<std::uint64_t> read_timeouts{0};
   /// Requests that were given up for lack of room for their bodies.
   std::atomic<std::uint64_t> given_up{0};
+  /// Connections that were closed because an exception came out of what serves
+  /// them.
+  std::atomic<std::uint64_t> failed{0};
   /// Failed calls of accept, for example without free file descriptors.
   std::atomic<std::uint64_t> accept_failures{0};
   /// Listeners that cannot accept at present: the limit on open connections or
--- a/src/framework/net/tests/odd_message_unittest.cc
+++ b/src/framework/net/tests/odd_message_unittest.cc
@@ -1,9 +1,9 @@
 // Messages that no sound peer sends, over loopback: what they end is one
 // request or one connection.
-#include <atomic>
 #include <chrono>
 #include <future>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -24,6 +24,8 @@
 
 // Pieces are sent with this time between them, so that they are read apart.
 constexpr std::chrono::milliseconds kBetweenPieces{100};
+// Long enough for what was sent to arrive over loopback.
+constexpr std::chrono::milliseconds kArrival{100};
 constexpr std::size_t kLongField = 72'000;
 // Of a long trailer, what a client takes before it has all of it.
 constexpr std::size_t kFirstPiece = 60'000;
@@ -175,5 +177,102 @@
             "\r\n\r\n") == 200);
 }
 
+// Its handler throws where it is told to, as a library may.
+struct throwing_handler_fixture : i_http_handler {
+  std::promise<endpoint> bound;
+  std::promise<void> held;
+  std::promise<void> release;
+  std::vector<std::string> causes;
+  listener_counters counters;
+  asio::io_context io{1};
+  fiber_event stop;
+  std::thread server;
+  endpoint address;
+
+  throwing_handler_fixture() {
+    server = std::thread([this] {
+      RunFiberThread(io, [this] {
+        http_server subject(
+            io,
+            {.turns_away = [] { return true; },
+             .counters = &counters,
+             .on_failed =
+                 [this](const std::string& cause) { causes.push_back(cause); }},
+            *this);
+        bound.set_value(subject.Start().value());
+        stop.Wait();
+        subject.Stop();
+      });
+    });
+    address = bound.get_future().get();
+  }
+  ~throwing_handler_fixture() override { Stop(); }
+
+  void Stop() {
+    if (server.joinable()) {
+      asio::post(io, [this] { stop.Set(); });
+      server.join();
+    }
+  }
+
+  keep_alive Handle(http_connection& connection,
+                    http_request& request) override {
+    if (request.target() == "/throw") {
+      throw std::length_error("thrown by a fiber");
+    }
+    if (request.target() == "/hold") {
+      held.set_value();
+      release.get_future().get();
+    }
+    http_response response(http::status::ok, 11);
+    return connection.Write(response) ? keep_alive::kYes : keep_alive::kNo;
+  }
+  void OnBadRequest(http_connection&, error_code) override {}
+  [[nodiscard]] bool refuses_at_once() const override { return true; }
+  bool RefuseAtOnce(http_connection&, http_request& request) override {
+    if (request.target() == "/throw-at-once") {
+      throw std::length_error("thrown before a fiber");
+    }
+    return false;
+  }
+};
+
+// Guards against docs/incidents/027: an exception on one connection ended the
+// process, and all connections with it.
+TEST_CASE_METHOD(throwing_handler_fixture,
+                 "handler throws: its connection ends, others are served") {
+  blocking_caller kept(address);
+  REQUIRE(kept.Ask() == 200);
+  CHECK(blocking_caller(address).Ask("GET /throw HTTP/1.1\r\n\r\n") == 0);
+  CHECK(kept.Ask() == 200);
+  CHECK(blocking_caller(address).Ask() == 200);
+  kept.socket.close();
+  Stop();
+  CHECK(counters.failed == 1);
+  CHECK(counters.open == 0);
+  CHECK(causes == std::vector<std::string>{"thrown by a fiber"});
+}
+
+// As above, for requests that are refused without a fiber.
+TEST_CASE_METHOD(throwing_handler_fixture,
+                 "handler throws before a fiber is started: its connection "
+                 "ends, others are served") {
+  blocking_caller holding(address);
+  holding.Send("GET /hold HTTP/1.1\r\n\r\n");
+  held.get_future().get();
+  // Its request has arrived before the server accepts it.
+  blocking_caller refused(address);
+  refused.Send("GET /throw-at-once HTTP/1.1\r\n\r\n");
+  std::this_thread::sleep_for(kArrival);
+  release.set_value();
+  CHECK(refused.ReadStatus() == 0);
+  CHECK(holding.ReadStatus() == 200);
+  CHECK(blocking_caller(address).Ask() == 200);
+  holding.socket.close();
+  Stop();
+  CHECK(counters.failed == 1);
+  CHECK(causes == std::vector<std::string>{"thrown before a fiber"});
+}
+
 }  // namespace
 }  // namespace burdocklock::net
--- a/src/gateway/i_control.h
+++ b/src/gateway/i_control.h
@@ -87,6 +87,8 @@
   virtual void Announce(targets::announcement announcement) = 0;
   /// A request crossed the close of its caller's connection.
   virtual void ReportCrossedClose(const net::crossed_close& crossed) = 0;
+  /// A caller's connection was closed because of an exception.
+  virtual void ReportFailedConnection(const std::string& cause) = 0;
 };
 
 }  // namespace burdocklock::gateway
--- a/src/gateway/internal/attempt_runner.cc
+++ b/src/gateway/internal/attempt_runner.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <exception>
 #include <variant>
 
 #include "routing/told_status.h"
@@ -44,6 +45,16 @@
     : context_(context), call_(call), order_(order), writer_(writer) {}
 
 attempt_event attempt_runner::Run() {
+  try {
+    return RunToEnd();
+  } catch (const std::exception& problem) {
+    // What came back from the target is the likeliest cause.
+    writer_.OnException();
+    return Fail(failure_kind::kWrongAnswer, "exception", problem.what());
+  }
+}
+
+attempt_event attempt_runner::RunToEnd() {
   if (auto failure = Connect()) {
     return *failure;
   }
--- a/src/gateway/internal/attempt_runner.h
+++ b/src/gateway/internal/attempt_runner.h
@@ -59,7 +59,8 @@
                  const routing::start_attempt& order,
                  response_writer& writer);
 
-  /// Runs the attempt and returns `attempt_completed` or `attempt_failed`.
+  /// Runs the attempt and returns `attempt_completed` or `attempt_failed`, also
+  /// if an exception comes out of it: then with its cause.
   routing::attempt_event Run();
   /// The error response, if `Run` returned a failure with `answer_status`.
   [[nodiscard]] saved_response TakeSavedResponse() {
@@ -69,6 +70,7 @@
   void Cancel();
 
  private:
+  routing::attempt_event RunToEnd();
   std::optional<routing::attempt_failed> Connect();
   std::optional<routing::attempt_failed> Send();
   routing::attempt_event Receive();
--- a/src/gateway/internal/call_service.cc
+++ b/src/gateway/internal/call_service.cc
@@ -31,11 +31,11 @@
 
 }  // namespace
 
-std::optional<net::keep_alive> call_service::TurnAway(
-    net::http_connection& connection,
-    const net::http_request& request,
-    const routing::request_spec& spec,
-    const std::string& name) {
+net::keep_alive call_service::Admit(net::http_connection& connection,
+                                    const net::http_request& request,
+                                    const routing::request_spec& spec,
+                                    const std::string& name,
+                                    std::optional<counted_call>& admitted) {
   CountArrival(spec, context_.shared);
   const time_point now = std::chrono::steady_clock::now();
   refusals::refusal refusal{
@@ -62,7 +62,8 @@
     refusal.reason = refusal_reason::kRouterBusy;
     return Refuse(connection, request, name, std::move(refusal));
   }
-  return std::nullopt;
+  admitted.emplace(context_, spec.customer, ProcessorCost(spec));
+  return net::keep_alive::kYes;
 }
 
 bool call_service::RefuseAtOnce(net::http_connection& connection,
@@ -84,7 +85,6 @@
 net::keep_alive call_service::Serve(net::http_connection& connection,
                                     net::http_request& request,
                                     outgoing_call call) {
-  const double cost = ProcessorCost(call.spec);
   call.spec.fingerprint = FingerprintOf(
       call.spec.customer,
       {.method = request.method_string(),
@@ -96,13 +96,9 @@
   const bool keep = request.keep_alive() && !context_.control.IsDraining();
   response_writer writer(connection, request, call.request_name, keep,
                          context_.dialect);
-  const customer_id customer = call.spec.customer;
-  context_.intake.OnCallBegan(customer);
   std::make_shared<caller_exchange>(context_, connection, std::move(call),
                                     writer)
       ->Run();
-  context_.intake.OnCallEnded(customer);
-  context_.guard.OnEnded(cost);
   // As the answer said; after a drain has begun, the next one closes it.
   return writer.keep_alive();
 }
--- a/src/gateway/internal/call_service.h
+++ b/src/gateway/internal/call_service.h
@@ -6,6 +6,7 @@
 
 #include "framework/net/http_server.h"
 #include "gateway/internal/attempt_runner.h"
+#include "gateway/internal/counted_call.h"
 #include "refusals/types/refusal.h"
 
 namespace burdocklock::gateway {
@@ -15,20 +16,22 @@
   explicit call_service(traffic_context& context) : context_(context) {}
 
   /// Turns a call away whose caller has left, which might not end in time while
-  /// the daemon is shutting down, or for which the processor has no time. All
-  /// others must be served. To be asked before work is spent on the call.
-  std::optional<net::keep_alive> TurnAway(net::http_connection& connection,
-                                          const net::http_request& request,
-                                          const routing::request_spec& spec,
-                                          const std::string& name);
+  /// the daemon is shutting down, or for which the processor has no time: then
+  /// `admitted` stays empty. All others must be served. To be asked before work
+  /// is spent on the call.
+  net::keep_alive Admit(net::http_connection& connection,
+                        const net::http_request& request,
+                        const routing::request_spec& spec,
+                        const std::string& name,
+                        std::optional<counted_call>& admitted);
   /// Refuses a call for which there are no means, if it comes on a new
   /// connection; false if it is to be handled as usual.
   bool RefuseAtOnce(net::http_connection& connection,
                     const net::http_request& request,
                     const routing::request_spec& spec,
                     const std::string& name);
-  /// Serves the call on the connection's fiber until the response is written or
-  /// the caller disconnects.
+  /// Serves an admitted call on the connection's fiber until the response is
+  /// written or the caller disconnects.
   /// The body of `request` is released.
   net::keep_alive Serve(net::http_connection& connection,
                         net::http_request& request,
--- a/src/gateway/internal/caller_exchange.cc
+++ b/src/gateway/internal/caller_exchange.cc
@@ -2,6 +2,7 @@
 #include "gateway/internal/caller_exchange.h"
 
 #include <chrono>
+#include <exception>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -22,8 +23,22 @@
 
 void caller_exchange::Run() {
   context_.control.Submit(call_.spec, shared_from_this());
-  WatchCaller();
-  PerformOrders();
+  try {
+    WatchCaller();
+    PerformOrders();
+  } catch (const std::exception&) {
+    Abandon();
+    throw;
+  }
+}
+
+void caller_exchange::Abandon() {
+  finished_ = true;
+  running_ = nullptr;
+  context_.control.ReportCallerLeft(call_.spec.id);
+  DeclinePendingOrders();
+  boost::system::error_code ignored;
+  connection_.stream.socket().cancel(ignored);
 }
 
 void caller_exchange::PerformOrders() {
@@ -36,12 +51,7 @@
     pending_orders_.pop_front();
     std::visit([this](const auto& value) { Execute(value); }, order);
   }
-  // Orders that arrived while the exchange was ending still need a report.
-  for (const exchange_order& order : std::exchange(pending_orders_, {})) {
-    if (const auto* start = std::get_if<routing::start_attempt>(&order)) {
-      ReportNotStarted(*start, failure_kind::kCallerLost);
-    }
-  }
+  DeclinePendingOrders();
   if (!writer_.started() && !caller_lost_) {
     ++context_.shared.unanswered;
   }
@@ -49,6 +59,15 @@
   connection_.stream.socket().cancel(ignored);
 }
 
+// Orders that arrived while the exchange was ending still need a report.
+void caller_exchange::DeclinePendingOrders() {
+  for (const exchange_order& order : std::exchange(pending_orders_, {})) {
+    if (const auto* start = std::get_if<routing::start_attempt>(&order)) {
+      ReportNotStarted(*start, failure_kind::kCallerLost);
+    }
+  }
+}
+
 void caller_exchange::Deliver(exchange_order order) {
   boost::asio::post(context_.io, [self = shared_from_this(),
                                   order = std::move(order)]() mutable {
--- a/src/gateway/internal/caller_exchange.h
+++ b/src/gateway/internal/caller_exchange.h
@@ -32,6 +32,10 @@
 
  private:
   void PerformOrders();
+  /// Ends the exchange after an exception, so that neither the control thread
+  /// nor a late event waits for it.
+  void Abandon();
+  void DeclinePendingOrders();
   void Accept(exchange_order order);
   void Execute(const routing::start_attempt& order);
   void Execute(const routing::cancel_attempt& order);
--- a/src/gateway/internal/caller_handler.cc
+++ b/src/gateway/internal/caller_handler.cc
@@ -104,9 +104,11 @@
   parsed_call& call = std::get<parsed_call>(parsed);
   call.spec.id = context_.control.NextRequest();
   const std::string name = context_.control.RequestName(call.spec.id);
-  if (const auto turned_away =
-          calls_.TurnAway(connection, request, call.spec, name)) {
-    return *turned_away;
+  std::optional<counted_call> admitted;
+  const net::keep_alive keep =
+      calls_.Admit(connection, request, call.spec, name, admitted);
+  if (!admitted) {
+    return keep;
   }
   return calls_.Serve(connection, request,
                       {.spec = call.spec,
--- a/src/gateway/internal/response_writer.h
+++ b/src/gateway/internal/response_writer.h
@@ -81,6 +81,9 @@
 
   /// The connection is closed after the response. Only before its head.
   void CloseAfter() { keep_alive_ = false; }
+  /// After an exception: if writing has started, what was written is not known,
+  /// and the connection must be closed.
+  void OnException() { failed_ |= started_; }
   /// True once writing to the caller has started.
   [[nodiscard]] bool started() const { return started_; }
   [[nodiscard]] bool failed() const { return failed_; }
--- a/src/gateway/internal/routed_handler.cc
+++ b/src/gateway/internal/routed_handler.cc
@@ -119,9 +119,11 @@
   }
   routing::request_spec spec = BuildRequestSpec(*route, customer, facts);
   spec.id = id;
-  if (const auto turned_away =
-          calls_.TurnAway(connection, request, spec, facts.name)) {
-    return *turned_away;
+  std::optional<counted_call> admitted;
+  const net::keep_alive keep =
+      calls_.Admit(connection, request, spec, facts.name, admitted);
+  if (!admitted) {
+    return keep;
   }
   outgoing_call call{.spec = std::move(spec),
                      .request_name = facts.name,
--- a/src/gateway/internal/traffic_service.cc
+++ b/src/gateway/internal/traffic_service.cc
@@ -90,6 +90,10 @@
              .on_crossed =
                  [&control](const net::crossed_close& crossed) {
                    control.ReportCrossedClose(crossed);
+                 },
+             .on_failed =
+                 [&control](const std::string& cause) {
+                   control.ReportFailedConnection(cause);
                  }},
             *handler) {}
 
