--- a/src/storage/internal/log_file.cc
+++ b/src/storage/internal/log_file.cc
@@ -3,16 +3,15 @@
 #include "storage/log_file.h"
 
 #include <cerrno>
-#include <system_error>
 #include <utility>
 
 #include <fcntl.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <boost/outcome/success_failure.hpp>
 
 #include "quorum/quorum_codec.h"
+#include "storage/internal/file_operations.h"
 #include "storage/log_frames.h"
 
 namespace burdocklock::storage {
@@ -20,45 +19,12 @@
 namespace {
 
 constexpr char kFileName[] = "/quorum.log";
-constexpr char kNewSuffix[] = ".new";
 constexpr char kDamagedSuffix[] = ".damaged";
-constexpr int kFileMode = 0644;
-constexpr std::size_t kReadBytes = 256 * 1024;
 
 result<void> Ok() {
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-bool WriteAll(int file, std::string_view bytes, std::uint64_t offset) {
-  while (!bytes.empty()) {
-    const ssize_t written =
-        ::pwrite(file, bytes.data(), bytes.size(), static_cast<off_t>(offset));
-    if (written < 0 && errno == EINTR) {
-      continue;
-    }
-    if (written <= 0) {
-      return false;
-    }
-    bytes.remove_prefix(static_cast<std::size_t>(written));
-    offset += static_cast<std::uint64_t>(written);
-  }
-  return true;
-}
-
-bool ReadAll(int file, std::string& bytes) {
-  std::string buffer(kReadBytes, '\0');
-  while (true) {
-    const ssize_t count = ::read(file, buffer.data(), buffer.size());
-    if (count < 0 && errno == EINTR) {
-      continue;
-    }
-    if (count <= 0) {
-      return count == 0;
-    }
-    bytes.append(buffer, 0, static_cast<std::size_t>(count));
-  }
-}
-
 }  // namespace
 
 log_file::log_file(std::string folder)
@@ -70,14 +36,6 @@
   }
 }
 
-error log_file::SystemError(const char* step) const {
-  const bool is_full = errno == ENOSPC || errno == EDQUOT;
-  return {.code = is_full ? error_code::kDiskFull : error_code::kUnreadable,
-          .step = step,
-          .peer = path_,
-          .detail = std::generic_category().message(errno)};
-}
-
 result<std::optional<quorum::durable_state>> log_file::Open() {
   std::optional<quorum::durable_state> state;
   file_ = ::open(path_.c_str(), O_RDWR | O_CLOEXEC);
@@ -85,11 +43,11 @@
     if (errno == ENOENT) {
       return state;
     }
-    return SystemError("open log");
+    return SystemError("open log", path_);
   }
   std::string bytes;
   if (!ReadAll(file_, bytes)) {
-    return SystemError("read log");
+    return SystemError("read log", path_);
   }
   const auto scanned = ScanFrames(bytes);
   if (!scanned) {
@@ -120,9 +78,9 @@
   }
   synced_ = 0;
   if (::rename(path_.c_str(), (path_ + kDamagedSuffix).c_str()) != 0) {
-    return SystemError("rename damaged log");
+    return SystemError("rename damaged log", path_);
   }
-  return SyncFolder();
+  return SyncFolder(folder_);
 }
 
 result<void> log_file::Write(
@@ -148,7 +106,7 @@
                  .detail = "the log has no rewrite record to append to"};
   }
   if (!WriteAll(file_, bytes, synced_) || ::fdatasync(file_) != 0) {
-    const error failure = SystemError("append to log");
+    const error failure = SystemError("append to log", path_);
     if (auto truncated = Truncate(synced_); !truncated) {
       return error{.code = failure.code,
                    .step = failure.step,
@@ -162,44 +120,22 @@
 }
 
 result<void> log_file::Rewrite(const std::string& bytes) {
-  const std::string path = path_ + kNewSuffix;
-  const int file =
-      ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
-  if (file < 0) {
-    return SystemError("create log");
-  }
-  if (!WriteAll(file, bytes, 0) || ::fsync(file) != 0 ||
-      ::rename(path.c_str(), path_.c_str()) != 0) {
-    const error failure = SystemError("rewrite log");
-    ::close(file);
-    // Free the space in case the disk is full; the next rewrite creates the
-    // file again.
-    ::unlink(path.c_str());
-    return failure;
+  const auto file = ReplaceFile(path_, bytes);
+  if (!file) {
+    return file.error();
   }
   if (file_ >= 0) {
     ::close(file_);
   }
-  file_ = file;
+  file_ = file.value();
   synced_ = bytes.size();
-  return SyncFolder();
-}
-
-result<void> log_file::SyncFolder() {
-  const int folder = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY);
-  if (folder < 0) {
-    return SystemError("open folder");
-  }
-  const bool synced = ::fsync(folder) == 0;
-  const error failure = SystemError("sync folder");
-  ::close(folder);
-  return synced ? Ok() : result<void>(failure);
+  return SyncFolder(folder_);
 }
 
 result<void> log_file::Truncate(std::uint64_t length) {
   if (::ftruncate(file_, static_cast<off_t>(length)) != 0 ||
       ::fdatasync(file_) != 0) {
-    return SystemError("truncate log");
+    return SystemError("truncate log", path_);
   }
   return Ok();
 }
--- a/src/storage/log_file.h
+++ b/src/storage/log_file.h
@@ -36,9 +36,7 @@
  private:
   result<void> Append(const std::string& bytes);
   result<void> Rewrite(const std::string& bytes);
-  result<void> SyncFolder();
   result<void> Truncate(std::uint64_t length);
-  [[nodiscard]] error SystemError(const char* step) const;
 
   std::string folder_;
   std::string path_;
