Control hosts: evidence of requests that end targets outlasts a kill of all

Cause: what routers and control hosts know of such requests was in memory only, and each learns it from the others when it starts; if all are killed at once nobody has it.

Change: each control host keeps its evidence in a file of its data folder, written by a thread of its own at most each 0.5 s, and knows it again as it starts. Ages go by the clock since boot, which nobody sets; after a boot by the wall clock, a minute at most. What cannot be read or written is logged and done without.

--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -18,6 +18,7 @@
 #include "app/internal/control_links.h"
 #include "app/internal/control_log.h"
 #include "app/internal/control_report.h"
+#include "app/internal/evidence_file.h"
 #include "app/internal/logged_listener.h"
 #include "app/internal/settings_watch.h"
 #include "app/internal/timed_commands.h"
@@ -56,6 +57,7 @@
         adapter(adapter),
         random(RandomSeed()),
         links(io, settings.peer_listener, logger),
+        evidence(settings.data_folder, logger),
         watch(io,
               std::move(reread),
               logger,
@@ -82,6 +84,9 @@
   // control::i_control_port
   void Store(quorum::batch_number batch,
              std::vector<quorum::storage_record> records) override;
+  void StoreEvidence(crashes::evidence known) override {
+    evidence.Store(std::move(known));
+  }
   void OnRole(quorum::raft_role role,
               quorum::term_number term,
               const quorum::member_id& leader) override;
@@ -126,6 +131,7 @@
   control_links links;
   control_log log;
   std::unique_ptr<storage::log_writer> writer;
+  evidence_file evidence;
   // Submission time of each batch that is not durable yet.
   std::map<quorum::batch_number, time_point> pending_writes;
   std::unique_ptr<control::control_node> node;
@@ -182,7 +188,8 @@
       .data_centres = settings.control.data_centres,
       .raft = {.peer_endpoint = settings.peer_listener,
                .command_endpoint = settings.commands,
-               .tolerated_losses = settings.control.tolerated_disk_losses}};
+               .tolerated_losses = settings.control.tolerated_disk_losses},
+      .stored_evidence = evidence.Load()};
   if (settings.rollouts.enabled) {
     options.rollouts = rollouts::rollout_limits{
         .exposure_ratio = settings.rollouts.exposure_ratio,
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -58,6 +58,11 @@
   duration router_list_delay = std::chrono::seconds(3);
   /// New evidence about prompt parts is collected for this long.
   duration evidence_interval = std::chrono::milliseconds(20);
+  /// Evidence that was stored before this host started.
+  crashes::evidence stored_evidence;
+  /// Minimum interval between two times that evidence is stored; longer while
+  /// there is much of it.
+  duration evidence_store_interval = std::chrono::milliseconds(500);
   /// Followers wait this long before they send a new state to routers, so that
   /// normally only the leader does.
   duration follower_update_delay = std::chrono::milliseconds(250);
@@ -167,6 +172,7 @@
   void Handle(link_id link, const load_report& m);
   void Handle(link_id link, const load_summary& m);
   void Handle(link_id link, const evidence_update& m);
+  void StoreEvidence();
   void Handle(link_id link, const stream_update& m);
   void Handle(link_id link, const stream_query& m);
   void Handle(link_id link, const stream_answer& m);
@@ -295,6 +301,9 @@
   /// Dropped records that were reported through `port_`.
   std::uint64_t reported_stream_drops_ = 0;
   time_point next_evidence_send_ = kNever;
+  time_point next_evidence_store_ = kNever;
+  /// Not before then.
+  time_point evidence_storable_at_{};
   time_point next_load_send_ = kNever;
   time_point last_load_send_{};
   time_point started_;
--- a/src/control/i_control_port.h
+++ b/src/control/i_control_port.h
@@ -11,6 +11,7 @@
 #include "control/i_control_commands.h"
 #include "control/target_registry.h"
 #include "control/types/message.h"
+#include "crashes/types/evidence.h"
 #include "framework/types/error.h"
 #include "quorum/raft_node.h"
 #include "rollouts/types/rollout.h"
@@ -27,6 +28,10 @@
   virtual void Store(quorum::batch_number batch,
                      std::vector<quorum::storage_record> records) = 0;
 
+  /// Replaces the evidence that outlasts this process. Must not wait for the
+  /// disk.
+  virtual void StoreEvidence(crashes::evidence known) = 0;
+
   // Notifications for logging and metrics.
   virtual void OnRole(quorum::raft_role role,
                       quorum::term_number term,
--- a/src/control/internal/control_node.cc
+++ b/src/control/internal/control_node.cc
@@ -37,6 +37,7 @@
       next_heartbeat_(now),
       next_target_batch_(now + options_.target_batch_interval),
       next_join_request_(now) {
+  evidence_.Merge(std::exchange(options_.stored_evidence, {}), now);
   UpdateLinks();
   ProcessRaftOutput();
 }
@@ -78,6 +79,9 @@
   if (now >= next_evidence_send_) {
     SendNewEvidence();
   }
+  if (now >= next_evidence_store_) {
+    StoreEvidence();
+  }
   if (now >= next_rollout_decision_) {
     DecideRollouts();
   }
@@ -87,7 +91,7 @@
 time_point control_node::NextDeadline() const {
   return std::min({raft_.NextDeadline(), next_heartbeat_, next_join_request_,
                    next_target_batch_, next_change_send_, next_state_send_,
-                   next_load_send_, next_evidence_send_,
+                   next_load_send_, next_evidence_send_, next_evidence_store_,
                    next_rollout_decision_});
 }
 
--- a/src/control/internal/control_updates.cc
+++ b/src/control/internal/control_updates.cc
@@ -18,6 +18,17 @@
 // Between looks at links that had no room for whole lists.
 constexpr std::chrono::milliseconds kListRetryInterval{50};
 
+// Evidence at all its bounds, 131,072 suspects, is stored each 2.6 s.
+constexpr std::chrono::microseconds kStoreTimePerSuspect{20};
+
+std::int64_t CountSuspects(const crashes::evidence& known) {
+  std::size_t count = known.served.size() + known.blocked.size();
+  for (const crashes::target_end& end : known.ends) {
+    count += end.parts.size() + end.requests.size();
+  }
+  return static_cast<std::int64_t>(count);
+}
+
 std::uint64_t AgeMs(time_point last_seen, time_point now) {
   return last_seen >= now
              ? 0
@@ -102,6 +113,17 @@
   new_evidence_.Append(std::move(news));
   next_evidence_send_ =
       std::min(next_evidence_send_, now_ + options_.evidence_interval);
+  next_evidence_store_ =
+      std::min(next_evidence_store_, std::max(evidence_storable_at_, now_));
+}
+
+void control_node::StoreEvidence() {
+  next_evidence_store_ = kNever;
+  crashes::evidence known = evidence_.All(now_);
+  evidence_storable_at_ =
+      now_ + std::max<duration>(options_.evidence_store_interval,
+                                kStoreTimePerSuspect * CountSuspects(known));
+  port_.StoreEvidence(std::move(known));
 }
 
 void control_node::SendNewEvidence() {
--- a/src/control/tests/control_fixture.h
+++ b/src/control/tests/control_fixture.h
@@ -160,6 +160,10 @@
     }
     stored.push_back(batch);
   }
+  void StoreEvidence(crashes::evidence known) override {
+    evidence = std::move(known);
+    ++evidence_stores;
+  }
   void OnRole(quorum::raft_role,
               quorum::term_number,
               const quorum::member_id&) override {}
@@ -184,6 +188,9 @@
 
   std::vector<rollouts::rollout_step> rollout_steps;
   quorum::durable_state disk;
+  /// As last stored, and how often.
+  crashes::evidence evidence;
+  int evidence_stores = 0;
   std::deque<quorum::batch_number> stored;
   int problems = 0;
   int contradictions = 0;
@@ -311,6 +318,7 @@
                         .raft = {.peer_endpoint = LinkEndpoint(i),
                                  .command_endpoint = CommandEndpoint(i),
                                  .tolerated_losses = tolerated_losses},
+                        .stored_evidence = ports[i]->evidence,
                         .rollouts = rollout_limits,
                         .stream_capacity = control_host_capacity},
         ports[i]->disk, random, *links[i], *ports[i], network.now);
--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -435,6 +435,7 @@
   }
   RunFor(seconds(3));
   for (std::size_t i = 0; i < kHosts; ++i) {
+    ports[i]->evidence = {};
     StartHost(i);
   }
   network.disconnected.clear();
@@ -444,5 +445,79 @@
   CHECK(views[1]->evidence.ends().size() == 1);
 }
 
+// Guards against docs/incidents/028: all daemons at once lost what they knew,
+// and a request that ends targets ended three more.
+TEST_CASE_METHOD(control_fixture,
+                 "all daemons are killed: routers are told of all targets that "
+                 "had ended") {
+  Notice(0, EndOf("t1"));
+  Notice(1, EndOf("t2"));
+  RunFor(seconds(1));
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    Isolate(i);
+  }
+  RunFor(seconds(3));
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    StartHost(i);
+  }
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    StartRouter(i);
+  }
+  network.disconnected.clear();
+  RunFor(seconds(6));
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    CHECK(views[i]->evidence.ends().size() == 2);
+  }
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "evidence: nothing new: it is not stored again") {
+  Notice(0, EndOf("t1"));
+  RunFor(seconds(1));
+  CHECK(ports[0]->evidence.ends.size() == 1);
+  const int before = ports[0]->evidence_stores;
+  Notice(0, EndOf("t1"));
+  RunFor(seconds(3));
+  CHECK(ports[0]->evidence_stores == before);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "evidence: new all the time: stored twice a second, all") {
+  const int before = ports[0]->evidence_stores;
+  for (int i = 0; i < 200; ++i) {
+    Notice(0, EndOf("t" + std::to_string(i)));
+    RunFor(milliseconds(20));
+  }
+  RunFor(seconds(1));
+  const int stores = ports[0]->evidence_stores - before;
+  CHECK(stores >= 8);
+  CHECK(stores <= 10);
+  CHECK(ports[0]->evidence.ends.size() == 200);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "evidence: as much as is kept and new all the time: stored "
+                 "less often") {
+  crashes::evidence much;
+  for (std::size_t i = 0; i < crashes::kMaxEnds; ++i) {
+    crashes::evidence end = EndOf("t" + std::to_string(i));
+    for (std::size_t id = 0; id < crashes::kMaxSuspects; ++id) {
+      end.ends[0].parts.push_back(100 + id);
+      end.ends[0].requests.emplace_back(100 + id);
+    }
+    much.Append(std::move(end));
+  }
+  Notice(0, much);
+  RunFor(seconds(1));
+  const int before = ports[0]->evidence_stores;
+  for (int i = 0; i < 10; ++i) {
+    Notice(0,
+           {.served = {{.key = {.pool = pool_id("llm"),
+                                .id = 1000ULL + static_cast<unsigned>(i)}}}});
+    RunFor(milliseconds(200));
+  }
+  CHECK(ports[0]->evidence_stores - before <= 1);
+}
+
 }  // namespace
 }  // namespace burdocklock::control
--- a/tools/control_cost/main.cc
+++ b/tools/control_cost/main.cc
@@ -78,6 +78,7 @@
              std::vector<quorum::storage_record>) override {
     stored.push_back(batch);
   }
+  void StoreEvidence(crashes::evidence) override {}
   void OnRole(quorum::raft_role,
               quorum::term_number,
               const quorum::member_id&) override {}
