Stored evidence: entries that cannot be read are counted in the log; it is read where the node is made

From reading the diff: `DecodeStored` left out such entries without a word, and `Options()` read the disk.

Measured: the seven cases of "stored evidence" and bl_app pass.

--- a/src/app/internal/control_host.cc
+++ b/src/app/internal/control_host.cc
@@ -188,8 +188,7 @@
       .data_centres = settings.control.data_centres,
       .raft = {.peer_endpoint = settings.peer_listener,
                .command_endpoint = settings.commands,
-               .tolerated_losses = settings.control.tolerated_disk_losses},
-      .stored_evidence = evidence.Load()};
+               .tolerated_losses = settings.control.tolerated_disk_losses}};
   if (settings.rollouts.enabled) {
     options.rollouts = rollouts::rollout_limits{
         .exposure_ratio = settings.rollouts.exposure_ratio,
@@ -259,8 +258,10 @@
              ArmTimer();
            }});
   if (started) {
+    control::control_options options = Options();
+    options.stored_evidence = evidence.Load();
     node = std::make_unique<control::control_node>(
-        Options(), std::move(log.state), random, links, *this,
+        std::move(options), std::move(log.state), random, links, *this,
         steady_clock::now());
     RegisterMetrics();
   }
--- a/src/app/internal/evidence_file.cc
+++ b/src/app/internal/evidence_file.cc
@@ -1,7 +1,6 @@
 // See the header.
 #include "app/internal/evidence_file.h"
 
-#include <chrono>
 #include <cstdint>
 #include <ctime>
 #include <fstream>
@@ -51,9 +50,10 @@
   if (stored && !stored.value()) {
     return {};
   }
-  const auto known = stored
-                         ? control::DecodeStored(*stored.value(), ReadClocks())
-                         : result<crashes::evidence>(stored.error());
+  dropped_entries dropped;
+  const auto known =
+      stored ? control::DecodeStored(*stored.value(), ReadClocks(), dropped)
+             : result<crashes::evidence>(stored.error());
   if (!known) {
     logger_.Log(log_record("evidence_unreadable", log_level::kWarning)
                     .Add("detail", known.error().Message()));
@@ -61,7 +61,9 @@
   }
   logger_.Log(log_record("evidence_read")
                   .Add("ends", known.value().ends.size())
-                  .Add("blocked", known.value().blocked.size()));
+                  .Add("blocked", known.value().blocked.size())
+                  .Add("dropped", dropped.count)
+                  .Add("problem", dropped.problem));
   return known.value();
 }
 
--- a/src/app/internal/evidence_file.h
+++ b/src/app/internal/evidence_file.h
@@ -1,7 +1,6 @@
 // Keeps a control host's evidence of requests that end targets on its disk.
 #pragma once
 
-#include <memory>
 #include <string>
 
 #include "crashes/types/evidence.h"
--- a/src/control/internal/stored_evidence.cc
+++ b/src/control/internal/stored_evidence.cc
@@ -54,12 +54,13 @@
   }
 }
 
-crashes::evidence Read(const json& stored, const clock_reading& now) {
+crashes::evidence Read(const json& stored,
+                       const clock_reading& now,
+                       dropped_entries& dropped) {
   const clock_reading written{
       .wall_ms = ReadWhole<std::uint64_t>(stored.at(kWallAt)),
       .running_ms = ReadWhole<std::uint64_t>(stored.at(kRunningAt)),
       .boot = stored.at(kBootAt).get<std::string>()};
-  dropped_entries dropped;
   crashes::evidence known =
       crashes::ReadEvidence(stored.at(kEvidenceAt), dropped);
   const time_since since = TimeSince(written, now);
@@ -84,10 +85,11 @@
 }
 
 result<crashes::evidence> DecodeStored(std::string_view bytes,
-                                       const clock_reading& now) {
+                                       const clock_reading& now,
+                                       dropped_entries& dropped) {
   // nlohmann::json reports malformed input by exception only.
   try {
-    return Read(ParseCbor(bytes), now);
+    return Read(ParseCbor(bytes), now, dropped);
   } catch (const std::exception& problem) {
     return error{.code = error_code::kMalformed,
                  .step = "read stored evidence",
--- a/src/control/stored_evidence.h
+++ b/src/control/stored_evidence.h
@@ -8,6 +8,7 @@
 
 #include "control/types/clock_reading.h"
 #include "crashes/types/evidence.h"
+#include "framework/codec/entry_list.h"
 #include "framework/types/error.h"
 
 namespace burdocklock::control {
@@ -21,9 +22,11 @@
 /// What was stored, older by the time since then. If the clocks do not tell
 /// that time, it counts as a minute at most, so that blocks neither vanish nor
 /// last for longer than they were made for, and what was served is left out: it
-/// could seem to have been served after targets ended. Fails with kMalformed if
-/// this was not written by `EncodeStored`.
+/// could seem to have been served after targets ended. Entries that cannot be
+/// read are left out. Fails with kMalformed if this was not written by
+/// `EncodeStored`.
 result<crashes::evidence> DecodeStored(std::string_view bytes,
-                                       const clock_reading& now);
+                                       const clock_reading& now,
+                                       dropped_entries& dropped);
 
 }  // namespace burdocklock::control
--- a/src/control/tests/stored_evidence_unittest.cc
+++ b/src/control/tests/stored_evidence_unittest.cc
@@ -39,7 +39,9 @@
                         .boot = "first"};
 
   evidence ReadAt(const clock_reading& now) const {
-    const auto read = DecodeStored(EncodeStored(known, written), now);
+    dropped_entries dropped;
+    const auto read = DecodeStored(EncodeStored(known, written), now, dropped);
+    CHECK(dropped.count == 0);
     REQUIRE(read.has_value());
     return read.value();
   }
@@ -104,7 +106,8 @@
   stored.push_back("of later software");
   std::string bytes;
   nlohmann::json::to_cbor(stored, bytes);
-  const auto read = DecodeStored(bytes, written);
+  dropped_entries dropped;
+  const auto read = DecodeStored(bytes, written, dropped);
   REQUIRE(read.has_value());
   CHECK(read.value() == known);
 }
@@ -133,7 +136,9 @@
 
 TEST_CASE("stored evidence: any bytes: an error or evidence, no crash") {
   rc::prop("no crash", [](const std::vector<std::uint8_t>& bytes) {
-    const auto read = DecodeStored(std::string(bytes.begin(), bytes.end()), {});
+    dropped_entries dropped;
+    const auto read =
+        DecodeStored(std::string(bytes.begin(), bytes.end()), {}, dropped);
     RC_ASSERT(read || read.error().code == error_code::kMalformed);
   });
 }
