Tests of odd messages and of lost evidence: what they shared with their neighbours is written once

`scripted_server` fetches from a server that a test scripts, for odd answers and for endless ones; control hosts are cut off in one place.

--- a/src/control/tests/control_unittest.cc
+++ b/src/control/tests/control_unittest.cc
@@ -388,6 +388,16 @@
 
 constexpr milliseconds kEvidenceTime{3000};
 
+struct lost_evidence_fixture : control_fixture {
+  // Cuts control hosts off for as long as daemons need to notice.
+  void IsolateHosts() {
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      Isolate(i);
+    }
+    RunFor(seconds(3));
+  }
+};
+
 TEST_CASE_METHOD(control_fixture,
                  "one router notices the end of a target: every other router "
                  "is told, without the leader too") {
@@ -425,15 +435,12 @@
   CHECK(views[1]->evidence.ends().size() == 1);
 }
 
-TEST_CASE_METHOD(control_fixture,
+TEST_CASE_METHOD(lost_evidence_fixture,
                  "all control hosts restart empty: routers tell each other "
                  "again what they know") {
   Notice(0, EndOf("t1"));
   RunFor(milliseconds(100));
-  for (std::size_t i = 0; i < kHosts; ++i) {
-    Isolate(i);
-  }
-  RunFor(seconds(3));
+  IsolateHosts();
   for (std::size_t i = 0; i < kHosts; ++i) {
     ports[i]->evidence = {};
     StartHost(i);
@@ -447,16 +454,13 @@
 
 // Guards against docs/incidents/028: all daemons at once lost what they knew,
 // and a request that ends targets ended three more.
-TEST_CASE_METHOD(control_fixture,
+TEST_CASE_METHOD(lost_evidence_fixture,
                  "all daemons are killed: routers are told of all targets that "
                  "had ended") {
   Notice(0, EndOf("t1"));
   Notice(1, EndOf("t2"));
   RunFor(seconds(1));
-  for (std::size_t i = 0; i < kHosts; ++i) {
-    Isolate(i);
-  }
-  RunFor(seconds(3));
+  IsolateHosts();
   for (std::size_t i = 0; i < kHosts; ++i) {
     StartHost(i);
   }
--- a/src/framework/net/tests/endless_bytes_unittest.cc
+++ b/src/framework/net/tests/endless_bytes_unittest.cc
@@ -18,6 +18,7 @@
 #include "framework/fiber/use_fiber.h"
 #include "framework/net/http_client.h"
 #include "framework/net/http_server.h"
+#include "framework/net/tests/scripted_server.h"
 
 namespace burdocklock::net {
 namespace {
@@ -169,30 +170,14 @@
   CHECK(counters.given_up >= kCallers - kFitting);
 }
 
-struct endless_reply_fixture {
-  asio::io_context server_io;
-  asio::ip::tcp::acceptor acceptor{server_io,
-                                   {asio::ip::address_v4::loopback(), 0}};
+struct endless_reply_fixture : scripted_server {
   std::size_t sent = 0;
 
   result<http_reply> FetchFrom(const std::string& start,
                                const std::string& repeated) {
-    std::thread server([&] {
-      asio::ip::tcp::socket socket = acceptor.accept();
+    return FetchWhile([&](asio::ip::tcp::socket& socket) {
       sent = SendEndlessly(socket, start, repeated);
     });
-    const endpoint peer{.port = acceptor.local_endpoint().port()};
-    asio::io_context io{1};
-    std::optional<result<http_reply>> reply;
-    std::thread client([&] {
-      RunFiberThread(io, [&] {
-        reply = Fetch(io, peer, http_request(http::verb::get, "/", 11),
-                      std::chrono::seconds(20));
-      });
-    });
-    client.join();
-    server.join();
-    return *reply;
   }
 };
 
--- a/src/framework/net/tests/odd_message_unittest.cc
+++ b/src/framework/net/tests/odd_message_unittest.cc
@@ -18,6 +18,7 @@
 #include "framework/net/http_client.h"
 #include "framework/net/http_server.h"
 #include "framework/net/tests/blocking_caller.h"
+#include "framework/net/tests/scripted_server.h"
 
 namespace burdocklock::net {
 namespace {
@@ -38,32 +39,15 @@
 using pieces = std::vector<std::string>;
 
 // Answers one request with pieces, whatever was asked.
-struct odd_answer_fixture {
-  asio::io_context server_io;
-  asio::ip::tcp::acceptor acceptor{server_io,
-                                   {asio::ip::address_v4::loopback(), 0}};
-
+struct odd_answer_fixture : scripted_server {
   result<http_reply> FetchAnswer(const pieces& answer) {
-    std::thread server([&] {
-      asio::ip::tcp::socket socket = acceptor.accept();
+    return FetchWhile([&answer](asio::ip::tcp::socket& socket) {
       beast::error_code ec;
       for (const std::string& piece : answer) {
         asio::write(socket, asio::buffer(piece), ec);
         std::this_thread::sleep_for(kBetweenPieces);
       }
     });
-    const endpoint peer{.port = acceptor.local_endpoint().port()};
-    asio::io_context io{1};
-    std::optional<result<http_reply>> reply;
-    std::thread client([&] {
-      RunFiberThread(io, [&] {
-        reply = Fetch(io, peer, http_request(http::verb::get, "/", 11),
-                      std::chrono::seconds(20));
-      });
-    });
-    client.join();
-    server.join();
-    return *reply;
   }
 };
 
