Configuration: whether keys are needed is a fact of its own, not an empty list of customers

Cause: both readers of configurations filled a vector that began empty, so no list and an empty one were the same value, and the router's index took it to mean that no keys are needed.

Change: `configuration::access` is a variant, keyed with customers or open; a default one is keyed. The router's line `configuration` says whether keys are needed and how many are accepted; `no_key_accepted` warns if none is.

Why this works: nothing that reads customers can take their number for an answer to another question any more; the index asks the variant once, when it is built, so a request costs one comparison as before.

--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -9,6 +9,7 @@
 
 #include <boost/outcome/success_failure.hpp>
 
+#include "routes/caller_access.h"
 #include "routes/configuration_checks.h"
 
 namespace burdocklock::app {
@@ -301,16 +302,26 @@
                                 table->contents().engine_throughput);
     }
   }
-  logger_.Log(
-      log_record("configuration")
-          .Add("version", version_)
-          .Add("routes", table->contents().routes.size())
-          .Add("customers", table->contents().customers.size())
-          .Add("engine_throughput", table->contents().engine_throughput));
+  LogConfiguration(*table);
   const std::lock_guard lock(mutex_);
   routes_ = std::move(table);
 }
 
+void operator_feed::LogConfiguration(const routes::route_index& table) const {
+  const routes::configuration& applied = table.contents();
+  logger_.Log(log_record("configuration")
+                  .Add("version", version_)
+                  .Add("routes", applied.routes.size())
+                  .Add("keys_needed", table.needs_keys())
+                  .Add("customers", routes::CustomersOf(applied.access).size())
+                  .Add("keys", table.key_count())
+                  .Add("engine_throughput", applied.engine_throughput));
+  if (table.needs_keys() && table.key_count() == 0) {
+    logger_.Log(log_record("no_key_accepted", log_level::kWarning)
+                    .Add("version", version_));
+  }
+}
+
 void operator_feed::ApplyOutages(const std::set<data_centre_id>& out) {
   for (const data_centre_id& data_centre : out) {
     if (!out_of_service_.contains(data_centre)) {
--- a/src/app/internal/operator_feed.h
+++ b/src/app/internal/operator_feed.h
@@ -93,6 +93,7 @@
   // Runs `handle` as an event with `out_` and `now_` set.
   void Run(const std::function<void(time_point now)>& handle);
   void ApplyConfiguration(const std::string& document);
+  void LogConfiguration(const routes::route_index& table) const;
   void ApplyOutages(const std::set<data_centre_id>& out);
   void UpdateRetryBudget();
   void ReportLoad(time_point now);
--- a/src/route_interface/internal/configuration_document.cc
+++ b/src/route_interface/internal/configuration_document.cc
@@ -97,6 +97,18 @@
   return customer;
 }
 
+// Only a document without the list is open: with an empty one no key is valid.
+routes::caller_access ReadAccess(member_reader& reader) {
+  if (reader.Find("customers") == nullptr) {
+    return routes::open_access{};
+  }
+  routes::keyed_access access;
+  for (member_reader& customer : reader.Objects("customers")) {
+    access.customers.push_back(ReadCustomer(customer));
+  }
+  return access;
+}
+
 routes::caller_limits ReadLimits(const json& value, std::string& problem) {
   member_reader reader(value, "limits", problem);
   const routes::caller_limits defaults;
@@ -125,9 +137,7 @@
   for (member_reader& service : reader.Objects("services")) {
     configuration.services.push_back(ReadService(service));
   }
-  for (member_reader& customer : reader.Objects("customers")) {
-    configuration.customers.push_back(ReadCustomer(customer));
-  }
+  configuration.access = ReadAccess(reader);
   if (const json* limits = reader.Find("limits")) {
     configuration.limits = ReadLimits(*limits, problem);
   }
--- a/src/route_interface/tests/route_interface_unittest.cc
+++ b/src/route_interface/tests/route_interface_unittest.cc
@@ -7,6 +7,7 @@
 
 #include "route_interface/configuration_document.h"
 #include "route_interface/route_dialect.h"
+#include "routes/caller_access.h"
 #include "routes/configuration_checks.h"
 
 namespace burdocklock::route_interface {
@@ -80,7 +81,7 @@
   CHECK(c.services[0].memory_tokens == 500);
   CHECK(c.services[0].copies_prompts);
   CHECK_FALSE(c.services[1].copies_prompts);
-  CHECK(c.customers[0].api_keys.size() == 2);
+  CHECK(routes::CustomersOf(c.access)[0].api_keys.size() == 2);
   CHECK(c.limits.read_timeout == milliseconds(3000));
   CHECK(c.limits.max_body_bytes == routes::caller_limits().max_body_bytes);
 }
--- a/src/routes/internal/configuration_checks.cc
+++ b/src/routes/internal/configuration_checks.cc
@@ -7,6 +7,8 @@
 
 #include <boost/outcome/success_failure.hpp>
 
+#include "routes/caller_access.h"
+
 namespace burdocklock::routes {
 
 namespace {
@@ -73,7 +75,7 @@
 result<void> CheckCustomers(const configuration& configuration) {
   std::unordered_set<customer_id> seen_customers;
   std::unordered_map<std::string, customer_id> key_owners;
-  for (const route_customer& customer : configuration.customers) {
+  for (const route_customer& customer : CustomersOf(configuration.access)) {
     if (customer.customer.value().size() > kMaxCustomerNameBytes) {
       return InvalidConfiguration("a customer's name is too long");
     }
--- a/src/routes/internal/route_index.cc
+++ b/src/routes/internal/route_index.cc
@@ -4,6 +4,8 @@
 #include <cctype>
 #include <utility>
 
+#include "routes/caller_access.h"
+
 namespace burdocklock::routes {
 
 namespace {
@@ -22,12 +24,13 @@
 }  // namespace
 
 route_index::route_index(configuration configuration)
-    : contents_(std::move(configuration)) {
+    : contents_(std::move(configuration)),
+      needs_keys_(NeedsKeys(contents_.access)) {
   for (const route& route : contents_.routes) {
     routes_by_host_name_[LowerCase(route.host_name)][route.path_prefix] =
         &route;
   }
-  for (const route_customer& customer : contents_.customers) {
+  for (const route_customer& customer : CustomersOf(contents_.access)) {
     for (const std::string& key : customer.api_keys) {
       customers_by_key_[key] = &customer;
     }
@@ -66,7 +69,7 @@
 }
 
 bool route_index::NeedsKey(const route& route) const {
-  return !route.anonymous && !contents_.customers.empty();
+  return needs_keys_ && !route.anonymous;
 }
 
 const service_terms* route_index::FindService(const pool_id& service) const {
--- a/src/routes/route_index.h
+++ b/src/routes/route_index.h
@@ -2,6 +2,7 @@
 // that traffic threads can share it without locking.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -28,6 +29,12 @@
   [[nodiscard]] const route_customer* FindByKey(std::string_view api_key) const;
   /// Returns whether calls to the route must carry an API key.
   [[nodiscard]] bool NeedsKey(const route& route) const;
+  /// Whether calls to routes that are not anonymous must carry one.
+  [[nodiscard]] bool needs_keys() const { return needs_keys_; }
+  /// API keys that are accepted.
+  [[nodiscard]] std::size_t key_count() const {
+    return customers_by_key_.size();
+  }
   [[nodiscard]] const service_terms* FindService(const pool_id& service) const;
   [[nodiscard]] const configuration& contents() const { return contents_; }
 
@@ -43,6 +50,7 @@
       std::unordered_map<std::string, T, string_hash, std::equal_to<>>;
 
   configuration contents_;
+  bool needs_keys_;
   /// Lower-case host name to path prefix to route.
   string_map<string_map<const route*>> routes_by_host_name_;
   string_map<const route_customer*> customers_by_key_;
--- a/src/routes/tests/routes_unittest.cc
+++ b/src/routes/tests/routes_unittest.cc
@@ -29,10 +29,14 @@
                     Route("returns", "/orders/returns/")};
     valid.services = {{.service = pool_id("desk")},
                       {.service = pool_id("pool")}};
-    valid.customers = {{.customer = customer_id("a"), .api_keys = {"k1", "k2"}},
-                       {.customer = customer_id("b"), .api_keys = {"k3"}}};
+    valid.access =
+        keyed_access{{{.customer = customer_id("a"), .api_keys = {"k1", "k2"}},
+                      {.customer = customer_id("b"), .api_keys = {"k3"}}}};
     return valid;
   }
+  std::vector<route_customer>& Customers() {
+    return std::get<keyed_access>(tested.access).customers;
+  }
   bool Passes() const { return Check(tested).has_value(); }
   std::string MatchedRouteName(const std::string& host,
                                const std::string& path) const {
@@ -52,9 +56,9 @@
     configuration_fixture,
     "configuration: customer's name longer than header fields: fails") {
   constexpr std::size_t kLongest = 65'533;
-  tested.customers[0].customer = customer_id(std::string(kLongest, 'a'));
+  Customers()[0].customer = customer_id(std::string(kLongest, 'a'));
   CHECK(Passes());
-  tested.customers[0].customer = customer_id(std::string(kLongest + 1, 'a'));
+  Customers()[0].customer = customer_id(std::string(kLongest + 1, 'a'));
   CHECK_FALSE(Passes());
 }
 
@@ -85,7 +89,7 @@
 
 TEST_CASE_METHOD(configuration_fixture,
                  "configuration: key shared by two customers: fails") {
-  tested.customers[1].api_keys.emplace_back("k2");
+  Customers()[1].api_keys.emplace_back("k2");
   CHECK_FALSE(Passes());
 }
 
@@ -108,6 +112,40 @@
   CHECK(index.NeedsKey(index.contents().routes[0]));
 }
 
+// Guards against docs/incidents/029: no customers read as no need for a key.
+TEST_CASE_METHOD(configuration_fixture,
+                 "route index: no customers: keys are needed and none is "
+                 "found, but for anonymous routes") {
+  tested.access = keyed_access{};
+  tested.routes[1].anonymous = true;
+  CHECK(Passes());
+  const route_index index(tested);
+  CHECK(index.NeedsKey(index.contents().routes[0]));
+  CHECK_FALSE(index.NeedsKey(index.contents().routes[1]));
+  CHECK(index.FindByKey("k1") == nullptr);
+}
+
+TEST_CASE_METHOD(configuration_fixture,
+                 "route index: open access: no key is needed or found") {
+  tested.access = open_access{};
+  CHECK(Passes());
+  const route_index index(tested);
+  CHECK_FALSE(index.NeedsKey(index.contents().routes[0]));
+  CHECK_FALSE(index.needs_keys());
+  CHECK(index.FindByKey("k1") == nullptr);
+}
+
+TEST_CASE_METHOD(configuration_fixture,
+                 "route index: keys of all customers: counted; whether keys "
+                 "are needed is told beside") {
+  const route_index keyed(tested);
+  CHECK(keyed.key_count() == 3);
+  CHECK(keyed.needs_keys());
+  const route_index closed{configuration()};
+  CHECK(closed.key_count() == 0);
+  CHECK(closed.needs_keys());
+}
+
 TEST_CASE_METHOD(configuration_fixture,
                  "weights: any hash: calls are distributed by weight") {
   route split = Route("split", "/");
--- a/src/routes/types/configuration.h
+++ b/src/routes/types/configuration.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "framework/types/ids.h"
@@ -106,13 +107,28 @@
                          const route_customer&) = default;
 };
 
+/// Calls need the API key of a customer, except those to anonymous routes.
+/// Without any customer or key, all other calls are refused.
+struct keyed_access {
+  std::vector<route_customer> customers;
+
+  friend bool operator==(const keyed_access&, const keyed_access&) = default;
+};
+
+/// No call needs an API key, and none has a customer.
+struct open_access {
+  friend bool operator==(const open_access&, const open_access&) = default;
+};
+
+/// Who may call. Open only where a document says so: keyed by default.
+using caller_access = std::variant<keyed_access, open_access>;
+
 /// Valid only if it has passed `Check` (configuration_checks.h).
 struct configuration {
   configuration_version version;
   std::vector<route> routes;
   std::vector<service_terms> services;
-  /// If empty, callers need no API key.
-  std::vector<route_customer> customers;
+  caller_access access;
   caller_limits limits;
   /// Total throughput of all model engines in tokens per second, with each
   /// generated token counted twice; zero if not specified.
