An empty key, name or token is nobody's

Cause: a call without a key has the empty key, and that was looked up as any other text; the same for tokens by their hash.

Change: `routes::CheckNew` refuses an empty key or customer's name in a new configuration. The index skips what an earlier daemon stored, so that such a version stays in force for its other keys. The hash of nothing is an error in settings and sheet, and an empty secret is never accepted.

--- a/src/app/internal/command_call.cc
+++ b/src/app/internal/command_call.cc
@@ -109,7 +109,7 @@
     return MakeProblem(http::status::bad_request,
                        configuration.error().Message());
   }
-  if (const auto checked = routes::Check(configuration.value()); !checked) {
+  if (const auto checked = routes::CheckNew(configuration.value()); !checked) {
     return MakeProblem(http::status::bad_request, checked.error().Message());
   }
   return RunCommand(request, [&](command_done done) {
--- a/src/config/internal/key_hashing.cc
+++ b/src/config/internal/key_hashing.cc
@@ -38,7 +38,16 @@
   return CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
-bool IsAcceptedKey(const key_hash& hash, std::span<const key_hash> accepted) {
+bool IsHashOfEmpty(const key_hash& hash) {
+  return KeysEqual(hash, HashKey(""));
+}
+
+bool IsAcceptedSecret(std::string_view secret,
+                      std::span<const key_hash> accepted) {
+  if (secret.empty()) {
+    return false;
+  }
+  const key_hash hash = HashKey(secret);
   bool found = false;
   for (const key_hash& candidate : accepted) {
     found |= KeysEqual(hash, candidate);
--- a/src/config/internal/settings_reader.cc
+++ b/src/config/internal/settings_reader.cc
@@ -55,6 +55,9 @@
       table.Report(key, "must hold SHA-256 hashes of 64 hexadecimal digits");
       break;
     }
+    if (IsHashOfEmpty(*hash)) {
+      table.Report(key, "must not hold the hash of no token");
+    }
     hashes.push_back(*hash);
   }
   return hashes;
--- a/src/config/internal/sheet_index.cc
+++ b/src/config/internal/sheet_index.cc
@@ -36,6 +36,9 @@
 }
 
 const customer* sheet_index::FindByKey(std::string_view api_key) const {
+  if (api_key.empty()) {
+    return nullptr;
+  }
   const key_hash hash = HashKey(api_key);
   const auto [first, last] = customers_by_key_.equal_range(HashPrefix(hash));
   for (auto it = first; it != last; ++it) {
--- a/src/config/internal/sheet_reader.cc
+++ b/src/config/internal/sheet_reader.cc
@@ -153,6 +153,9 @@
                      "must hold SHA-256 hashes of 64 hexadecimal digits");
         break;
       }
+      if (IsHashOfEmpty(*hash)) {
+        table.Report("api_keys_sha256", "must not hold the hash of no key");
+      }
       if (!seen_api_keys_.insert(text).second) {
         table.Report("api_keys_sha256", "key is used twice");
       }
--- a/src/config/key_hashing.h
+++ b/src/config/key_hashing.h
@@ -20,8 +20,12 @@
 
 /// Compares in constant time.
 bool KeysEqual(const key_hash& a, const key_hash& b);
-/// Returns whether `accepted` contains `hash`, in time independent of its
-/// position.
-bool IsAcceptedKey(const key_hash& hash, std::span<const key_hash> accepted);
+/// Whether this is the hash of an empty secret, as a variable without a value
+/// gives: everybody who sends no secret would have it.
+bool IsHashOfEmpty(const key_hash& hash);
+/// Returns whether `accepted` contains the hash of `secret`, in time
+/// independent of its position. An empty secret is never accepted.
+bool IsAcceptedSecret(std::string_view secret,
+                      std::span<const key_hash> accepted);
 
 }  // namespace burdocklock::config
--- a/src/config/tests/config_unittest.cc
+++ b/src/config/tests/config_unittest.cc
@@ -70,6 +70,23 @@
             .enabled = true, .exposure_ratio = 0.1, .exposure_tolerance = 50});
 }
 
+// Guards against docs/incidents/030: the hash of a variable without a value let
+// in whoever sent no token.
+TEST_CASE_METHOD(settings_fixture,
+                 "settings: hash of an empty token: refused, and never "
+                 "accepted") {
+  const std::string hash = FormatKeyHash(HashKey(""));
+  for (const std::string key : {"targets_sha256", "operators_sha256"}) {
+    CHECK(ParseFailure("[tokens]\n" + key + " = [\"" + hash + "\"]\n").detail ==
+          "line 6: tokens." + key + ": must not hold the hash of no token");
+  }
+  const std::vector<key_hash> accepted = {HashKey(""), HashKey("a")};
+  CHECK_FALSE(IsAcceptedSecret("", accepted));
+  CHECK(IsAcceptedSecret("a", accepted));
+  CHECK_FALSE(IsAcceptedSecret("b", accepted));
+  CHECK_FALSE(IsAcceptedSecret("a", {}));
+}
+
 TEST_CASE("settings: missing file: unreadable") {
   const auto parsed = ReadSettings("/nonexistent/daemon.toml");
   REQUIRE(!parsed.has_value());
@@ -193,6 +210,21 @@
                                     pool_id("spares-desk")));
 }
 
+// Guards against docs/incidents/030: the list of models was told without a key.
+TEST_CASE("sheet: hash of an empty key: refused, and never accepted") {
+  const std::string hash = FormatKeyHash(HashKey(""));
+  const auto parsed =
+      ParseSheet("[[customers]]\nid = \"c\"\nshare = 1\napi_keys_sha256 = [\"" +
+                     hash + "\"]\n",
+                 "sheet.toml");
+  REQUIRE_FALSE(parsed.has_value());
+  CHECK(parsed.error().detail ==
+        "line 4: customers.api_keys_sha256: must not hold the hash of no key");
+  sheet sheet;
+  sheet.customers = {{.id = customer_id("c"), .api_keys = {HashKey("")}}};
+  CHECK(sheet_index(sheet).FindByKey("") == nullptr);
+}
+
 TEST_CASE("service rules: method and path: decide what may be retried") {
   const service service{
       .id = pool_id("s"),
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -64,7 +64,7 @@
   if (!configuration) {
     return configuration.error();
   }
-  if (const auto checked = burdocklock::routes::Check(configuration.value());
+  if (const auto checked = burdocklock::routes::CheckNew(configuration.value());
       !checked) {
     return checked.error();
   }
--- a/src/gateway/internal/caller_handler.cc
+++ b/src/gateway/internal/caller_handler.cc
@@ -149,7 +149,7 @@
     const net::http_request& request) {
   const std::string_view token =
       BearerToken(request[http::field::authorization]);
-  if (!config::IsAcceptedKey(config::HashKey(token), options_.target_tokens)) {
+  if (!config::IsAcceptedSecret(token, options_.target_tokens)) {
     return Reply(connection, request, 401, kJson,
                  R"({"error":"unknown target token"})");
   }
--- a/src/gateway/internal/operator_handler.cc
+++ b/src/gateway/internal/operator_handler.cc
@@ -64,7 +64,7 @@
     const net::http_request& request) const {
   const std::string_view token =
       BearerToken(request[http::field::authorization]);
-  if (!config::IsAcceptedKey(config::HashKey(token), tokens_)) {
+  if (!config::IsAcceptedSecret(token, tokens_)) {
     return {.status = 401, .body = R"({"error":"unknown operator token"})"};
   }
   const std::string_view path = request.target();
--- a/src/route_interface/internal/command_handler.cc
+++ b/src/route_interface/internal/command_handler.cc
@@ -35,9 +35,8 @@
 
 bool HasAcceptedToken(const net::http_request& request,
                       const std::vector<config::key_hash>& tokens) {
-  return config::IsAcceptedKey(config::HashKey(gateway::BearerToken(
-                                   request[http::field::authorization])),
-                               tokens);
+  return config::IsAcceptedSecret(
+      gateway::BearerToken(request[http::field::authorization]), tokens);
 }
 
 }  // namespace
--- a/src/route_interface/tests/caller_access_unittest.cc
+++ b/src/route_interface/tests/caller_access_unittest.cc
@@ -190,6 +190,19 @@
   CheckNobodyIsServed();
 }
 
+// Guards against docs/incidents/030: a call without a key was served as the
+// customer with the empty one.
+TEST_CASE_METHOD(caller_access_fixture,
+                 "access: customer with an empty key: refused, no call without "
+                 "a key is served") {
+  ServeFirst();
+  CHECK(Put(With(2, json::array({{{"name", "c"}, {"keys", {"k", ""}}}}))) ==
+        400);
+  CHECK(StatusOf("k") == 200);
+  CHECK(StatusOf("") == 401);
+  CHECK(StatusWithoutKey() == 401);
+}
+
 TEST_CASE_METHOD(caller_access_fixture,
                  "access: customers of another kind than a list: refused, the "
                  "version before stays in force") {
--- a/src/routes/configuration_checks.h
+++ b/src/routes/configuration_checks.h
@@ -12,4 +12,9 @@
 /// key that belongs to two customers.
 result<void> Check(const configuration& configuration);
 
+/// `Check`, and what is refused of new versions only, as earlier software
+/// stored it: an empty API key, and a customer with an empty name. Routers
+/// accept neither's key (route_index.h).
+result<void> CheckNew(const configuration& configuration);
+
 }  // namespace burdocklock::routes
--- a/src/routes/internal/configuration_checks.cc
+++ b/src/routes/internal/configuration_checks.cc
@@ -111,4 +111,22 @@
   return CheckCustomers(configuration);
 }
 
+result<void> CheckNew(const configuration& configuration) {
+  if (auto checked = Check(configuration); !checked) {
+    return checked;
+  }
+  for (const route_customer& customer : CustomersOf(configuration.access)) {
+    if (customer.customer.value().empty()) {
+      return InvalidConfiguration("a customer's name is empty");
+    }
+    for (const std::string& key : customer.api_keys) {
+      if (key.empty()) {
+        return InvalidConfiguration("customer " + customer.customer.value() +
+                                    " has an empty key");
+      }
+    }
+  }
+  return Success();
+}
+
 }  // namespace burdocklock::routes
--- a/src/routes/internal/route_index.cc
+++ b/src/routes/internal/route_index.cc
@@ -31,15 +31,26 @@
         &route;
   }
   for (const route_customer& customer : CustomersOf(contents_.access)) {
-    for (const std::string& key : customer.api_keys) {
-      customers_by_key_[key] = &customer;
-    }
+    IndexKeys(customer);
   }
   for (const service_terms& terms : contents_.services) {
     services_[terms.service] = &terms;
   }
 }
 
+// A stored version may hold an empty key, which every call without a key has,
+// or a customer without a name, whose calls would be nobody's.
+void route_index::IndexKeys(const route_customer& customer) {
+  if (customer.customer.value().empty()) {
+    return;
+  }
+  for (const std::string& key : customer.api_keys) {
+    if (!key.empty()) {
+      customers_by_key_[key] = &customer;
+    }
+  }
+}
+
 const route* route_index::Match(std::string_view host_name,
                                 std::string_view path) const {
   const auto host_routes =
--- a/src/routes/route_index.h
+++ b/src/routes/route_index.h
@@ -25,7 +25,8 @@
   /// path are ignored.
   [[nodiscard]] const route* Match(std::string_view host_name,
                                    std::string_view path) const;
-  /// Returns the customer that owns the API key, or nullptr.
+  /// Returns the customer that owns the API key, or nullptr; an empty key is
+  /// nobody's.
   [[nodiscard]] const route_customer* FindByKey(std::string_view api_key) const;
   /// Returns whether calls to the route must carry an API key.
   [[nodiscard]] bool NeedsKey(const route& route) const;
@@ -49,10 +50,13 @@
   using string_map =
       std::unordered_map<std::string, T, string_hash, std::equal_to<>>;
 
+  void IndexKeys(const route_customer& customer);
+
   configuration contents_;
   bool needs_keys_;
   /// Lower-case host name to path prefix to route.
   string_map<string_map<const route*>> routes_by_host_name_;
+  /// Invariant: neither a key nor its customer's name is empty.
   string_map<const route_customer*> customers_by_key_;
   std::unordered_map<pool_id, const service_terms*> services_;
 };
--- a/src/routes/tests/routes_unittest.cc
+++ b/src/routes/tests/routes_unittest.cc
@@ -93,6 +93,26 @@
   CHECK_FALSE(Passes());
 }
 
+// Guards against docs/incidents/030: a call without a key was served as the
+// customer that an empty key was listed for.
+TEST_CASE_METHOD(configuration_fixture,
+                 "configuration: empty key or customer's name: refused if new, "
+                 "never accepted if stored") {
+  CHECK(CheckNew(tested).has_value());
+  Customers()[0].api_keys.emplace_back();
+  CHECK_FALSE(CheckNew(tested).has_value());
+  CHECK(Passes());
+  CHECK(route_index(tested).FindByKey("") == nullptr);
+  CHECK(route_index(tested).key_count() == 3);
+
+  tested = Valid();
+  Customers()[0].customer = customer_id();
+  CHECK_FALSE(CheckNew(tested).has_value());
+  CHECK(Passes());
+  CHECK(route_index(tested).FindByKey("k1") == nullptr);
+  CHECK(route_index(tested).FindByKey("k3") != nullptr);
+}
+
 TEST_CASE_METHOD(configuration_fixture,
                  "route index: nested prefixes: the longest one matches") {
   CHECK(MatchedRouteName("desk.example", "/orders/returns/7") == "returns");
