Router: a version in force that cannot be read ends the one before, too

Cause: ApplyConfiguration returned at the error and left the routes as they were. A rollout's check of its service passed likewise if the configuration could not be read.

Change: without a readable version there are no routes: 503 `no_configuration` (not run, Retry-After) and not ready, until a version that can be read. The line `configuration_unreadable` names the version. Rollouts are refused (503).

--- a/src/app/command_call.h
+++ b/src/app/command_call.h
@@ -40,7 +40,8 @@
 
 /// Begins a rollout. 400 if the order could not be read, 422 if the
 /// configuration has no such service or rollouts are not enabled, 409 while
-/// another rollout of the service is in progress.
+/// another rollout of the service is in progress, 503 if the configuration in
+/// force cannot be read.
 net::json_reply RunBeginRollout(const net::http_request& request,
                                 const result<rollouts::rollout_order>& order,
                                 const routes::i_configuration_reader& reader,
--- a/src/app/internal/command_call.cc
+++ b/src/app/internal/command_call.cc
@@ -149,7 +149,12 @@
                        "there is no configuration yet");
   }
   const auto configuration = reader.Read(read.document);
-  if (configuration && !HasService(configuration.value(), order.value().pool)) {
+  if (!configuration) {
+    return MakeProblem(http::status::service_unavailable,
+                       "the configuration in force cannot be read here: " +
+                           configuration.error().Message());
+  }
+  if (!HasService(configuration.value(), order.value().pool)) {
     return MakeProblem(http::status::unprocessable_entity,
                        "there is no such service");
   }
--- a/src/app/internal/operator_feed.cc
+++ b/src/app/internal/operator_feed.cc
@@ -286,7 +286,10 @@
       read ? routes::Check(read.value()) : result<void>(read.error());
   if (!checked) {
     logger_.Log(log_record("configuration_unreadable", log_level::kError)
+                    .Add("version", version_)
                     .Add("detail", checked.error().Message()));
+    // What only the version before allows must not be served any more.
+    SetRoutes(nullptr);
     return;
   }
   auto table =
@@ -303,8 +306,13 @@
     }
   }
   LogConfiguration(*table);
+  SetRoutes(std::move(table));
+}
+
+void operator_feed::SetRoutes(
+    std::shared_ptr<const routes::route_index> routes) {
   const std::lock_guard lock(mutex_);
-  routes_ = std::move(table);
+  routes_ = std::move(routes);
 }
 
 void operator_feed::LogConfiguration(const routes::route_index& table) const {
--- a/src/app/internal/operator_feed.h
+++ b/src/app/internal/operator_feed.h
@@ -63,8 +63,8 @@
   /// Asks them where one began; the router receives the answer later.
   void AskStreamOrigin(stream_key key, time_point now);
 
-  /// The current routes; nullptr until they have been received. Callable from
-  /// any thread.
+  /// The current routes; nullptr until they have been received, and while the
+  /// version in force cannot be read. Callable from any thread.
   [[nodiscard]] std::shared_ptr<const routes::route_index> Routes() const;
   [[nodiscard]] const peer::peer_traffic& traffic() const {
     return links_.traffic();
@@ -94,6 +94,7 @@
   void Run(const std::function<void(time_point now)>& handle);
   void ApplyConfiguration(const std::string& document);
   void LogConfiguration(const routes::route_index& table) const;
+  void SetRoutes(std::shared_ptr<const routes::route_index> routes);
   void ApplyOutages(const std::set<data_centre_id>& out);
   void UpdateRetryBudget();
   void ReportLoad(time_point now);
--- a/src/app/tests/path_fixture.h
+++ b/src/app/tests/path_fixture.h
@@ -79,6 +79,9 @@
   std::thread router_thread;
   daemon_addresses addresses;
   i_logger* router_logger = nullptr;
+  /// Adapter of the routers that are started from now on, as of other software
+  /// than the control host; the fixture's if nullptr.
+  const i_interface_adapter* router_adapter = nullptr;
 
   explicit path_fixture(Adapter used = Adapter(),
                         const router_changes& changes = {})
@@ -135,8 +138,9 @@
   }
   void StartRouter() {
     std::promise<daemon_addresses> started;
-    router = std::make_unique<daemon>(router_settings, config::sheet(),
-                                      *router_logger, &adapter);
+    router = std::make_unique<daemon>(
+        router_settings, config::sheet(), *router_logger,
+        router_adapter != nullptr ? router_adapter : &adapter);
     router_thread = std::thread([&] {
       REQUIRE(router->Run([&](const auto& bound) { started.set_value(bound); })
                   .has_value());
