--- a/src/route_interface/tests/configuration_member_unittest.cc
+++ b/src/route_interface/tests/configuration_member_unittest.cc
@@ -1,6 +1,5 @@
 // Absent, null, empty and odd members of the native configuration document.
 #include <string>
-#include <variant>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -12,7 +11,6 @@
 namespace {
 
 using nlohmann::json;
-using routes::Admit;
 using routes::if_empty;
 using routes::Refused;
 
@@ -84,20 +82,7 @@
 TEST_CASE_METHOD(member_fixture,
                  "document: customers absent, empty or odd: open, closed, "
                  "refused") {
-  const auto access = [this](const json& document) {
-    const auto read = Admit(reader, document);
-    REQUIRE(read.has_value());
-    return read.value().access;
-  };
-  CHECK(access(routes::Without(whole, "/customers")) ==
-        routes::caller_access(routes::open_access{}));
-  CHECK(access(routes::With(whole, "/customers", json::array())) ==
-        routes::caller_access(routes::keyed_access{}));
-  for (const json& odd : routes::OtherKinds(json::array())) {
-    CAPTURE(odd);
-    CHECK_FALSE(
-        Admit(reader, routes::With(whole, "/customers", odd)).has_value());
-  }
+  routes::CheckAccess(reader, whole, "/customers");
 }
 
 }  // namespace
--- a/src/routes/tests/member_table.h
+++ b/src/routes/tests/member_table.h
@@ -164,4 +164,21 @@
   CHECK(covered == expected);
 }
 
+/// Checks that the document is open without its list of customers, closed with
+/// an empty one, and refused with any other kind of value there.
+inline void CheckAccess(const i_configuration_reader& reader,
+                        const json& whole,
+                        const std::string& path) {
+  const auto open = Admit(reader, Without(whole, path));
+  REQUIRE(open.has_value());
+  CHECK(open.value().access == caller_access(open_access{}));
+  const auto closed = Admit(reader, With(whole, path, json::array()));
+  REQUIRE(closed.has_value());
+  CHECK(closed.value().access == caller_access(keyed_access{}));
+  for (const json& odd : OtherKinds(json::array())) {
+    CAPTURE(odd);
+    CHECK_FALSE(Admit(reader, With(whole, path, odd)).has_value());
+  }
+}
+
 }  // namespace burdocklock::routes
